--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+MODULES = dandelionhoist.example/...
+SOURCES = $(shell git ls-files '*.go' | grep -vE '^dh/dhpb/|_string\.go$$')
+
+.PHONY: test race lint format generate tools programs run
+
+# Tests that KNOWN-RED.txt lists are printed and skipped.
+SKIP = $(shell sed -n 's/^test: *//p' KNOWN-RED.txt 2>/dev/null | paste -sd'|')
+
+test:
+	@sed -n 's/^test: */known red, skipped: /p' KNOWN-RED.txt 2>/dev/null || true
+	go test $(if $(SKIP),-skip '$(SKIP)') $(MODULES)
+
+race:
+	go test -race $(if $(SKIP),-skip '$(SKIP)') $(MODULES)
+
+tools: bin/gofumpt
+
+bin/gofumpt: tools/go.mod
+	GOWORK=off go -C tools build -o ../bin/ tool
+
+bin/buf: tools/buf/go.mod
+	GOWORK=off go -C tools/buf build -o ../../bin/ tool
+
+lint: tools
+	@test -z "$$(bin/gofumpt -l $(SOURCES))" || { bin/gofumpt -l $(SOURCES); echo "run make format"; exit 1; }
+	bin/revive -config revive.toml -set_exit_status -exclude ./dh/dhpb/... ./dh/... ./cmd/...
+	go vet $(MODULES)
+
+format: tools
+	bin/gofumpt -w $(SOURCES)
+
+generate: tools bin/buf
+	bin/buf generate
+	cd dh && go generate ./...
+
+programs:
+	go build -o bin/ dandelionhoist.example/cmd/...
--- /dev/null
+++ b/cmd/dandelionhoist-engine/main.go
@@ -0,0 +1,4 @@
+// Command dandelionhoist-engine is under construction.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/dandelionhoist-load/main.go
@@ -0,0 +1,4 @@
+// Command dandelionhoist-load is under construction.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/dandelionhoist/main.go
@@ -0,0 +1,4 @@
+// Command dandelionhoist is under construction.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/dandelionhoistd/main.go
@@ -0,0 +1,4 @@
+// Command dandelionhoistd is under construction.
+package main
+
+func main() {}
--- /dev/null
+++ b/dh/dhbackend/dhbackend.go
@@ -0,0 +1,163 @@
+// Package dhbackend is the table of announced backend servers.
+//
+// The control goroutine owns a Table and applies announcements to it; traffic
+// reads immutable Views.
+//
+// # Usage
+//
+//	table := dhbackend.Table{Lease: 2500 * time.Millisecond, MaxBackends: 4096}
+//	err := table.Announce(backend)
+//	view := table.View(now) // without leaving and expired backend servers
+//	for _, b := range view.Pool("atelier-llm") { ... }
+package dhbackend
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"dandelionhoist.example/dh/dhcode"
+	"dandelionhoist.example/dh/dhpb"
+	"dandelionhoist.example/dh/dhtable"
+)
+
+//go:generate ../../bin/stringer -type=State -linecomment
+
+// State is the state that a backend server announces.
+type State int
+
+// The states.
+const (
+	Cold    State = iota // cold
+	Ready                // ready
+	Leaving              // leaving
+)
+
+// Backend is one announced backend server. It is immutable.
+type Backend struct {
+	ID, Address, Zone, Pool string
+	// Versions are the loaded versions.
+	Versions []dhtable.Version
+	State    State
+	// SustainableLoad is how many requests at once the backend server takes while cold.
+	SustainableLoad int
+	// Slots is how many requests it runs at once when ready; Running and
+	// Waiting are its last load report, ReportAge old when it was announced.
+	Slots, Running, Waiting int
+	ReportAge               time.Duration
+	// ChecksFencing is set when orders with an old fencing token are refused.
+	ChecksFencing bool
+	// Incarnation grows with each restart, Sequence with each announcement.
+	Incarnation, Sequence uint64
+	// Seen is when this VM learned of the announcement.
+	Seen time.Time
+}
+
+// Has reports whether a version is loaded.
+func (b *Backend) Has(v dhtable.Version) bool { return slices.Contains(b.Versions, v) }
+
+// FromRecord converts an announcement. An unknown state or a missing name is
+// refused with the code request-malformed.
+func FromRecord(r *dhpb.BackendRecord, now time.Time) (*Backend, error) {
+	state, ok := parseState(r.GetState())
+	if !ok || r.GetId() == "" || r.GetAddress() == "" || r.GetPool() == "" {
+		return nil, dhcode.Errorf(dhcode.RequestMalformed, "announcement of %q needs id, address, pool and a known state", r.GetId())
+	}
+	b := &Backend{
+		ID: r.GetId(), Address: r.GetAddress(), Zone: r.GetZone(), Pool: r.GetPool(), State: state,
+		SustainableLoad: int(r.GetSustainableLoad()), Slots: int(r.GetSlots()),
+		Running: int(r.GetRunning()), Waiting: int(r.GetWaiting()), ReportAge: r.GetReportAge().AsDuration(),
+		ChecksFencing: r.GetChecksFencing(), Incarnation: r.GetIncarnation(), Sequence: r.GetSequence(), Seen: now,
+	}
+	for _, v := range r.GetVersions() {
+		b.Versions = append(b.Versions, dhtable.Version{Model: v.GetModel(), Name: v.GetVersion()})
+	}
+	return b, nil
+}
+
+func parseState(s string) (State, bool) {
+	for state := Cold; state <= Leaving; state++ {
+		if state.String() == s {
+			return state, true
+		}
+	}
+	return 0, false
+}
+
+// Table holds the announced backend servers of one entry VM. It belongs to
+// the control goroutine.
+type Table struct {
+	// Lease is how long an announcement is valid.
+	Lease time.Duration
+	// MaxBackends bounds the table.
+	MaxBackends int
+
+	rows map[string]*Backend
+}
+
+// Announce applies an announcement. Older announcements than the known one
+// are ignored; a full table returns the code table-full.
+func (t *Table) Announce(b *Backend) error {
+	old, known := t.rows[b.ID]
+	if known && !newer(b, old) {
+		return nil
+	}
+	if !known && len(t.rows) >= t.MaxBackends {
+		return dhcode.Errorf(dhcode.TableFull, "%d backend servers are announced, at most %d are kept", len(t.rows), t.MaxBackends)
+	}
+	if t.rows == nil {
+		t.rows = make(map[string]*Backend)
+	}
+	t.rows[b.ID] = b
+	return nil
+}
+
+func newer(b, old *Backend) bool {
+	if b.Incarnation != old.Incarnation {
+		return b.Incarnation > old.Incarnation
+	}
+	return b.Sequence > old.Sequence
+}
+
+// Expire removes backend servers whose lease ended before now.
+func (t *Table) Expire(now time.Time) {
+	for id, b := range t.rows {
+		if now.Sub(b.Seen) > t.Lease {
+			delete(t.rows, id)
+		}
+	}
+}
+
+// View returns the backend servers that may get new work.
+func (t *Table) View(now time.Time) *View {
+	v := &View{byID: make(map[string]*Backend, len(t.rows)), byPool: make(map[string][]*Backend)}
+	for id, b := range t.rows {
+		if b.State == Leaving || now.Sub(b.Seen) > t.Lease {
+			continue
+		}
+		v.byID[id] = b
+		v.byPool[b.Pool] = append(v.byPool[b.Pool], b)
+	}
+	for _, list := range v.byPool {
+		sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	}
+	return v
+}
+
+// View is an immutable set of backend servers.
+type View struct {
+	byID   map[string]*Backend
+	byPool map[string][]*Backend
+}
+
+// Pool returns a pool's backend servers sorted by id. The slice must not be changed.
+func (v *View) Pool(name string) []*Backend { return v.byPool[name] }
+
+// Get returns a backend server by id.
+func (v *View) Get(id string) (*Backend, bool) {
+	b, ok := v.byID[id]
+	return b, ok
+}
+
+// Len returns the number of backend servers.
+func (v *View) Len() int { return len(v.byID) }
