Pass the age of announcements between entry VMs

Cause: a record passed on by gossip would start its lease anew on each hop. Change: BackendRecord carries the age of its announcement; Seen is set back by it.

--- a/dh/dhbackend/dhbackend.go
+++ b/dh/dhbackend/dhbackend.go
@@ -49,7 +49,7 @@
 	ChecksFencing bool
 	// Incarnation grows with each restart, Sequence with each announcement.
 	Incarnation, Sequence uint64
-	// Seen is when this VM learned of the announcement.
+	// Seen is when the backend server announced itself, on this VM's clock.
 	Seen time.Time
 }
 
@@ -67,7 +67,8 @@
 		ID: r.GetId(), Address: r.GetAddress(), Zone: r.GetZone(), Pool: r.GetPool(), State: state,
 		SustainableLoad: int(r.GetSustainableLoad()), Slots: int(r.GetSlots()),
 		Running: int(r.GetRunning()), Waiting: int(r.GetWaiting()), ReportAge: r.GetReportAge().AsDuration(),
-		ChecksFencing: r.GetChecksFencing(), Incarnation: r.GetIncarnation(), Sequence: r.GetSequence(), Seen: now,
+		ChecksFencing: r.GetChecksFencing(), Incarnation: r.GetIncarnation(), Sequence: r.GetSequence(),
+		Seen: now.Add(-r.GetAnnouncementAge().AsDuration()),
 	}
 	for _, v := range r.GetVersions() {
 		b.Versions = append(b.Versions, dhtable.Version{Model: v.GetModel(), Name: v.GetVersion()})
