--- /dev/null
+++ b/dh/dhsetting/dhsetting_test.go
@@ -0,0 +1,61 @@
+package dhsetting_test
+
+import (
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"dandelionhoist.example/dh/dhcode"
+	"dandelionhoist.example/dh/dhsetting"
+)
+
+const good = `{
+  "format": 1, "name": "entry-1", "zone": "mrc-a", "region": "mauricie",
+  // Two entry VMs in this zone.
+  "peers": {"seeds": ["10.1.0.5:8082"], "zone-slot": 1, "zone-slots": 2, "entry-vms": 8},
+  "keys": {"peer-file": "peer.key", "operator-file": "operators", "session-file": "session.key"},
+  "listen": {"callers": "0.0.0.0:8080", "peers": "10.1.0.4:8082"},
+  "state": {"folder": "data", "voters": ["entry-1", "entry-3", "entry-5"]},
+  "timing": {"tables-lease": "3s"},
+}`
+
+// Guards against a daemon that starts with settings that it does not understand.
+func TestParseRefuses(t *testing.T) {
+	_, err := dhsetting.Parse("s", []byte(good))
+	assert.NilError(t, err)
+	for _, c := range []struct{ old, new, want string }{
+		{`"zone-slot": 1`, `"zone-slto": 1`, `s:4:41: unknown key "zone-slto"; expected one of seeds, zone-slot`},
+		{`"3s"`, `3`, `s:8:30: expected a duration with a unit`},
+		{`"3s"`, `"0s"`, `s:8:30: /timing/tables-lease: expected a value above zero`},
+		{`"10.1.0.4:8082"`, `"entry-1:8082"`, `is not an IP address and port`},
+		{`"10.1.0.4:8082"`, `"0.0.0.0:8082"`, `names no VM`},
+		{`"zone-slot": 1`, `"zone-slot": 2`, `is not between 0 and`},
+		{`"folder": "data", `, ``, `voter "entry-1" needs a folder`},
+		{`, "entry-5"]`, `]`, `expected 1, 3 or 5 names, found 2`},
+		{`"callers"`, `"cert-file": "c.pem", "callers"`, `must be given together`},
+	} {
+		text := strings.Replace(good, c.old, c.new, 1)
+		assert.Assert(t, text != good, c.old)
+		_, err := dhsetting.Parse("s", []byte(text))
+		assert.ErrorContains(t, err, c.want)
+		assert.Equal(t, dhcode.Of(err), dhcode.SettingsInvalid)
+	}
+}
+
+// Guards against printed defaults that the parser does not accept as keys and values.
+func TestDescribeParses(t *testing.T) {
+	text := dhsetting.Describe()
+	_, err := dhsetting.Parse("defaults", []byte(text))
+	assert.ErrorContains(t, err, "/name: expected a value")
+	assert.Assert(t, !strings.Contains(text, "// \n"), "a setting has no description")
+}
+
+// Guards against a parser that panics on a damaged file.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(good))
+	f.Add([]byte(`{"timing": []}`))
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		_, _ = dhsetting.Parse("fuzz", data)
+	})
+}
