Add the simulated engine, its client and its program

The daemon, the tests and the placement measurement need backend servers whose latency depends on load, cache and cold starts.

dhengine.Model does continuous batching on a timer service, with a limited prefix cache, priorities, cancel, resume, cold starts, late cache events, lagging load reports, fenced orders, leaving and faults per version. Server, Announcer and Client put it on the network. dandelionhoist-engine is the program; faults are changed at run time over POST /faults from loopback.

Defaults of the program's flags are set in Go: kingpin skips defaults and required checks when a flag named "version" is given.

--- /dev/null
+++ b/cmd/dandelionhoist-engine/options.go
@@ -0,0 +1,142 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"dandelionhoist.example/dh/dhengine"
+	"dandelionhoist.example/dh/dhtable"
+	"dandelionhoist.example/dh/dhtimer"
+)
+
+// options are the parsed flags.
+type options struct {
+	listen, address string
+	entries         []string
+	peerKey         string
+	leaveLimit      time.Duration
+	model           *dhengine.Model
+	faults          map[dhtable.Version]dhengine.Faults
+}
+
+// defaultOptions returns the defaults. They are not left to kingpin, which
+// sets no defaults and checks no required flags when a flag named "version" is given.
+func defaultOptions() *options {
+	return &options{
+		listen: "127.0.0.1:0", leaveLimit: 2 * time.Minute,
+		model: &dhengine.Model{
+			Timers: dhtimer.NewSystem(), Costs: dhengine.DefaultCosts(), ColdStart: dhengine.DefaultCold(),
+			Slots: 16, QueueLimit: 256, CacheBlocks: 4096, LoadFor: 2 * time.Second, EventDelay: 500 * time.Millisecond,
+			ReportLag: time.Second, LeaveGrace: 3 * time.Second, Seed: 1,
+		},
+	}
+}
+
+func parseOptions(args []string) (*options, error) {
+	o := defaultOptions()
+	m := o.model
+	kind := dhtable.Engine.String()
+	var peerKeyFile string
+	var versions, faults []string
+	app := kingpin.New("dandelionhoist-engine", "Simulated model engine or plain service.")
+	duration := func(name, help string, target *time.Duration) {
+		app.Flag(name, fmt.Sprintf("%s (%v).", help, *target)).DurationVar(target)
+	}
+	number := func(name, help string, target *int) {
+		app.Flag(name, fmt.Sprintf("%s (%d).", help, *target)).IntVar(target)
+	}
+	app.Flag("listen", "Address to listen on ("+o.listen+").").StringVar(&o.listen)
+	app.Flag("address", "Address to announce; the listening one by default.").StringVar(&o.address)
+	app.Flag("id", "Identity of the backend server; required.").StringVar(&m.ID)
+	app.Flag("zone", "Availability zone; required.").StringVar(&m.Zone)
+	app.Flag("pool", "Pool that it belongs to; required.").StringVar(&m.Pool)
+	app.Flag("kind", "engine or service (engine).").EnumVar(&kind, "engine", "service")
+	app.Flag("version", "Loaded version, as model/version; may be repeated.").StringsVar(&versions)
+	app.Flag("entry", "Base URL of an entry VM to announce to; may be repeated.").StringsVar(&o.entries)
+	app.Flag("peer-key-file", "File with the bearer token of announcements.").StringVar(&peerKeyFile)
+	number("slots", "Requests that run at once", &m.Slots)
+	number("queue-limit", "Requests that wait at most", &m.QueueLimit)
+	app.Flag("cold", "Begin with a cold start.").BoolVar(&m.StartCold)
+	duration("cold-for", "Length of a cold start", &m.ColdStart.For)
+	number("sustainable-load", "Requests at once that a cold start sustains", &m.ColdStart.SustainableLoad)
+	duration("restart-after", "Time from a crash to the next cold start", &m.ColdStart.Restart)
+	duration("load-for", "Time to load a version", &m.LoadFor)
+	app.Flag("ignore-fencing", "Accept orders with an old fencing token.").BoolVar(&m.IgnoreFencing)
+	app.Flag("seed", "Seed of the random draws (1).").Uint64Var(&m.Seed)
+	duration("step", "Base time of a batch step", &m.Costs.Step)
+	duration("per-sequence", "Time added to a step for each decoding request", &m.Costs.PerSequence)
+	duration("per-prefill-token", "Time added to a step for each prompt token", &m.Costs.PerPrefillToken)
+	duration("service-time", "Mean execution time of a plain service", &m.Costs.Service)
+	number("cache-blocks", "Limit of the prefix cache in blocks of 64 bytes", &m.CacheBlocks)
+	duration("event-delay", "Mean delay of cache events", &m.EventDelay)
+	app.Flag("event-loss", "Share of cache events that are lost (0).").Float64Var(&m.EventLoss)
+	duration("report-lag", "Age of load reports", &m.ReportLag)
+	duration("leave-grace", "Time for which a leaving backend server still accepts work", &m.LeaveGrace)
+	duration("leave-limit", "Longest time from SIGTERM to exit", &o.leaveLimit)
+	app.Flag("fault", "Faults of a version, as model/version:error-rate=0.1,slowness=2,short-rate=0.1; may be repeated.").StringsVar(&faults)
+	if _, err := app.Parse(args); err != nil {
+		return nil, err
+	}
+	if m.ID == "" || m.Zone == "" || m.Pool == "" {
+		return nil, errors.New("flags --id, --zone and --pool are required")
+	}
+	if strings.HasPrefix(o.address, ":") {
+		return nil, fmt.Errorf("--address %q names no host", o.address)
+	}
+	if kind == "service" {
+		m.Kind = dhtable.Service
+	}
+	for _, s := range versions {
+		v, ok := dhtable.ParseVersion(s)
+		if !ok {
+			return nil, fmt.Errorf("flag --version %q: want model/version", s)
+		}
+		m.Versions = append(m.Versions, v)
+	}
+	if err := o.parseFaults(faults); err != nil {
+		return nil, err
+	}
+	return o, o.readPeerKey(peerKeyFile)
+}
+
+func (o *options) readPeerKey(file string) error {
+	if file == "" {
+		return nil
+	}
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return fmt.Errorf("flag --peer-key-file: %w", err)
+	}
+	o.peerKey = strings.TrimSpace(string(data))
+	return nil
+}
+
+func (o *options) parseFaults(specs []string) error {
+	o.faults = make(map[dhtable.Version]dhengine.Faults)
+	for _, spec := range specs {
+		name, list, _ := strings.Cut(spec, ":")
+		v, ok := dhtable.ParseVersion(name)
+		if !ok {
+			return fmt.Errorf("flag --fault %q: want model/version:key=value and further pairs after commas", spec)
+		}
+		var f dhengine.Faults
+		keys := map[string]*float64{"error-rate": &f.ErrorRate, "slowness": &f.Slowness, "short-rate": &f.ShortRate}
+		for _, item := range strings.Split(list, ",") {
+			key, value, _ := strings.Cut(item, "=")
+			field, known := keys[key]
+			n, err := strconv.ParseFloat(value, 64)
+			if !known || err != nil || n < 0 {
+				return fmt.Errorf("flag --fault %q: %q is not error-rate, slowness or short-rate with a number", spec, item)
+			}
+			*field = n
+		}
+		o.faults[v] = f
+	}
+	return nil
+}
