--- /dev/null
+++ b/dh/dhversion/evidence.go
@@ -0,0 +1,322 @@
+package dhversion
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"dandelionhoist.example/dh/dhpb"
+	"dandelionhoist.example/dh/dhtable"
+)
+
+// Evidence counts good and bad answers per version, merges the counts of
+// other VMs and puts rollouts on hold. It belongs to the control goroutine.
+//
+// Counts are kept per (VM, incarnation, pool, model, version, revision at
+// which the model's latest rollout began). A repeated rollout therefore starts
+// without old counts, and the stable version is judged by answers from the
+// time of the rollout.
+type Evidence struct {
+	// VM and Incarnation name this VM's counters.
+	VM          string
+	Incarnation uint64
+	// MaxCounters and MaxHolds bound the tables; 0 means 4096 and 1024. What
+	// does not fit is not counted, which weakens the test but keeps it valid.
+	MaxCounters, MaxHolds int
+	// FalseHolds is the accepted probability that a rollout that is no worse
+	// than the stable version is ever held; 0 means 0.001.
+	FalseHolds float64
+	// Tolerance is by how much, relative to the stable version's rate, a
+	// rollout may be worse; 0 means 0.1, a negative value none.
+	Tolerance float64
+
+	rollouts rollouts
+	counters map[counterKey]count
+	totals   map[totalKey]count
+	holds    map[versionKey]uint64
+	dropped  int64
+	snapshot *Holds
+}
+
+type counterKey struct {
+	vm          string
+	incarnation uint64
+	versionKey
+	rollout uint64
+}
+
+// totalKey sums the counters of all VMs, so that a tick does not depend on
+// the number of VMs.
+type totalKey struct {
+	versionKey
+	rollout uint64
+}
+
+type count struct{ answers, bad int64 }
+
+// Rate is what has been counted of a version.
+type Rate struct {
+	Answers, Bad int64
+	// Held is set while its rollout is on hold.
+	Held bool
+}
+
+// Observe applies newer tables. Fetch returns an older revision, or false
+// when it is not known; it is asked for the revisions since the last Observe,
+// or since the begin of the rollouts on the first call. It may be nil. Observe
+// may be repeated with the same tables when more of the history is known.
+func (e *Evidence) Observe(t *dhtable.Tables, fetch func(revision uint64) (*dhtable.Tables, bool)) {
+	if !e.rollouts.observe(t, fetch) {
+		return
+	}
+	for k := range e.counters {
+		if e.outdated(k) {
+			e.add(k, count{-e.counters[k].answers, -e.counters[k].bad})
+			delete(e.counters, k)
+		}
+	}
+	e.publish()
+}
+
+// outdated reports whether a counter belongs to a rollout before the current ones.
+func (e *Evidence) outdated(k counterKey) bool {
+	first, ok := uint64(0), false
+	for r, b := range e.rollouts.began {
+		if r.pool != k.pool || r.version.Model != k.version.Model {
+			continue
+		}
+		if !b.exact {
+			return false
+		}
+		if !ok || b.revision < first {
+			first, ok = b.revision, true
+		}
+	}
+	return ok && k.rollout < first
+}
+
+// epoch returns the revision at which the model's latest rollout began, or 0.
+func (e *Evidence) epoch(pool, model string) uint64 {
+	last := uint64(0)
+	for k, b := range e.rollouts.began {
+		if k.pool == pool && k.version.Model == model {
+			last = max(last, b.revision)
+		}
+	}
+	return last
+}
+
+// Count adds answers of this VM.
+func (e *Evidence) Count(pool string, v dhtable.Version, answers, bad int64) {
+	k := counterKey{e.VM, e.Incarnation, versionKey{pool, v}, e.epoch(pool, v.Model)}
+	c := e.counters[k]
+	e.set(k, count{c.answers + answers, c.bad + bad})
+}
+
+func (e *Evidence) set(k counterKey, c count) {
+	if e.counters == nil {
+		e.counters = make(map[counterKey]count)
+		e.totals = make(map[totalKey]count)
+	}
+	old, ok := e.counters[k]
+	if !ok && len(e.counters) >= orDefault(e.MaxCounters, 4096) {
+		e.dropped++
+		return
+	}
+	e.counters[k] = c
+	e.add(k, count{c.answers - old.answers, c.bad - old.bad})
+}
+
+func (e *Evidence) add(k counterKey, c count) {
+	t := totalKey{k.versionKey, k.rollout}
+	sum := e.totals[t]
+	sum.answers += c.answers
+	sum.bad += c.bad
+	if sum == (count{}) {
+		delete(e.totals, t)
+		return
+	}
+	e.totals[t] = sum
+}
+
+// Dropped returns how many counts and holds did not fit into the tables.
+func (e *Evidence) Dropped() int64 { return e.dropped }
+
+// Counters returns all counters for gossip, in a fixed order.
+func (e *Evidence) Counters() []*dhpb.VersionCounter {
+	list := make([]*dhpb.VersionCounter, 0, len(e.counters))
+	for k, c := range e.counters {
+		list = append(list, &dhpb.VersionCounter{
+			Vm: k.vm, Incarnation: k.incarnation, Pool: k.pool, Model: k.version.Model, Version: k.version.Name,
+			Answers: c.answers, Bad: c.bad, RolloutRevision: k.rollout,
+		})
+	}
+	slices.SortFunc(list, compareCounters)
+	return list
+}
+
+func compareCounters(a, b *dhpb.VersionCounter) int {
+	return cmp.Or(
+		cmp.Compare(a.GetPool(), b.GetPool()),
+		cmp.Compare(a.GetModel(), b.GetModel()),
+		cmp.Compare(a.GetVersion(), b.GetVersion()),
+		cmp.Compare(a.GetVm(), b.GetVm()),
+		cmp.Compare(a.GetIncarnation(), b.GetIncarnation()),
+		cmp.Compare(a.GetRolloutRevision(), b.GetRolloutRevision()),
+	)
+}
+
+// HoldRecords returns all holds for gossip, in a fixed order.
+func (e *Evidence) HoldRecords() []*dhpb.Hold {
+	list := make([]*dhpb.Hold, 0, len(e.holds))
+	for k, revision := range e.holds {
+		list = append(list, &dhpb.Hold{Pool: k.pool, Model: k.version.Model, Version: k.version.Name, Revision: revision})
+	}
+	slices.SortFunc(list, compareHolds)
+	return list
+}
+
+func compareHolds(a, b *dhpb.Hold) int {
+	return cmp.Or(
+		cmp.Compare(a.GetPool(), b.GetPool()),
+		cmp.Compare(a.GetModel(), b.GetModel()),
+		cmp.Compare(a.GetVersion(), b.GetVersion()),
+	)
+}
+
+// Merge applies gossip of another VM. Counters only grow, so repeated and
+// reordered messages have no effect. Counters that cannot be true and those
+// of this VM's current incarnation are ignored.
+func (e *Evidence) Merge(counters []*dhpb.VersionCounter, holds []*dhpb.Hold) {
+	for _, m := range counters {
+		v := dhtable.Version{Model: m.GetModel(), Name: m.GetVersion()}
+		k := counterKey{m.GetVm(), m.GetIncarnation(), versionKey{m.GetPool(), v}, m.GetRolloutRevision()}
+		own := k.vm == e.VM && k.incarnation == e.Incarnation
+		if own || m.GetBad() < 0 || m.GetBad() > m.GetAnswers() || e.outdated(k) {
+			continue
+		}
+		old := e.counters[k]
+		if c := (count{max(old.answers, m.GetAnswers()), max(old.bad, m.GetBad())}); c != old {
+			e.set(k, c)
+		}
+	}
+	for _, m := range holds {
+		v := dhtable.Version{Model: m.GetModel(), Name: m.GetVersion()}
+		e.hold(versionKey{m.GetPool(), v}, m.GetRevision())
+	}
+	e.publish()
+}
+
+// hold keeps the highest revision per version. It stands for all lower ones,
+// since a hold covers every rollout that began at or before its revision.
+func (e *Evidence) hold(k versionKey, revision uint64) {
+	if e.holds == nil {
+		e.holds = make(map[versionKey]uint64)
+	}
+	old, ok := e.holds[k]
+	if !ok && len(e.holds) >= orDefault(e.MaxHolds, 1024) && !e.forgetHold() {
+		e.dropped++
+		return
+	}
+	e.holds[k] = max(old, revision)
+}
+
+// forgetHold drops the hold of a version that the tables no longer name.
+func (e *Evidence) forgetHold() bool {
+	if e.rollouts.tables == nil {
+		return false
+	}
+	for k := range e.holds {
+		if _, ok := e.rollouts.tables.Entry(k.pool, k.version); !ok {
+			delete(e.holds, k)
+			return true
+		}
+	}
+	return false
+}
+
+// Holds returns the rollouts on hold for traffic.
+func (e *Evidence) Holds() *Holds { return e.snapshot }
+
+func (e *Evidence) publish() {
+	held := make(map[versionKey]bool)
+	for k, b := range e.rollouts.began {
+		if revision, ok := e.holds[k]; ok && b.covers(revision) {
+			held[k] = true
+		}
+	}
+	e.snapshot = &Holds{held: held}
+}
+
+// Tick tests every rollout that is not on hold and returns the new holds.
+func (e *Evidence) Tick() []*dhpb.Hold {
+	var found []*dhpb.Hold
+	for k, b := range e.rollouts.began {
+		if e.snapshot.held[k] || !e.worse(k, b) {
+			continue
+		}
+		e.hold(k, b.revision)
+		found = append(found, &dhpb.Hold{Pool: k.pool, Model: k.version.Model, Version: k.version.Name, Revision: b.revision})
+	}
+	if len(found) > 0 {
+		e.publish()
+		slices.SortFunc(found, compareHolds)
+	}
+	return found
+}
+
+// worse tests a rollout against the stable versions of its model. Half of the
+// accepted error goes to the bound of the stable rate, half to the test.
+func (e *Evidence) worse(k versionKey, b began) bool {
+	var stable count
+	for _, entry := range e.rollouts.tables.Pools[k.pool].Models[k.version.Model].Versions {
+		if entry.Stage == dhtable.Stable {
+			c := e.sum(versionKey{k.pool, entry.Version}, b)
+			stable.answers += c.answers
+			stable.bad += c.bad
+		}
+	}
+	c := e.sum(k, b)
+	if c.bad == 0 || stable.answers == 0 {
+		return false
+	}
+	alpha := e.FalseHolds
+	if alpha <= 0 {
+		alpha = 0.001
+	}
+	tolerance := e.Tolerance
+	if tolerance == 0 {
+		tolerance = 0.1
+	}
+	rate := upperRate(float64(stable.bad), float64(stable.answers), alpha/2) * (1 + max(tolerance, 0))
+	if rate >= 1 {
+		return false
+	}
+	return logEvidence(float64(c.bad), float64(c.answers), rate) >= math.Log(2/alpha)
+}
+
+func (e *Evidence) sum(k versionKey, b began) count {
+	var s count
+	for t, n := range e.totals {
+		if t.versionKey == k && (!b.exact || t.rollout >= b.revision) {
+			s.answers += n.answers
+			s.bad += n.bad
+		}
+	}
+	return s
+}
+
+// Rate returns what all VMs have counted of a version, since the begin of the
+// model's current rollout if there is one.
+func (e *Evidence) Rate(pool string, v dhtable.Version) Rate {
+	k := versionKey{pool, v}
+	c := e.sum(k, began{})
+	return Rate{Answers: c.answers, Bad: c.bad, Held: e.snapshot.Held(pool, v)}
+}
+
+func orDefault(n, d int) int {
+	if n > 0 {
+		return n
+	}
+	return d
+}
