--- /dev/null
+++ b/dh/dhmember/probe.go
@@ -0,0 +1,250 @@
+package dhmember
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"dandelionhoist.example/dh/dhcode"
+	"dandelionhoist.example/dh/dhpb"
+	"dandelionhoist.example/dh/dhtimer"
+)
+
+// tick starts the exchanges of one period.
+func (m *Members) tick(now time.Time) {
+	m.mu.Lock()
+	m.expire(now)
+	if m.dirty {
+		m.publish()
+	}
+	if m.left {
+		m.mu.Unlock()
+		return
+	}
+	targets := m.targets(m.view.Load())
+	page := 0
+	if !now.Before(m.nextPage) && len(targets) > 0 {
+		m.nextPage = now.Add(m.PagePeriod)
+		page = m.MaxPage
+	}
+	var lost string
+	if !now.Before(m.nextJoin) || m.self.Incarnation == 0 {
+		m.nextJoin = now.Add(m.RejoinPeriod)
+		lost = m.lostAddress()
+	}
+	m.mu.Unlock()
+
+	for i, to := range targets {
+		size := 0
+		if i == 0 {
+			size = page
+		}
+		m.Group.Go(func(ctx context.Context) error {
+			m.probe(ctx, to, size)
+			return nil
+		})
+	}
+	if lost != "" {
+		m.Group.Go(func(ctx context.Context) error {
+			_, _ = m.exchange(ctx, Member{Address: lost}, "", m.ProbeTimeout, m.MaxPage)
+			return nil
+		})
+	}
+}
+
+// targets returns the members of this period's exchanges: a random one and
+// those that payloads ask for.
+func (m *Members) targets(view *View) []Member {
+	var list []Member
+	take := func(name string) {
+		r := m.rows[name]
+		if r == nil || r.State > Suspect || r.busy || len(list) >= m.MaxFanout {
+			return
+		}
+		r.busy = true
+		list = append(list, r.Member)
+	}
+	take(m.nextProbe())
+	for _, p := range m.Payloads {
+		if t, ok := p.(Targeter); ok {
+			for _, name := range t.Targets(view) {
+				take(name)
+			}
+		}
+	}
+	return list
+}
+
+// nextProbe returns the name of the next member to probe. Each member of the
+// own zone, and each of the others, is probed once before any is again.
+func (m *Members) nextProbe() string {
+	first := 0
+	if m.rnd.Float64() >= m.LocalShare {
+		first = 1
+	}
+	for _, scope := range []int{first, 1 - first} {
+		if name := m.takeProbe(scope); name != "" {
+			return name
+		}
+	}
+	return ""
+}
+
+func (m *Members) takeProbe(scope int) string {
+	for range 2 {
+		for len(m.probes[scope]) > 0 {
+			last := len(m.probes[scope]) - 1
+			name := m.probes[scope][last]
+			m.probes[scope] = m.probes[scope][:last]
+			if r := m.rows[name]; r != nil && r.State <= Suspect && !r.busy {
+				return name
+			}
+		}
+		for _, name := range m.names {
+			if r := m.rows[name]; r.State <= Suspect && (r.Zone == m.self.Zone) == (scope == 0) {
+				m.probes[scope] = append(m.probes[scope], name)
+			}
+		}
+		m.shuffle(m.probes[scope])
+	}
+	return ""
+}
+
+func (m *Members) shuffle(names []string) {
+	m.rnd.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+}
+
+// lostAddress returns the address of a random seed or dead member that is not
+// known to be alive, or "".
+func (m *Members) lostAddress() string {
+	known := map[string]bool{m.self.Address: true}
+	var lost []string
+	for _, name := range m.names {
+		r := m.rows[name]
+		if r.State <= Suspect {
+			known[r.Address] = true
+		}
+		if r.State == Dead {
+			lost = append(lost, r.Address)
+		}
+	}
+	lost = append(lost, m.Seeds...)
+	lost = slices.DeleteFunc(lost, func(address string) bool { return known[address] })
+	if len(lost) == 0 {
+		return ""
+	}
+	return lost[m.rnd.IntN(len(lost))]
+}
+
+// probe exchanges messages with a member and suspects it when neither it nor
+// a member asked to probe it answers.
+func (m *Members) probe(ctx context.Context, to Member, page int) {
+	defer m.endProbe(to.Name)
+	start := m.Timers.Now()
+	if _, err := m.exchange(ctx, to, "", m.ProbeTimeout, page); err == nil || ctx.Err() != nil {
+		return
+	}
+	if m.askOthers(ctx, to) || ctx.Err() != nil {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r := m.rows[to.Name]
+	if r == nil || r.State != Alive || r.Incarnation != to.Incarnation || !r.heard.Before(start) {
+		return
+	}
+	m.changed(r, Suspect, m.Timers.Now())
+	m.publish()
+}
+
+func (m *Members) endProbe(name string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if r := m.rows[name]; r != nil {
+		r.busy = false
+	}
+}
+
+// askOthers asks other members to probe one and says whether any reached it.
+func (m *Members) askOthers(ctx context.Context, to Member) bool {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	helpers := m.sample(m.IndirectProbes, to.Name)
+	answers := make(chan bool, len(helpers))
+	for _, helper := range helpers {
+		m.Group.Go(func(context.Context) error {
+			// The helper needs a timeout of its own within this one.
+			reply, err := m.exchange(ctx, helper, to.Name, 2*m.ProbeTimeout, 0)
+			answers <- err == nil && reply.GetProbeOk()
+			return nil
+		})
+	}
+	for range helpers {
+		if <-answers {
+			return true
+		}
+	}
+	return false
+}
+
+// sample returns up to n random alive members other than one.
+func (m *Members) sample(n int, except string) []Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var names []string
+	for _, name := range m.names {
+		if name != except && m.rows[name].State == Alive {
+			names = append(names, name)
+		}
+	}
+	m.shuffle(names)
+	list := make([]Member, 0, n)
+	for _, name := range names[:min(n, len(names))] {
+		list = append(list, m.rows[name].Member)
+	}
+	return list
+}
+
+// exchange sends a message, with a page of records when page is above 0, and
+// merges the answer.
+func (m *Members) exchange(ctx context.Context, to Member, probe string, timeout time.Duration, page int) (*dhpb.GossipMessage, error) {
+	m.mu.Lock()
+	msg := m.build(to, page)
+	m.mu.Unlock()
+	for _, p := range m.Payloads {
+		p.Fill(to, msg)
+	}
+	// The receiver of a request cannot bound how long it was under way, so
+	// backend records, whose lease depends on their age, are only in answers.
+	msg.Backends = nil
+	msg.Probe = probe
+
+	ctx, cancel := dhtimer.WithTimeout(ctx, m.Timers, timeout)
+	defer cancel()
+	start := m.Timers.Now()
+	reply, err := m.Transport.Gossip(ctx, to.Address, msg)
+	if err != nil {
+		return nil, err
+	}
+	if reply.GetFrom() == "" || to.Name != "" && reply.GetFrom() != to.Name {
+		return nil, dhcode.Errorf(dhcode.BackendFailed, "member %q expected at %s, found %q", to.Name, to.Address, reply.GetFrom())
+	}
+	if len(reply.GetMembers()) > m.MaxMembers+2 {
+		return nil, dhcode.Errorf(dhcode.RequestTooLarge, "answer of %q has %d member records, at most %d are read",
+			reply.GetFrom(), len(reply.GetMembers()), m.MaxMembers+2)
+	}
+	now := m.Timers.Now()
+	m.mu.Lock()
+	m.merge(reply, now)
+	m.mu.Unlock()
+	// The records were at least this old when the exchange ended.
+	for _, b := range reply.GetBackends() {
+		b.AnnouncementAge = durationpb.New(b.GetAnnouncementAge().AsDuration() + now.Sub(start))
+	}
+	for _, p := range m.Payloads {
+		p.Merge(reply)
+	}
+	return reply, nil
+}
