Add the request path, the control loop and the services of an entry VM

Cause: no request is served yet. Change: dhrouter answers requests, dhnode owns the control state, dhserver and dhpeer are the two sides of the services. Result: builds and lints; the daemon that wires them follows.

--- a/dh/dhbackend/dhbackend.go
+++ b/dh/dhbackend/dhbackend.go
@@ -120,6 +120,12 @@
 	return b.Sequence > old.Sequence
 }
 
+// Get returns a backend server by id, also one that is leaving.
+func (t *Table) Get(id string) (*Backend, bool) {
+	b, ok := t.rows[id]
+	return b, ok
+}
+
 // Expire removes backend servers whose lease ended before now.
 func (t *Table) Expire(now time.Time) {
 	for id, b := range t.rows {
--- a/dh/dhjson/dhjson.go
+++ b/dh/dhjson/dhjson.go
@@ -183,6 +183,9 @@
 // Duration is a time.Duration written as a string with a unit, such as "20s".
 type Duration time.Duration
 
+// Std returns d as the standard library's type.
+func (d Duration) Std() time.Duration { return time.Duration(d) }
+
 // UnmarshalJSON implements json.Unmarshaler.
 func (d *Duration) UnmarshalJSON(data []byte) error {
 	var s string
--- a/dh/dhmetric/dhmetric.go
+++ b/dh/dhmetric/dhmetric.go
@@ -140,7 +140,6 @@
 	return float64(h.ValueAtQuantile(q)) / float64(time.Millisecond.Microseconds())
 }
 
-
 // String implements expvar.Var: all counters and histograms as JSON.
 func (m *Metrics) String() string {
 	rows := m.Rows()
--- /dev/null
+++ b/dh/dhnode/dhnode.go
@@ -0,0 +1,229 @@
+// Package dhnode is the control side of an entry VM. One goroutine owns the
+// control state: each tick it runs the systems over the tables (backend
+// servers, members, versions, limits) and publishes a snapshot that traffic
+// reads. Events from other goroutines wait in a bounded channel.
+//
+// # Usage
+//
+//	node := &dhnode.Node{Settings: settings, Timers: timers, Group: group, Log: log, ...}
+//	group.Go(node.Run)
+//	err := node.Announce(record)  // from the announcement service
+//	revision, err := node.Edit(ctx, edit)
+//	node.Leave(ctx)               // graceful shutdown: returns when nothing is running
+package dhnode
+
+import (
+	"context"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"dandelionhoist.example/dh/dhanswer"
+	"dandelionhoist.example/dh/dhbackend"
+	"dandelionhoist.example/dh/dhcode"
+	"dandelionhoist.example/dh/dhedit"
+	"dandelionhoist.example/dh/dhgroup"
+	"dandelionhoist.example/dh/dhlimit"
+	"dandelionhoist.example/dh/dhmember"
+	"dandelionhoist.example/dh/dhmetric"
+	"dandelionhoist.example/dh/dhpb"
+	"dandelionhoist.example/dh/dhrouter"
+	"dandelionhoist.example/dh/dhsetting"
+	"dandelionhoist.example/dh/dhtimer"
+	"dandelionhoist.example/dh/dhversion"
+)
+
+// maxEvents bounds the events that wait for the control goroutine.
+const maxEvents = 8192
+
+// Registers is the replicated register store.
+type Registers interface {
+	Update(ctx context.Context, key string, f func(old []byte) ([]byte, error)) ([]byte, error)
+	Read(ctx context.Context, key string) ([]byte, error)
+}
+
+// Membership is what the node needs of the other entry VMs.
+type Membership interface {
+	View() *dhmember.View
+	SetSelf(c dhmember.Change)
+	Push(ctx context.Context)
+	Leave(ctx context.Context)
+}
+
+// Peers calls other entry VMs.
+type Peers interface {
+	FetchRevision(ctx context.Context, address string, revision uint64) (*dhpb.Revision, error)
+}
+
+// Node is the control side of an entry VM. Exported fields are set before Run.
+type Node struct {
+	Settings  dhsetting.Settings
+	Timers    dhtimer.Service
+	Group     *dhgroup.Group
+	Log       *slog.Logger
+	Metrics   *dhmetric.Metrics
+	Members   Membership
+	Peers     Peers
+	Registers Registers
+	Revisions *dhedit.Revisions
+	Router    *dhrouter.Router
+	Limiter   *dhlimit.Limiter
+	Answers   *dhanswer.Table
+	Evidence  *dhversion.Evidence
+	Judge     dhversion.Judge
+	// VoterStatus returns id and synced record number of this VM's voter, if any.
+	VoterStatus func() (id string, sequence uint64)
+	// TickHooks run on the control goroutine at the end of each tick.
+	TickHooks []func(now time.Time, s *dhrouter.Snapshot)
+
+	backends dhbackend.Table
+	zones    zoneRamp
+	lease    dhedit.Lease
+	editor   dhedit.Editor
+	events   chan event
+	leaving  atomic.Bool
+	started  atomic.Bool
+	// lost counts events that found the channel full.
+	lost atomic.Int64
+	// digest is what gossip sends of the control state.
+	digest atomic.Pointer[digest]
+	rates  atomic.Pointer[rates]
+	// fetching is set while a newer revision is being fetched.
+	fetching atomic.Bool
+}
+
+// event is a change that the control goroutine applies.
+type event interface{ apply(n *Node, now time.Time) }
+
+// Init prepares the node. It is called once before Run and before traffic.
+func (n *Node) Init() {
+	n.events = make(chan event, maxEvents)
+	n.backends = dhbackend.Table{Lease: time.Duration(n.Settings.Timing.BackendLease), MaxBackends: n.Settings.Limits.Backends}
+	n.lease = dhedit.Lease{Timers: n.Timers, Duration: time.Duration(n.Settings.Timing.TablesLease)}
+	n.editor = dhedit.Editor{Registers: n.Registers, Revisions: n.Revisions, Decided: n.decided}
+	n.digest.Store(&digest{})
+}
+
+// Run owns the control state until ctx ends.
+func (n *Node) Run(ctx context.Context) error {
+	ticks := make(chan time.Time, 1)
+	cancel := n.Timers.Subscribe(time.Duration(n.Settings.Timing.Tick), func(now time.Time) {
+		select {
+		case ticks <- now:
+		default: // the control goroutine is behind; the next tick does the work
+		}
+	})
+	defer cancel()
+	for {
+		select {
+		case e := <-n.events:
+			e.apply(n, n.Timers.Now())
+		case now := <-ticks:
+			n.Tick(now)
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// post hands an event to the control goroutine. It does not block: an event
+// that finds the channel full is dropped and counted.
+func (n *Node) post(e event) bool {
+	select {
+	case n.events <- e:
+		return true
+	default:
+		n.lost.Add(1)
+		n.Metrics.Count("events", "dropped")
+		return false
+	}
+}
+
+// Drain applies all waiting events. Tests with a stepped clock call it in
+// place of Run.
+func (n *Node) Drain(now time.Time) {
+	for {
+		select {
+		case e := <-n.events:
+			e.apply(n, now)
+		default:
+			return
+		}
+	}
+}
+
+// Announce takes an announcement of a backend server. The code table-full
+// says that too many events wait.
+func (n *Node) Announce(r *dhpb.BackendRecord) error {
+	b, err := dhbackend.FromRecord(r, n.Timers.Now())
+	if err != nil {
+		return err
+	}
+	if !n.post(announced{backend: b, direct: true}) {
+		return dhcode.Errorf(dhcode.TableFull, "%d events wait for the control goroutine", maxEvents)
+	}
+	return nil
+}
+
+// Report takes the end of an attempt from traffic.
+func (n *Node) Report(e dhrouter.Event) { n.post(attemptEnded{e}) }
+
+type announced struct {
+	backend *dhbackend.Backend
+	// direct is set when the backend server announced itself to this VM.
+	direct bool
+}
+
+func (e announced) apply(n *Node, _ time.Time) {
+	old, known := n.backends.Get(e.backend.ID)
+	if err := n.backends.Announce(e.backend); err != nil {
+		n.Log.Warn("announcement refused", slog.String("backend", e.backend.ID), slog.String("error", err.Error()))
+		return
+	}
+	if known && old.State == e.backend.State {
+		return
+	}
+	n.Log.Info("backend server", slog.String("backend", e.backend.ID), slog.String("pool", e.backend.Pool),
+		slog.String("zone", e.backend.Zone), slog.String("state", e.backend.State.String()))
+	if e.direct && e.backend.State == dhbackend.Leaving {
+		n.publish(n.Timers.Now())
+		n.Group.Go(func(ctx context.Context) error { n.Members.Push(ctx); return nil })
+	}
+}
+
+type attemptEnded struct{ dhrouter.Event }
+
+func (e attemptEnded) apply(n *Node, _ time.Time) {
+	bad := n.Judge.Bad(dhversion.Answer{
+		Failed: e.Failed, Tokens: e.Tokens, MaxTokens: e.MaxTokens, FirstToken: e.FirstToken,
+	})
+	count := int64(0)
+	if bad {
+		count = 1
+	}
+	n.Evidence.Count(e.Pool, e.Version, 1, count)
+}
+
+// Edit proposes an edit of the tables.
+func (n *Node) Edit(ctx context.Context, edit dhedit.Edit) (uint64, error) {
+	ctx, cancel := dhtimer.WithTimeout(ctx, n.Timers, time.Duration(n.Settings.Timing.QuorumTimeout))
+	defer cancel()
+	revision, err := n.editor.Edit(ctx, edit)
+	n.Log.Info("edit", slog.String("edit", edit.ID), slog.String("author", edit.Author),
+		slog.Uint64("base", edit.Base), slog.Uint64("revision", revision), slog.String("code", dhcode.Of(err).String()))
+	return revision, err
+}
+
+// decided spreads a revision that has won.
+func (n *Node) decided(*dhedit.Revision) {
+	n.post(newRevision{})
+	n.Group.Go(func(ctx context.Context) error {
+		n.Members.Push(ctx)
+		return nil
+	})
+}
+
+// newRevision puts the newest revision into force.
+type newRevision struct{}
+
+func (newRevision) apply(n *Node, now time.Time) { n.publish(now) }
--- /dev/null
+++ b/dh/dhnode/tick.go
@@ -0,0 +1,164 @@
+package dhnode
+
+import (
+	"log/slog"
+	"slices"
+	"time"
+
+	"dandelionhoist.example/dh/dhbackend"
+	"dandelionhoist.example/dh/dhlimit"
+	"dandelionhoist.example/dh/dhmember"
+	"dandelionhoist.example/dh/dhrouter"
+	"dandelionhoist.example/dh/dhtable"
+)
+
+// Tick runs the systems over the tables. It belongs to the control goroutine.
+func (n *Node) Tick(now time.Time) {
+	n.backends.Expire(now)
+	n.observeTables()
+	for _, h := range n.Evidence.Tick() {
+		n.Log.Warn("rollout on hold", slog.String("pool", h.GetPool()), slog.String("model", h.GetModel()),
+			slog.String("version", h.GetVersion()), slog.Uint64("revision", h.GetRevision()))
+	}
+	n.Answers.Tick(now)
+	s := n.publish(now)
+	n.tickMembers()
+	n.tickLimits(s)
+	for _, hook := range n.TickHooks {
+		hook(now, s)
+	}
+}
+
+func (n *Node) observeTables() {
+	newest := n.Revisions.Newest()
+	if newest == nil {
+		return
+	}
+	n.Evidence.Observe(newest.Tables, n.fetchTables)
+	n.countRates(newest.Tables)
+}
+
+// fetchTables returns the tables of an older revision that is still kept.
+func (n *Node) fetchTables(revision uint64) (*dhtable.Tables, bool) {
+	m := n.Revisions.Fetch(revision)
+	if !m.GetFound() || len(m.GetTables()) == 0 {
+		return nil, false
+	}
+	t, err := dhtable.Parse("revision", m.GetTables())
+	if err != nil {
+		return nil, false
+	}
+	return t.WithRevision(revision), true
+}
+
+// publish builds the snapshot for traffic and the digest for gossip.
+func (n *Node) publish(now time.Time) *dhrouter.Snapshot {
+	s := &dhrouter.Snapshot{
+		LeaseExpired: !n.lease.Valid(now), Backends: n.backends.View(now), Holds: n.Evidence.Holds(), Leaving: n.leaving.Load(),
+	}
+	// Until the first exchange with peers has ended, an older revision than
+	// theirs may be known here, so that nothing is served.
+	if newest := n.Revisions.Newest(); newest != nil && n.started.Load() {
+		s.Tables = newest.Tables
+		s.ZoneWeight = n.zones.weights(newest.Tables, now)
+	}
+	n.Router.Publish(s)
+	n.digest.Store(&digest{
+		revision: n.Revisions.NewestNumber(), counters: n.Evidence.Counters(), holds: n.Evidence.HoldRecords(),
+	})
+	return s
+}
+
+func (n *Node) tickMembers() {
+	change := dhmember.Change{Revision: n.Revisions.NewestNumber(), InFlight: n.Answers.Running()}
+	if n.VoterStatus != nil {
+		change.VoterID, change.VoterSequence = n.VoterStatus()
+	}
+	n.Members.SetSelf(change)
+}
+
+// tickLimits gives the limiter this VM's part of each pool's slots.
+func (n *Node) tickLimits(s *dhrouter.Snapshot) {
+	view := n.Members.View()
+	known := slices.DeleteFunc(slices.Clone(view.All()), func(m dhmember.Member) bool { return m.State == dhmember.Left })
+	rank := slices.IndexFunc(known, func(m dhmember.Member) bool { return m.Name == view.Self.Name })
+	alive := len(view.Alive())
+	n.Limiter.SetMembers(dhlimit.Members{Alive: alive, Known: len(known), Rank: max(rank, 0)})
+	if s.Tables == nil {
+		return
+	}
+	for pool := range s.Tables.Pools {
+		n.Limiter.SetSlots(pool, slots(s, pool, alive))
+	}
+	n.Limiter.Tick()
+}
+
+// slotHeadroom is the part by which the VMs' shares of a pool's slots exceed
+// the slots, since traffic is not spread evenly over the entry VMs.
+const slotHeadroom = 1.5
+
+// slots returns this VM's part of the slots of a pool's backend servers.
+func slots(s *dhrouter.Snapshot, pool string, alive int) int {
+	sum := 0.0
+	for _, b := range s.Backends.Pool(pool) {
+		n := b.Slots
+		if b.State == dhbackend.Cold {
+			n = min(n, b.SustainableLoad)
+		}
+		sum += float64(n) * weight(s, b.Zone)
+	}
+	if sum == 0 {
+		return 0
+	}
+	return max(1, int(sum*slotHeadroom/float64(max(alive, 1))))
+}
+
+func weight(s *dhrouter.Snapshot, zone string) float64 {
+	if w, ok := s.ZoneWeight[zone]; ok {
+		return w
+	}
+	return 1
+}
+
+// zoneRamp brings zones back step by step after they were taken out.
+type zoneRamp struct {
+	// back is when a zone that was out came back.
+	back map[string]time.Time
+	out  map[string]bool
+}
+
+// rampTime is how long a zone takes to its full weight: 10% more each second.
+const rampTime = 10 * time.Second
+
+func (z *zoneRamp) weights(t *dhtable.Tables, now time.Time) map[string]float64 {
+	if z.out == nil {
+		z.out, z.back = make(map[string]bool), make(map[string]time.Time)
+	}
+	weights := make(map[string]float64, len(t.Zones))
+	for name, zone := range t.Zones {
+		switch {
+		case zone.Out:
+			z.out[name] = true
+			weights[name] = 0
+		case z.out[name]:
+			delete(z.out, name)
+			z.back[name] = now
+			weights[name] = 0.1
+		default:
+			weights[name] = z.ramp(name, now)
+		}
+	}
+	return weights
+}
+
+func (z *zoneRamp) ramp(name string, now time.Time) float64 {
+	back, ok := z.back[name]
+	if !ok {
+		return 1
+	}
+	if now.Sub(back) >= rampTime {
+		delete(z.back, name)
+		return 1
+	}
+	return 0.1 + 0.9*float64(now.Sub(back))/float64(rampTime)
+}
--- /dev/null
+++ b/dh/dhpeer/dhpeer.go
@@ -0,0 +1,153 @@
+// Package dhpeer calls the services of other entry VMs with twirp over h2c.
+//
+// # Usage
+//
+//	client := &dhpeer.Client{Key: keys.Peer[0]}
+//	reply, err := client.Gossip(ctx, "10.1.0.5:8082", message)
+//
+// Errors carry the result code of the other VM; a VM that cannot be reached
+// gives the code quorum-unreachable.
+package dhpeer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"dandelionhoist.example/dh/dhcode"
+	"dandelionhoist.example/dh/dhpb"
+	"dandelionhoist.example/dh/dhwire"
+)
+
+const (
+	// dialTimeout bounds the connection to a VM that may be partitioned off.
+	dialTimeout = 300 * time.Millisecond
+	// pingAfter and pingTimeout end connections whose other side is silent, so
+	// that a healed partition is not held up by a dead connection.
+	pingAfter   = 2 * time.Second
+	pingTimeout = time.Second
+)
+
+// Client calls entry VMs by address ("IP:port"). It is safe for concurrent use.
+type Client struct {
+	// Key is the peer key sent with each call.
+	Key string
+
+	once    sync.Once
+	http    *http.Client
+	mu      sync.RWMutex
+	clients map[string]dhpb.PeerService
+}
+
+func (c *Client) init() {
+	c.once.Do(func() {
+		protocols := new(http.Protocols)
+		protocols.SetUnencryptedHTTP2(true)
+		c.http = &http.Client{Transport: &authorized{key: c.Key, next: &http.Transport{
+			Protocols:   protocols,
+			DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			HTTP2:       &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
+		}}}
+		c.clients = make(map[string]dhpb.PeerService)
+	})
+}
+
+// authorized adds the peer key to each request.
+type authorized struct {
+	key  string
+	next http.RoundTripper
+}
+
+// RoundTrip implements http.RoundTripper.
+func (a *authorized) RoundTrip(r *http.Request) (*http.Response, error) {
+	r = r.Clone(r.Context())
+	dhwire.SetKey(r.Header, a.key)
+	return a.next.RoundTrip(r)
+}
+
+func (c *Client) peer(address string) dhpb.PeerService {
+	c.init()
+	c.mu.RLock()
+	peer := c.clients[address]
+	c.mu.RUnlock()
+	if peer != nil {
+		return peer
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	peer = dhpb.NewPeerServiceProtobufClient("http://"+address, c.http)
+	c.clients[address] = peer
+	return peer
+}
+
+// decode gives a code to errors of the connection.
+func decode(err error) error {
+	if err == nil {
+		return nil
+	}
+	coded := dhwire.FromTwirp(err)
+	var wire twirp.Error
+	if errors.As(coded, &wire) {
+		return dhcode.Wrap(dhcode.QuorumUnreachable, err)
+	}
+	return coded
+}
+
+// Gossip implements dhmember.Transport.
+func (c *Client) Gossip(ctx context.Context, address string, m *dhpb.GossipMessage) (*dhpb.GossipMessage, error) {
+	reply, err := c.peer(address).Gossip(ctx, m)
+	return reply, decode(err)
+}
+
+// Prepare implements dhquorum.Transport.
+func (c *Client) Prepare(ctx context.Context, address string, m *dhpb.PrepareRequest) (*dhpb.PrepareResponse, error) {
+	reply, err := c.peer(address).Prepare(ctx, m)
+	return reply, decode(err)
+}
+
+// Accept implements dhquorum.Transport.
+func (c *Client) Accept(ctx context.Context, address string, m *dhpb.AcceptRequest) (*dhpb.AcceptResponse, error) {
+	reply, err := c.peer(address).Accept(ctx, m)
+	return reply, decode(err)
+}
+
+// ReadState implements dhquorum.Transport.
+func (c *Client) ReadState(ctx context.Context, address string, m *dhpb.ReadStateRequest) (*dhpb.ReadStateResponse, error) {
+	reply, err := c.peer(address).ReadState(ctx, m)
+	return reply, decode(err)
+}
+
+// FetchRevision returns a decided revision that another VM knows.
+func (c *Client) FetchRevision(ctx context.Context, address string, revision uint64) (*dhpb.Revision, error) {
+	reply, err := c.peer(address).FetchRevision(ctx, &dhpb.FetchRevisionRequest{Revision: revision})
+	return reply, decode(err)
+}
+
+// PutBills stores bills on another VM.
+func (c *Client) PutBills(ctx context.Context, address string, m *dhpb.PutBillsRequest) (*dhpb.PutBillsResponse, error) {
+	reply, err := c.peer(address).PutBills(ctx, m)
+	return reply, decode(err)
+}
+
+// ListBills returns bills that another VM's voter stores.
+func (c *Client) ListBills(ctx context.Context, address string, m *dhpb.ExportBillsRequest) (*dhpb.ExportBillsResponse, error) {
+	reply, err := c.peer(address).ListBills(ctx, m)
+	return reply, decode(err)
+}
+
+// LendCredit asks another VM for cold-start credits.
+func (c *Client) LendCredit(ctx context.Context, address string, m *dhpb.LendCreditRequest) (*dhpb.LendCreditResponse, error) {
+	reply, err := c.peer(address).LendCredit(ctx, m)
+	return reply, decode(err)
+}
+
+// FetchAnswer returns a part of an answer that another VM holds.
+func (c *Client) FetchAnswer(ctx context.Context, address string, m *dhpb.FetchAnswerRequest) (*dhpb.FetchAnswerResponse, error) {
+	reply, err := c.peer(address).FetchAnswer(ctx, m)
+	return reply, decode(err)
+}
--- /dev/null
+++ b/dh/dhrouter/attempt.go
@@ -0,0 +1,193 @@
+package dhrouter
+
+import (
+	"context"
+	"crypto/sha256"
+	"errors"
+	"io"
+	"time"
+
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"dandelionhoist.example/dh/dhanswer"
+	"dandelionhoist.example/dh/dhbackend"
+	"dandelionhoist.example/dh/dhclaim"
+	"dandelionhoist.example/dh/dhcode"
+	"dandelionhoist.example/dh/dhmetric"
+	"dandelionhoist.example/dh/dhpb"
+	"dandelionhoist.example/dh/dhtimer"
+	"dandelionhoist.example/dh/dhversion"
+)
+
+// attempts is the state of a request while it is tried.
+type attempts struct {
+	*request
+	claim *dhclaim.Claim
+	// number of the newest attempt, over all steps of a cascade.
+	number int32
+	// dispatched is set once the claim is dispatching, mayHaveRun once a
+	// backend server may have got the request.
+	dispatched, mayHaveRun bool
+	// failed are the backend servers that are not tried again.
+	failed []string
+	choice dhversion.Choice
+}
+
+// contentHash covers what makes a keyed request the same one.
+func contentHash(req *dhpb.AskRequest) [32]byte {
+	return sha256.Sum256([]byte(req.GetRoute() + "\x00" + req.GetPrompt()))
+}
+
+func (r *Router) versionInput(s *Snapshot, t *attempts, model string) dhversion.Input {
+	return dhversion.Input{
+		Tables: s.Tables, Account: t.account.Name, Route: t.route.Name, SessionID: t.GetSessionId(),
+		Token: t.GetSessionToken(), Model: model, Holds: s.Holds, LeaseExpired: s.LeaseExpired,
+	}
+}
+
+// generate makes an answer with one model. It tries again, within bounds, as
+// long as that cannot make a request run twice.
+func (r *Router) generate(ctx context.Context, t *attempts, model string, a *dhanswer.Answer) error {
+	choice, err := r.Versions.Choose(r.versionInput(r.Snapshot(), t, model))
+	if err != nil {
+		return err
+	}
+	t.choice, t.failed = choice, nil
+	r.Retries.First(t.route.Pool)
+	for retry := 0; ; retry++ {
+		err := r.attempt(ctx, t, a)
+		if err == nil || retry+1 >= r.MaxAttempts || !mayRetry(ctx, t, err) {
+			return err
+		}
+		if r.Retries.Retry(t.route.Pool) != nil {
+			return err
+		}
+		if dhtimer.Sleep(ctx, r.Timers, r.Backoff(retry)) != nil {
+			return err
+		}
+	}
+}
+
+// mayRetry reports whether another attempt after err can help and cannot make
+// a keyed request run twice.
+func mayRetry(ctx context.Context, t *attempts, err error) bool {
+	if ctx.Err() != nil || (t.claim != nil && t.mayHaveRun) {
+		return false
+	}
+	switch dhcode.Of(err) {
+	case dhcode.BackendFailed, dhcode.StreamBroken, dhcode.Leaving, dhcode.QueueFull, dhcode.PoolFull:
+		return true
+	}
+	return false
+}
+
+// attempt places a request on one backend server and relays its answer.
+func (r *Router) attempt(ctx context.Context, t *attempts, a *dhanswer.Answer) error {
+	s := r.Snapshot()
+	if err := dhversion.Usable(r.versionInput(s, t, t.choice.Version.Model), t.choice); err != nil {
+		return err
+	}
+	placement, err := r.place(s, t)
+	if err != nil {
+		return err
+	}
+	backend := placement.Backend
+	if !r.Breakers.Begin(backend.ID) {
+		placement.Done(0, nil)
+		t.failed = append(t.failed, backend.ID)
+		return dhcode.Errorf(dhcode.BackendFailed, "the circuit breaker of backend server %q is open", backend.ID)
+	}
+	if err := r.dispatch(ctx, t); err != nil {
+		r.Breakers.Cancel(backend.ID)
+		placement.Done(0, nil)
+		return err
+	}
+	t.number++
+	a.StartAttempt(t.number, t.choice.Version.Model, t.choice.Version.Name)
+	first, err := r.relay(ctx, t, backend, a)
+	placement.Done(first, err)
+	r.ended(ctx, t, backend, a, first, err)
+	return err
+}
+
+// ended records the end of an attempt that was sent.
+func (r *Router) ended(ctx context.Context, t *attempts, b *dhbackend.Backend, a *dhanswer.Answer, first time.Duration, err error) {
+	if err != nil {
+		t.failed = append(t.failed, b.ID)
+		t.mayHaveRun = t.mayHaveRun || dhcode.RanOf(err) != dhcode.NotRun
+	}
+	if err != nil && ctx.Err() != nil {
+		r.Breakers.Cancel(b.ID)
+		return
+	}
+	r.Breakers.End(b.ID, err == nil)
+	_, tokens := a.Len()
+	r.Report(Event{
+		Pool: t.route.Pool, Backend: b.ID, Version: t.choice.Version, Failed: err != nil, FirstToken: first,
+		Tokens: tokens, MaxTokens: int(t.GetMaxTokens()),
+	})
+}
+
+// dispatch makes the claim of a keyed request durable before anything is sent.
+func (r *Router) dispatch(ctx context.Context, t *attempts) error {
+	if t.claim == nil || t.dispatched {
+		return nil
+	}
+	if err := r.Claims.Dispatch(ctx, t.claim); err != nil {
+		return err
+	}
+	t.dispatched = true
+	// The tables may have changed while the claim was written.
+	return dhversion.Usable(r.versionInput(r.Snapshot(), t, t.choice.Version.Model), t.choice)
+}
+
+func (r *Router) place(s *Snapshot, t *attempts) (Placement, error) {
+	return r.Placer.Place(s.Backends, PlaceRequest{
+		Pool: t.route.Pool, Version: t.choice.Version, Zone: r.Zone, Prompt: t.GetPrompt(),
+		Exclude: t.failed, ZoneWeight: s.ZoneWeight, Open: r.Breakers.Open,
+	})
+}
+
+// relay calls a backend server and appends its chunks to the answer. It
+// returns the time to the first token.
+func (r *Router) relay(ctx context.Context, t *attempts, b *dhbackend.Backend, a *dhanswer.Answer) (time.Duration, error) {
+	offset, _ := a.Len()
+	start := r.Timers.Now()
+	stream, err := r.Engine.Generate(ctx, b.Address, &dhpb.GenerateRequest{
+		RequestId: t.GetRequestId(), Attempt: t.number, Model: t.choice.Version.Model, Version: t.choice.Version.Name,
+		Prompt: t.GetPrompt(), MaxTokens: t.GetMaxTokens(), Priority: int32(t.route.Priority), Offset: int64(offset),
+		Deadline: durationpb.New(t.deadline - start.Sub(t.received)),
+	})
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = stream.Close() }()
+	var first time.Duration
+	last := start
+	for {
+		chunk, err := stream.Next()
+		if errors.Is(err, io.EOF) {
+			return first, nil
+		}
+		if err == nil {
+			err = a.Append(chunk)
+		}
+		if err != nil {
+			return first, err
+		}
+		now := r.Timers.Now()
+		r.observeToken(t, last, now, first == 0)
+		if first == 0 {
+			first = max(now.Sub(start), 1)
+		}
+		last = now
+	}
+}
+
+func (r *Router) observeToken(t *attempts, last, now time.Time, first bool) {
+	if first {
+		r.Metrics.Observe(dhmetric.FirstToken, t.account.Name, t.route.Class, now.Sub(t.received))
+		return
+	}
+	r.Metrics.Observe(dhmetric.BetweenTokens, t.account.Name, t.route.Class, now.Sub(last))
+}
--- /dev/null
+++ b/dh/dhrouter/dhrouter.go
@@ -0,0 +1,161 @@
+// Package dhrouter answers requests: it admits a request, chooses a version
+// and a backend server, relays the answer, bills it and releases it.
+//
+// Traffic goroutines read an immutable Snapshot that the control loop
+// publishes; they hold no lock over I/O.
+//
+// # Usage
+//
+//	router := &dhrouter.Router{Timers: timers, Answers: answers, Versions: chooser, Placer: placer, ...}
+//	router.Publish(snapshot)
+//	answer, err := router.Start(ctx, account, request) // joins a request that is already running
+//	part, err := answer.Read(ctx, 0)
+//
+// The answer goes on when the caller's connection is lost; Resume and Cancel
+// find it by its request id.
+package dhrouter
+
+import (
+	"context"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"dandelionhoist.example/dh/dhanswer"
+	"dandelionhoist.example/dh/dhbackend"
+	"dandelionhoist.example/dh/dhclaim"
+	"dandelionhoist.example/dh/dhcode"
+	"dandelionhoist.example/dh/dhengine"
+	"dandelionhoist.example/dh/dhgroup"
+	"dandelionhoist.example/dh/dhlimit"
+	"dandelionhoist.example/dh/dhmetric"
+	"dandelionhoist.example/dh/dhpb"
+	"dandelionhoist.example/dh/dhtable"
+	"dandelionhoist.example/dh/dhtimer"
+	"dandelionhoist.example/dh/dhversion"
+)
+
+// Versions chooses the version of a request.
+type Versions interface {
+	Choose(in dhversion.Input) (dhversion.Choice, error)
+}
+
+// Placer chooses a backend server and counts what runs there.
+type Placer interface {
+	Place(view *dhbackend.View, req PlaceRequest) (Placement, error)
+}
+
+// Limiter admits requests.
+type Limiter interface {
+	Admit(ctx context.Context, req dhlimit.Request) (release func(), err error)
+}
+
+// Retries bounds the load that further attempts add.
+type Retries interface {
+	First(pool string)
+	Retry(pool string) error
+}
+
+// Breakers stops traffic to backend servers that fail.
+type Breakers interface {
+	Open(id string) bool
+	Begin(id string) bool
+	End(id string, ok bool)
+	Cancel(id string)
+}
+
+// Claimer keeps requests that are not repeatable from running twice.
+type Claimer interface {
+	Take(ctx context.Context, req dhclaim.Request) (*dhclaim.Claim, *dhclaim.Status, error)
+	Dispatch(ctx context.Context, c *dhclaim.Claim) error
+	Finish(ctx context.Context, c *dhclaim.Claim, code dhcode.Code, answer *dhpb.AskResponse) error
+	Break(ctx context.Context, c *dhclaim.Claim) error
+	Close(ctx context.Context, c *dhclaim.Claim) error
+	Outcome(ctx context.Context, account, key string) (*dhclaim.Status, error)
+}
+
+// Ledger makes bills safe.
+type Ledger interface {
+	Put(ctx context.Context, bill *dhpb.Bill) error
+}
+
+// Planner says at which model of a cascade an answer starts and whether it is
+// good enough.
+type Planner interface {
+	// Start returns the model to start with and whether its answer may be
+	// escalated, in which case it is held back until it is judged.
+	Start(in PlanInput) (model string, hold bool)
+	// Escalate returns the next model, or false when the answer is good enough.
+	Escalate(in PlanInput, model string, answer PlanAnswer) (next string, hold, ok bool)
+}
+
+// Engine calls backend servers.
+type Engine interface {
+	Generate(ctx context.Context, address string, req *dhpb.GenerateRequest) (*dhengine.Stream, error)
+	Cancel(ctx context.Context, address, requestID string) (bool, error)
+}
+
+// Snapshot is what traffic knows of the control state. It is immutable.
+type Snapshot struct {
+	Tables       *dhtable.Tables
+	LeaseExpired bool
+	Backends     *dhbackend.View
+	Holds        *dhversion.Holds
+	// Leaving is set from the start of a graceful shutdown.
+	Leaving bool
+	// ZoneWeight is the part of its normal load that a zone takes, from 0 for
+	// a zone that is out to 1.
+	ZoneWeight map[string]float64
+}
+
+// Event reports the end of an attempt to the control loop.
+type Event struct {
+	Pool, Backend string
+	Version       dhtable.Version
+	Failed        bool
+	FirstToken    time.Duration
+	// Tokens and MaxTokens are the length of a whole answer and its bound.
+	Tokens, MaxTokens int
+}
+
+// Router answers requests. Exported fields are set before use.
+type Router struct {
+	Timers   dhtimer.Service
+	Group    *dhgroup.Group
+	Log      *slog.Logger
+	Metrics  *dhmetric.Metrics
+	Answers  *dhanswer.Table
+	Versions Versions
+	Placer   Placer
+	Limiter  Limiter
+	Retries  Retries
+	Breakers Breakers
+	Backoff  func(retry int) time.Duration
+	Claims   Claimer
+	Ledger   Ledger
+	Planner  Planner
+	Engine   Engine
+	// VM and Zone name the entry VM.
+	VM, Zone string
+	// MaxAttempts bounds the attempts of a request.
+	MaxAttempts int
+	// ResumeGrace is how long a request without a reader goes on.
+	ResumeGrace time.Duration
+	// Report takes events of attempts; it must not block.
+	Report func(Event)
+	// NewRequestID returns an id for a request that has none.
+	NewRequestID func() string
+
+	snapshot atomic.Pointer[Snapshot]
+}
+
+// Publish makes s the snapshot that traffic reads.
+func (r *Router) Publish(s *Snapshot) { r.snapshot.Store(s) }
+
+// Snapshot returns the newest snapshot.
+func (r *Router) Snapshot() *Snapshot {
+	if s := r.snapshot.Load(); s != nil {
+		return s
+	}
+	return &Snapshot{Backends: new(dhbackend.Table).View(time.Time{}), LeaseExpired: true}
+}
--- /dev/null
+++ b/dh/dhserver/callers.go
@@ -0,0 +1,157 @@
+package dhserver
+
+import (
+	"context"
+	"net/http"
+
+	"connectrpc.com/connect"
+
+	"dandelionhoist.example/dh/dhanswer"
+	"dandelionhoist.example/dh/dhcode"
+	"dandelionhoist.example/dh/dhpb"
+	"dandelionhoist.example/dh/dhpb/dhpbconnect"
+	"dandelionhoist.example/dh/dhrouter"
+	"dandelionhoist.example/dh/dhwire"
+)
+
+// AnswerFetcher finds an answer that another entry VM holds.
+type AnswerFetcher interface {
+	// Fetch returns the text from an offset on, or the code answer-not-kept
+	// when no reachable entry VM holds the answer.
+	Fetch(ctx context.Context, account, requestID string, offset int64) (*dhpb.FetchAnswerResponse, error)
+	// Cancel stops a request that another entry VM runs.
+	Cancel(ctx context.Context, account, requestID string) bool
+}
+
+// Callers is the service that client accounts use.
+type Callers struct {
+	Router *dhrouter.Router
+	// Others finds answers of other entry VMs; it may be nil.
+	Others AnswerFetcher
+}
+
+// CallerHandler returns the HTTP handler of the callers' service.
+func CallerHandler(c *Callers, maxBytes int) http.Handler {
+	_, handler := dhpbconnect.NewRouterServiceHandler(c, connect.WithReadMaxBytes(maxBytes))
+	return newGuard(handler, maxBytes, c.authenticate)
+}
+
+func (c *Callers) authenticate(r *http.Request) (context.Context, error) {
+	tables := c.Router.Snapshot().Tables
+	if tables == nil {
+		return nil, dhcode.Errorf(dhcode.NoTables, "no tables are in force yet")
+	}
+	account, ok := tables.AccountByKey(dhwire.KeyOf(r.Header))
+	if !ok {
+		return nil, dhcode.Errorf(dhcode.UnknownKey, "the key belongs to no client account")
+	}
+	return context.WithValue(r.Context(), accountKey{}, account), nil
+}
+
+// Ask implements the callers' service.
+func (c *Callers) Ask(ctx context.Context, req *dhpb.AskRequest) (*dhpb.AskResponse, error) {
+	answer, err := c.Router.Start(AccountOf(ctx), req)
+	if err != nil {
+		return nil, dhwire.ToConnect(err)
+	}
+	result, err := answer.Wait(ctx)
+	return result, dhwire.ToConnect(err)
+}
+
+// Stream implements the callers' service.
+func (c *Callers) Stream(ctx context.Context, req *dhpb.AskRequest, stream *connect.ServerStream[dhpb.Chunk]) error {
+	answer, err := c.Router.Start(AccountOf(ctx), req)
+	if err != nil {
+		return dhwire.ToConnect(err)
+	}
+	return dhwire.ToConnect(send(ctx, answer, 0, stream))
+}
+
+// Resume implements the callers' service.
+func (c *Callers) Resume(ctx context.Context, req *dhpb.ResumeRequest, stream *connect.ServerStream[dhpb.Chunk]) error {
+	account := AccountOf(ctx).Name
+	if answer, ok := c.Router.Answer(account, req.GetRequestId()); ok {
+		return dhwire.ToConnect(send(ctx, answer, int(req.GetOffset()), stream))
+	}
+	if c.Others == nil {
+		return dhwire.ToConnect(errNotKept(req.GetRequestId()))
+	}
+	return dhwire.ToConnect(c.sendFetched(ctx, account, req, stream))
+}
+
+func errNotKept(requestID string) error {
+	err := dhcode.Errorf(dhcode.AnswerNotKept, "no reachable entry VM holds the answer to request %q", requestID)
+	return dhcode.WithRan(err, dhcode.RanUnknown)
+}
+
+// send relays an answer from an offset to its end. The last chunk is sent
+// once the answer is whole and billed.
+func send(ctx context.Context, answer *dhanswer.Answer, offset int, stream *connect.ServerStream[dhpb.Chunk]) error {
+	if offset < 0 {
+		return dhcode.Errorf(dhcode.RequestMalformed, "offset %d is negative", offset)
+	}
+	sent := 0
+	for {
+		part, err := answer.Read(ctx, offset)
+		if err != nil {
+			return err
+		}
+		chunk := &dhpb.Chunk{
+			RequestId: answer.RequestID(), Attempt: part.Attempt, Offset: int64(offset), Text: part.Text,
+			Tokens: int32(part.Tokens - sent), Model: part.Model, Version: part.Version,
+		}
+		if part.Done {
+			complete(chunk, part.Result)
+		}
+		if err := stream.Send(chunk); err != nil || part.Done {
+			return err
+		}
+		offset += len(part.Text)
+		sent = part.Tokens
+	}
+}
+
+func complete(chunk *dhpb.Chunk, result *dhpb.AskResponse) {
+	chunk.Last = true
+	chunk.Model, chunk.Version = result.GetModel(), result.GetVersion()
+	chunk.SessionToken = result.GetSessionToken()
+	chunk.SessionMoved = result.GetSessionMoved()
+	chunk.Replayed = result.GetReplayed()
+}
+
+func (c *Callers) sendFetched(ctx context.Context, account string, req *dhpb.ResumeRequest, stream *connect.ServerStream[dhpb.Chunk]) error {
+	offset := req.GetOffset()
+	for {
+		part, err := c.Others.Fetch(ctx, account, req.GetRequestId(), offset)
+		if err != nil {
+			return err
+		}
+		chunk := &dhpb.Chunk{RequestId: req.GetRequestId(), Offset: offset, Text: part.GetText()}
+		if part.GetComplete() {
+			complete(chunk, part.GetAnswer())
+		}
+		if err := stream.Send(chunk); err != nil || part.GetComplete() {
+			return err
+		}
+		offset += int64(len(part.GetText()))
+	}
+}
+
+// Cancel implements the callers' service.
+func (c *Callers) Cancel(ctx context.Context, req *dhpb.CancelRequest) (*dhpb.CancelResponse, error) {
+	account := AccountOf(ctx).Name
+	found := c.Router.Cancel(account, req.GetRequestId())
+	if !found && c.Others != nil {
+		found = c.Others.Cancel(ctx, account, req.GetRequestId())
+	}
+	return &dhpb.CancelResponse{Found: found}, nil
+}
+
+// Outcome implements the callers' service.
+func (c *Callers) Outcome(ctx context.Context, req *dhpb.OutcomeRequest) (*dhpb.OutcomeResponse, error) {
+	status, err := c.Router.Claims.Outcome(ctx, AccountOf(ctx).Name, req.GetIdempotencyKey())
+	if err != nil {
+		return nil, dhwire.ToConnect(err)
+	}
+	return &dhpb.OutcomeResponse{State: status.State.String(), RequestId: status.RequestID, Answer: status.Answer}, nil
+}
--- /dev/null
+++ b/dh/dhserver/operators.go
@@ -0,0 +1,126 @@
+package dhserver
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"dandelionhoist.example/dh/dhcode"
+	"dandelionhoist.example/dh/dhedit"
+	"dandelionhoist.example/dh/dhnode"
+	"dandelionhoist.example/dh/dhpb"
+	"dandelionhoist.example/dh/dhpb/dhpbconnect"
+	"dandelionhoist.example/dh/dhtable"
+	"dandelionhoist.example/dh/dhtimer"
+	"dandelionhoist.example/dh/dhwire"
+)
+
+const (
+	// maxHistory bounds the revisions of one answer.
+	maxHistory = 1000
+	// watchPeriod is the time between two status messages of Watch.
+	watchPeriod = time.Second
+	// operatorBytes leaves room for tables of the largest size.
+	operatorBytes = 2 * dhtable.MaxBytes
+)
+
+// BillExporter lists bills.
+type BillExporter interface {
+	Export(ctx context.Context, req *dhpb.ExportBillsRequest) (*dhpb.ExportBillsResponse, error)
+}
+
+// Operators is the service that operators use.
+type Operators struct {
+	Node   *dhnode.Node
+	Timers dhtimer.Service
+	Bills  BillExporter
+}
+
+// OperatorHandler returns the HTTP handler of the operators' service.
+func OperatorHandler(o *Operators, keys Keys) http.Handler {
+	_, handler := dhpbconnect.NewOperatorServiceHandler(o, connect.WithReadMaxBytes(operatorBytes))
+	return newGuard(handler, operatorBytes, operatorCheck(keys))
+}
+
+// GuardOperators lets only operators reach a handler.
+func GuardOperators(next http.Handler, keys Keys) http.Handler {
+	return newGuard(next, operatorBytes, operatorCheck(keys))
+}
+
+// GetTables implements the operators' service.
+func (o *Operators) GetTables(_ context.Context, req *dhpb.GetTablesRequest) (*dhpb.GetTablesResponse, error) {
+	revision := req.GetRevision()
+	if revision == 0 {
+		revision = o.Node.Revisions.NewestNumber()
+	}
+	if revision == 0 {
+		return &dhpb.GetTablesResponse{}, nil
+	}
+	r := o.Node.Revisions.Fetch(revision)
+	if !r.GetFound() {
+		return nil, dhwire.ToConnect(dhcode.Errorf(dhcode.BaseRevisionUnknown, "the tables of revision %d are not kept", revision))
+	}
+	return &dhpb.GetTablesResponse{Revision: revision, Tables: r.GetTables()}, nil
+}
+
+// EditTables implements the operators' service.
+func (o *Operators) EditTables(ctx context.Context, req *dhpb.EditTablesRequest) (*dhpb.EditTablesResponse, error) {
+	revision, err := o.Node.Edit(ctx, dhedit.Edit{
+		ID: req.GetEditId(), Base: req.GetBaseRevision(), Author: req.GetAuthor(), Text: req.GetTables(),
+	})
+	if err != nil {
+		return nil, dhwire.ToConnect(err)
+	}
+	return &dhpb.EditTablesResponse{Revision: revision}, nil
+}
+
+// History implements the operators' service.
+func (o *Operators) History(_ context.Context, req *dhpb.HistoryRequest) (*dhpb.HistoryResponse, error) {
+	limit := int(req.GetLimit())
+	if limit <= 0 || limit > maxHistory {
+		limit = maxHistory
+	}
+	out := &dhpb.HistoryResponse{}
+	for _, h := range o.Node.Revisions.History(limit) {
+		out.Revisions = append(out.Revisions, h.Message())
+	}
+	return out, nil
+}
+
+// Status implements the operators' service.
+func (o *Operators) Status(context.Context, *dhpb.StatusRequest) (*dhpb.StatusResponse, error) {
+	return o.Node.Status(), nil
+}
+
+// Watch implements the operators' service.
+func (o *Operators) Watch(ctx context.Context, _ *dhpb.WatchRequest, stream *connect.ServerStream[dhpb.StatusResponse]) error {
+	for {
+		if err := stream.Send(o.Node.Status()); err != nil {
+			return err
+		}
+		if err := dhtimer.Sleep(ctx, o.Timers, watchPeriod); err != nil {
+			return nil
+		}
+	}
+}
+
+// Explain implements the operators' service.
+func (o *Operators) Explain(_ context.Context, req *dhpb.ExplainRequest) (*dhpb.ExplainResponse, error) {
+	tables := o.Node.Router.Snapshot().Tables
+	if tables == nil {
+		return nil, dhwire.ToConnect(dhcode.Errorf(dhcode.NoTables, "no tables are in force yet"))
+	}
+	account, ok := tables.Accounts[req.GetAccount()]
+	if !ok {
+		return nil, dhwire.ToConnect(dhcode.Errorf(dhcode.RouteNotAllowed, "account %q does not exist", req.GetAccount()))
+	}
+	return o.Node.Router.Explain(account, req), nil
+}
+
+// ExportBills implements the operators' service.
+func (o *Operators) ExportBills(ctx context.Context, req *dhpb.ExportBillsRequest) (*dhpb.ExportBillsResponse, error) {
+	out, err := o.Bills.Export(ctx, req)
+	return out, dhwire.ToConnect(err)
+}
--- /dev/null
+++ b/dh/dhserver/peers.go
@@ -0,0 +1,160 @@
+package dhserver
+
+import (
+	"context"
+	"net/http"
+
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"dandelionhoist.example/dh/dhcode"
+	"dandelionhoist.example/dh/dhnode"
+	"dandelionhoist.example/dh/dhpb"
+	"dandelionhoist.example/dh/dhpb/dhpbconnect"
+	"dandelionhoist.example/dh/dhrouter"
+	"dandelionhoist.example/dh/dhwire"
+)
+
+// peerBytes leaves room for a page of register state.
+const peerBytes = 16 << 20
+
+// Gossiper takes gossip messages.
+type Gossiper interface {
+	Receive(ctx context.Context, m *dhpb.GossipMessage) (*dhpb.GossipMessage, error)
+}
+
+// Voter is the voter of this VM.
+type Voter interface {
+	Prepare(ctx context.Context, m *dhpb.PrepareRequest) (*dhpb.PrepareResponse, error)
+	Accept(ctx context.Context, m *dhpb.AcceptRequest) (*dhpb.AcceptResponse, error)
+	ReadState(ctx context.Context, m *dhpb.ReadStateRequest) (*dhpb.ReadStateResponse, error)
+}
+
+// BillKeeper stores bills of other VMs.
+type BillKeeper interface {
+	PutBills(ctx context.Context, m *dhpb.PutBillsRequest) (*dhpb.PutBillsResponse, error)
+	ListBills(ctx context.Context, m *dhpb.ExportBillsRequest) (*dhpb.ExportBillsResponse, error)
+}
+
+// Lender lends cold-start credits.
+type Lender interface {
+	Lend(ctx context.Context, m *dhpb.LendCreditRequest) (*dhpb.LendCreditResponse, error)
+}
+
+// Peers is the service that entry VMs offer each other. Voter is nil on a VM
+// without a disk.
+type Peers struct {
+	Node     *dhnode.Node
+	Router   *dhrouter.Router
+	Gossiper Gossiper
+	Voter    Voter
+	Bills    BillKeeper
+	Lender   Lender
+}
+
+// PeerHandler returns the HTTP handler for entry VMs and backend servers.
+func PeerHandler(p *Peers, keys Keys) http.Handler {
+	mux := http.NewServeMux()
+	twirpServer := dhpb.NewPeerServiceServer(p)
+	mux.Handle(twirpServer.PathPrefix(), twirpServer)
+	path, announce := dhpbconnect.NewAnnounceServiceHandler(&announcements{node: p.Node})
+	mux.Handle(path, announce)
+	return newGuard(mux, peerBytes, peerCheck(keys))
+}
+
+// Gossip implements the peers' service.
+func (p *Peers) Gossip(ctx context.Context, m *dhpb.GossipMessage) (*dhpb.GossipMessage, error) {
+	out, err := p.Gossiper.Receive(ctx, m)
+	return out, dhwire.ToTwirp(err)
+}
+
+func errNoVoter() error {
+	return dhwire.ToTwirp(dhcode.Errorf(dhcode.QuorumUnreachable, "this VM is not a voter"))
+}
+
+// Prepare implements the peers' service.
+func (p *Peers) Prepare(ctx context.Context, m *dhpb.PrepareRequest) (*dhpb.PrepareResponse, error) {
+	if p.Voter == nil {
+		return nil, errNoVoter()
+	}
+	out, err := p.Voter.Prepare(ctx, m)
+	return out, dhwire.ToTwirp(err)
+}
+
+// Accept implements the peers' service.
+func (p *Peers) Accept(ctx context.Context, m *dhpb.AcceptRequest) (*dhpb.AcceptResponse, error) {
+	if p.Voter == nil {
+		return nil, errNoVoter()
+	}
+	out, err := p.Voter.Accept(ctx, m)
+	return out, dhwire.ToTwirp(err)
+}
+
+// ReadState implements the peers' service.
+func (p *Peers) ReadState(ctx context.Context, m *dhpb.ReadStateRequest) (*dhpb.ReadStateResponse, error) {
+	if p.Voter == nil {
+		return nil, errNoVoter()
+	}
+	out, err := p.Voter.ReadState(ctx, m)
+	return out, dhwire.ToTwirp(err)
+}
+
+// NewestRevision implements the peers' service.
+func (p *Peers) NewestRevision(context.Context, *dhpb.NewestRevisionRequest) (*dhpb.NewestRevisionResponse, error) {
+	return &dhpb.NewestRevisionResponse{Revision: p.Node.Revisions.NewestNumber(), Voter: p.Voter != nil}, nil
+}
+
+// FetchRevision implements the peers' service.
+func (p *Peers) FetchRevision(_ context.Context, m *dhpb.FetchRevisionRequest) (*dhpb.Revision, error) {
+	return p.Node.Revisions.Fetch(m.GetRevision()), nil
+}
+
+// PutBills implements the peers' service.
+func (p *Peers) PutBills(ctx context.Context, m *dhpb.PutBillsRequest) (*dhpb.PutBillsResponse, error) {
+	out, err := p.Bills.PutBills(ctx, m)
+	return out, dhwire.ToTwirp(err)
+}
+
+// ListBills implements the peers' service.
+func (p *Peers) ListBills(ctx context.Context, m *dhpb.ExportBillsRequest) (*dhpb.ExportBillsResponse, error) {
+	out, err := p.Bills.ListBills(ctx, m)
+	return out, dhwire.ToTwirp(err)
+}
+
+// LendCredit implements the peers' service.
+func (p *Peers) LendCredit(ctx context.Context, m *dhpb.LendCreditRequest) (*dhpb.LendCreditResponse, error) {
+	if p.Lender == nil {
+		return &dhpb.LendCreditResponse{}, nil
+	}
+	out, err := p.Lender.Lend(ctx, m)
+	return out, dhwire.ToTwirp(err)
+}
+
+// FetchAnswer implements the peers' service. It waits for text after the
+// offset; an answer that this VM does not hold is answered with found unset.
+func (p *Peers) FetchAnswer(ctx context.Context, m *dhpb.FetchAnswerRequest) (*dhpb.FetchAnswerResponse, error) {
+	if m.GetCancel() {
+		return &dhpb.FetchAnswerResponse{Found: p.Router.Cancel(m.GetAccount(), m.GetRequestId())}, nil
+	}
+	answer, ok := p.Router.Answer(m.GetAccount(), m.GetRequestId())
+	if !ok {
+		return &dhpb.FetchAnswerResponse{}, nil
+	}
+	part, err := answer.Read(ctx, int(m.GetOffset()))
+	if err != nil {
+		return nil, dhwire.ToTwirp(err)
+	}
+	return &dhpb.FetchAnswerResponse{Found: true, Text: part.Text, Complete: part.Done, Answer: part.Result}, nil
+}
+
+// announcements is the service that backend servers use.
+type announcements struct{ node *dhnode.Node }
+
+// Announce implements the announcement service.
+func (a *announcements) Announce(_ context.Context, req *dhpb.AnnounceRequest) (*dhpb.AnnounceResponse, error) {
+	req.GetBackend().AnnouncementAge = nil // only entry VMs pass on records with an age
+	if err := a.node.Announce(req.GetBackend()); err != nil {
+		return nil, dhwire.ToConnect(err)
+	}
+	lease := a.node.Settings.Timing.BackendLease
+	return &dhpb.AnnounceResponse{Lease: durationpb.New(lease.Std())}, nil
+}
--- /dev/null
+++ b/dh/dhserver/tls.go
@@ -0,0 +1,39 @@
+package dhserver
+
+import (
+	"crypto/tls"
+	"os"
+	"sync"
+	"time"
+)
+
+// certificates reads the certificate again when its file has changed. A file
+// that cannot be read leaves the last good certificate in use.
+type certificates struct {
+	certFile, keyFile string
+
+	mu       sync.Mutex
+	modified time.Time
+	current  *tls.Certificate
+}
+
+func (c *certificates) get(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	info, err := os.Stat(c.certFile)
+	if err == nil && info.ModTime().Equal(c.modified) {
+		return c.current, nil
+	}
+	cert, err := tls.LoadX509KeyPair(c.certFile, c.keyFile)
+	if err != nil {
+		if c.current != nil {
+			return c.current, nil
+		}
+		return nil, err
+	}
+	c.current = &cert
+	if info != nil {
+		c.modified = info.ModTime()
+	}
+	return c.current, nil
+}
--- a/dh/dhsetting/check.go
+++ b/dh/dhsetting/check.go
@@ -13,8 +13,12 @@
 		return doc.Errorf("/format", "format %d is not supported; expected %d", s.Format, Format)
 	}
 	for _, f := range []struct{ pointer, value string }{
-		{"/name", s.Name}, {"/zone", s.Zone}, {"/region", s.Region},
-		{"/keys/peer-file", s.Keys.PeerFile}, {"/keys/operator-file", s.Keys.OperatorFile}, {"/keys/session-file", s.Keys.SessionFile},
+		{"/name", s.Name},
+		{"/zone", s.Zone},
+		{"/region", s.Region},
+		{"/keys/peer-file", s.Keys.PeerFile},
+		{"/keys/operator-file", s.Keys.OperatorFile},
+		{"/keys/session-file", s.Keys.SessionFile},
 	} {
 		if f.value == "" {
 			return doc.Errorf(f.pointer, "expected a value that is not empty")
