--- /dev/null
+++ b/dh/dhdisk/os.go
@@ -0,0 +1,92 @@
+package dhdisk
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+)
+
+// OS is the Disk of a folder in the file system.
+type OS struct {
+	folder string
+}
+
+// OpenOS returns the disk of a folder, which it creates when missing.
+func OpenOS(folder string) (*OS, error) {
+	if err := os.MkdirAll(folder, 0o700); err != nil {
+		return nil, fmt.Errorf("create data folder: %w", err)
+	}
+	return &OS{folder: folder}, nil
+}
+
+func (o *OS) path(name string) (string, error) {
+	if name == "" || name == "." || name == ".." || filepath.Base(name) != name {
+		return "", fmt.Errorf("file name %q is not a plain name", name)
+	}
+	return filepath.Join(o.folder, name), nil
+}
+
+// Create implements Disk.
+func (o *OS) Create(name string) (File, error) {
+	path, err := o.path(name)
+	if err != nil {
+		return nil, err
+	}
+	return os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY|os.O_APPEND, 0o600)
+}
+
+// ReadFile implements Disk.
+func (o *OS) ReadFile(name string) ([]byte, error) {
+	path, err := o.path(name)
+	if err != nil {
+		return nil, err
+	}
+	return os.ReadFile(path)
+}
+
+// Rename implements Disk.
+func (o *OS) Rename(oldName, newName string) error {
+	from, err := o.path(oldName)
+	if err != nil {
+		return err
+	}
+	to, err := o.path(newName)
+	if err != nil {
+		return err
+	}
+	return os.Rename(from, to)
+}
+
+// Remove implements Disk.
+func (o *OS) Remove(name string) error {
+	path, err := o.path(name)
+	if err != nil {
+		return err
+	}
+	return os.Remove(path)
+}
+
+// List implements Disk. Folders are left out.
+func (o *OS) List() ([]string, error) {
+	entries, err := os.ReadDir(o.folder)
+	if err != nil {
+		return nil, err
+	}
+	var names []string
+	for _, e := range entries {
+		if !e.IsDir() {
+			names = append(names, e.Name())
+		}
+	}
+	return names, nil
+}
+
+// SyncDir implements Disk.
+func (o *OS) SyncDir() error {
+	dir, err := os.Open(o.folder)
+	if err != nil {
+		return err
+	}
+	return errors.Join(dir.Sync(), dir.Close())
+}
--- /dev/null
+++ b/dh/dhjournal/dhjournal.go
@@ -0,0 +1,266 @@
+// Package dhjournal keeps a state durable as an append-only log of records.
+//
+// Each record has a checksum. Compaction replaces the log by a snapshot of the
+// state in a new file, so that the log stays within four times the live state
+// and a restart is bounded. One file holds the snapshot and the records after it.
+//
+// # Usage
+//
+//	journal, err := dhjournal.Open(disk, "voter", state)
+//	group := dhjournal.NewGroup(journal)
+//	goroutines.Go(group.Run)
+//	err = group.Do(ctx, func(j *dhjournal.Journal) {
+//		state.Set(key, value)
+//		j.Append(record)
+//	})
+//
+// Do returns when the record is synced. All waiting calls share one sync.
+// A failed write or sync stops the journal for good: what the disk then holds
+// is unknown until it is read again by a restart. A damaged file gives an error
+// with code disk-corrupt and is kept.
+package dhjournal
+
+import (
+	"errors"
+	"fmt"
+	"io/fs"
+	"strings"
+
+	"dandelionhoist.example/dh/dhcode"
+	"dandelionhoist.example/dh/dhdisk"
+)
+
+// State is what a journal keeps durable. All methods are called on the
+// goroutine that calls the journal.
+type State interface {
+	// Apply replays one record. It must not keep the slice.
+	Apply(record []byte) error
+	// Snapshot calls add with records that rebuild the whole state.
+	Snapshot(add func(record []byte) error) error
+	// Size returns the number and the total bytes of the records of a snapshot.
+	Size() (records, bytes int)
+}
+
+// MaxRecordBytes is the largest record. Tables are at most 1 MiB.
+const MaxRecordBytes = 4 << 20
+
+// compactSlackBytes keeps a small state from being compacted at every commit.
+const compactSlackBytes = 64 << 10
+
+// snapshotBufferBytes is the size of one write of a snapshot.
+const snapshotBufferBytes = 1 << 20
+
+// Journal is an open log. It is not safe for concurrent use; see Group.
+type Journal struct {
+	disk       dhdisk.Disk
+	name       string
+	state      State
+	file       dhdisk.File
+	generation uint64
+	frames     uint64
+	sequence   uint64
+	synced     uint64
+	size       int
+	pending    []byte
+	err        error
+}
+
+// Open replays the journal of that name into state and continues it in a new
+// file, or starts an empty one. Errors carry disk-failed or disk-corrupt.
+//
+// The state is always written anew: after a failed sync the kernel may show
+// data that the disk never received, and only data written again is certain to
+// be synced. This also drops a torn record at the end.
+func Open(disk dhdisk.Disk, name string, state State) (*Journal, error) {
+	j := &Journal{disk: disk, name: name, state: state}
+	generations, err := j.generations()
+	if err != nil {
+		return nil, err
+	}
+	if n := len(generations); n > 0 {
+		j.generation = generations[n-1]
+		data, err := disk.ReadFile(j.fileName(j.generation))
+		if err != nil {
+			return nil, dhcode.Wrap(dhcode.DiskFailed, fmt.Errorf("read journal: %w", err))
+		}
+		j.sequence, err = replay(data, j.generation, state.Apply)
+		if err != nil {
+			return nil, dhcode.Wrap(dhcode.DiskCorrupt, fmt.Errorf("journal %s: %w", j.fileName(j.generation), err))
+		}
+	}
+	if err := j.Compact(); err != nil {
+		return nil, err
+	}
+	return j, nil
+}
+
+func (j *Journal) fileName(generation uint64) string {
+	return fmt.Sprintf("%s-%016x", j.name, generation)
+}
+
+const temporarySuffix = ".tmp"
+
+// generations returns the generations on disk in ascending order and removes
+// snapshots that were not finished.
+func (j *Journal) generations() ([]uint64, error) {
+	names, err := j.disk.List()
+	if err != nil {
+		return nil, dhcode.Wrap(dhcode.DiskFailed, fmt.Errorf("list journal files: %w", err))
+	}
+	var generations []uint64
+	for _, name := range names {
+		rest, ok := strings.CutPrefix(name, j.name+"-")
+		if !ok {
+			continue
+		}
+		if strings.HasSuffix(rest, temporarySuffix) {
+			if err := j.disk.Remove(name); err != nil {
+				return nil, dhcode.Wrap(dhcode.DiskFailed, fmt.Errorf("remove unfinished snapshot: %w", err))
+			}
+			continue
+		}
+		var generation uint64
+		if n, err := fmt.Sscanf(rest, "%016x", &generation); n == 1 && err == nil && len(rest) == 16 {
+			generations = append(generations, generation)
+		}
+	}
+	return generations, nil
+}
+
+// Append adds a record to the next commit.
+func (j *Journal) Append(record []byte) {
+	if len(record) > MaxRecordBytes {
+		j.fail(fmt.Errorf("record of %d bytes is larger than %d", len(record), MaxRecordBytes))
+		return
+	}
+	j.pending = appendFrame(j.pending, j.generation, j.frames, kindRecord, record)
+	j.frames++
+	j.sequence++
+}
+
+// Commit writes and syncs all appended records. An error is final and carries disk-failed.
+func (j *Journal) Commit() error {
+	if j.err != nil || len(j.pending) == 0 {
+		return j.err
+	}
+	if _, err := j.file.Write(j.pending); err != nil {
+		return j.fail(fmt.Errorf("write: %w", err))
+	}
+	if err := j.file.Sync(); err != nil {
+		return j.fail(fmt.Errorf("sync: %w", err))
+	}
+	j.size += len(j.pending)
+	j.pending = j.pending[:0]
+	if cap(j.pending) > 2*MaxRecordBytes {
+		j.pending = nil
+	}
+	j.synced = j.sequence
+	// Twice the live state before a compaction and a third copy during it stay
+	// within the bound of four.
+	if records, bytes := j.state.Size(); j.size > 2*(bytes+records*frameOverhead)+compactSlackBytes {
+		return j.Compact()
+	}
+	return nil
+}
+
+// Sequence returns the number of records ever synced. It never decreases, and
+// a disk that was set back to an older copy shows a lower one.
+func (j *Journal) Sequence() uint64 { return j.synced }
+
+// Appended returns the number that Sequence has after the next commit.
+func (j *Journal) Appended() uint64 { return j.sequence }
+
+// SizeBytes returns the size of the journal's file.
+func (j *Journal) SizeBytes() int { return j.size }
+
+// Err returns the error that stopped the journal, or nil.
+func (j *Journal) Err() error { return j.err }
+
+func (j *Journal) fail(err error) error {
+	if j.err == nil {
+		j.err = dhcode.Wrap(dhcode.DiskFailed, fmt.Errorf("journal %s stopped: %w", j.fileName(j.generation), err))
+	}
+	return j.err
+}
+
+// Compact writes the state to a new file and removes the old one. Appended
+// records that are not yet committed become part of the snapshot.
+func (j *Journal) Compact() error {
+	if j.err != nil {
+		return j.err
+	}
+	old := j.file
+	next := j.generation + 1
+	temporary := j.fileName(next) + temporarySuffix
+	file, err := j.disk.Create(temporary)
+	if err != nil {
+		return j.fail(fmt.Errorf("create snapshot: %w", err))
+	}
+	size, frames, err := j.writeSnapshot(file, next)
+	if err != nil {
+		return j.fail(errors.Join(fmt.Errorf("write snapshot: %w", err), file.Close()))
+	}
+	if err := j.disk.Rename(temporary, j.fileName(next)); err != nil {
+		return j.fail(errors.Join(fmt.Errorf("rename snapshot: %w", err), file.Close()))
+	}
+	if err := j.disk.SyncDir(); err != nil {
+		return j.fail(errors.Join(fmt.Errorf("sync folder: %w", err), file.Close()))
+	}
+	j.file, j.generation, j.size, j.frames = file, next, size, frames
+	j.pending, j.synced = nil, j.sequence
+	if old != nil {
+		_ = old.Close() // its data is no longer needed
+	}
+	return j.removeOld()
+}
+
+func (j *Journal) writeSnapshot(file dhdisk.File, generation uint64) (size int, frames uint64, err error) {
+	buffer := appendHeader(nil, generation)
+	flush := func() error {
+		n, err := file.Write(buffer)
+		size += n
+		buffer = buffer[:0]
+		return err
+	}
+	err = j.state.Snapshot(func(record []byte) error {
+		buffer = appendFrame(buffer, generation, frames, kindSnapshot, record)
+		frames++
+		if len(buffer) < snapshotBufferBytes {
+			return nil
+		}
+		return flush()
+	})
+	if err != nil {
+		return 0, 0, err
+	}
+	buffer = appendSnapshotEnd(buffer, generation, frames, j.sequence)
+	frames++
+	if err := flush(); err != nil {
+		return 0, 0, err
+	}
+	return size, frames, file.Sync()
+}
+
+// removeOld removes the files of older generations. A crash before it leaves
+// them behind; the highest generation is the valid one.
+func (j *Journal) removeOld() error {
+	generations, err := j.generations()
+	if err != nil {
+		return j.fail(err)
+	}
+	for _, g := range generations {
+		if g >= j.generation {
+			continue
+		}
+		if err := j.disk.Remove(j.fileName(g)); err != nil && !errors.Is(err, fs.ErrNotExist) {
+			return j.fail(fmt.Errorf("remove old file: %w", err))
+		}
+	}
+	return nil
+}
+
+// Close closes the file without a commit.
+func (j *Journal) Close() error {
+	j.err = errors.Join(j.err, errors.New("journal is closed"))
+	return j.file.Close()
+}
--- /dev/null
+++ b/dh/dhjournal/group.go
@@ -0,0 +1,108 @@
+package dhjournal
+
+import (
+	"context"
+	"errors"
+)
+
+// queuedCalls bounds the calls that wait for a commit, and so the size of one batch.
+const queuedCalls = 4096
+
+// Group runs calls on the one goroutine that owns a journal and its state, and
+// commits all waiting calls together. Syncs run on this goroutine only, so
+// that a slow disk delays nobody else.
+type Group struct {
+	// AfterCommit, when set, runs after each successful commit and before its
+	// calls return. It is set before Run.
+	AfterCommit func(j *Journal)
+
+	journal *Journal
+	calls   chan *call
+	stopped chan struct{}
+	err     error
+}
+
+type call struct {
+	f    func(j *Journal)
+	done chan error
+}
+
+var errStopped = errors.New("journal group is stopped")
+
+// NewGroup returns a group that starts with Run.
+func NewGroup(j *Journal) *Group {
+	return &Group{journal: j, calls: make(chan *call, queuedCalls), stopped: make(chan struct{})}
+}
+
+// Run serves calls until ctx ends or the journal fails. It returns the journal's error.
+func (g *Group) Run(ctx context.Context) error {
+	defer close(g.stopped)
+	g.err = errStopped
+	batch := make([]*call, 0, queuedCalls)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case c := <-g.calls:
+			batch = g.drain(append(batch[:0], c))
+		}
+		if err := g.commit(batch); err != nil {
+			g.err = err
+			return err
+		}
+	}
+}
+
+func (g *Group) drain(batch []*call) []*call {
+	for len(batch) < queuedCalls {
+		select {
+		case c := <-g.calls:
+			batch = append(batch, c)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+func (g *Group) commit(batch []*call) error {
+	for _, c := range batch {
+		c.f(g.journal)
+	}
+	err := g.journal.Commit()
+	if err == nil && g.AfterCommit != nil {
+		g.AfterCommit(g.journal)
+	}
+	for _, c := range batch {
+		c.done <- err
+	}
+	return err
+}
+
+// Do runs f on the owning goroutine and returns when everything that f
+// appended is synced. With an error nothing may be promised to anybody:
+// the records may or may not be on disk. When ctx ends, f may still run.
+func (g *Group) Do(ctx context.Context, f func(j *Journal)) error {
+	c := &call{f: f, done: make(chan error, 1)}
+	select {
+	case g.calls <- c:
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-g.stopped:
+		return g.err
+	}
+	select {
+	case err := <-c.done:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-g.stopped:
+	}
+	// The call may have been part of the last batch.
+	select {
+	case err := <-c.done:
+		return err
+	default:
+		return g.err
+	}
+}
--- a/dh/dhquorum/dhquorum.go
+++ b/dh/dhquorum/dhquorum.go
@@ -1,13 +1,46 @@
 // Package dhquorum keeps small values in registers that are replicated on
 // voters and survive the loss of a minority of them.
 //
+// Each key is one register with its own ballots (single-decree Paxos with
+// rewritable values). A Voter holds the registers of one disk. A Proposer
+// reads and writes registers on a majority of voters. Memory is a register
+// store of one process for tests.
+//
 // # Usage
 //
-//	var registers dhquorum.Memory
-//	value, err := registers.Update(ctx, "revision/7", func(old []byte) ([]byte, error) {
+//	voter, err := dhquorum.OpenVoter(disk, newID)
+//	goroutines.Go(voter.Run)
+//	proposer := &dhquorum.Proposer{Name: vm, Transport: transport, Timers: timers}
+//	proposer.Adopt(set)
+//	value, err := proposer.Update(ctx, "revision/7", func(old []byte) ([]byte, error) {
 //		if old != nil {
 //			return old, nil // somebody was first
 //		}
 //		return mine, nil
 //	})
+//
+// Set of voters: Bootstrap makes the first set, Replace and Join exchange one
+// voter, and Replacer decides when. Expired keys: see BucketKey.
 package dhquorum
+
+import (
+	"context"
+
+	"dandelionhoist.example/dh/dhpb"
+)
+
+// Transport sends a message to the voter at an address and waits for its
+// answer. An error means that nothing is known about the message; it may carry
+// a result code of the voter.
+type Transport interface {
+	Prepare(ctx context.Context, address string, m *dhpb.PrepareRequest) (*dhpb.PrepareResponse, error)
+	Accept(ctx context.Context, address string, m *dhpb.AcceptRequest) (*dhpb.AcceptResponse, error)
+	ReadState(ctx context.Context, address string, m *dhpb.ReadStateRequest) (*dhpb.ReadStateResponse, error)
+}
+
+// VotersKey is the register that holds the voter set. An Accept of this key
+// without a ballot announces a set that is decided.
+const VotersKey = "voters"
+
+// MaxValueBytes bounds a value. Tables are at most 1 MiB.
+const MaxValueBytes = 2 << 20
--- /dev/null
+++ b/dh/dhquorum/quorum_test.go
@@ -0,0 +1,53 @@
+package dhquorum_test
+
+import (
+	"context"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"dandelionhoist.example/dh/dhcode"
+	"dandelionhoist.example/dh/dhquorum"
+)
+
+func set(value string) func([]byte) ([]byte, error) {
+	return func([]byte) ([]byte, error) { return []byte(value), nil }
+}
+
+// Guards against a value that is lost with a minority of voters or by a
+// restart, against reads that write, and against an unbounded wait or a wrong
+// statement when a majority is lost.
+func TestUpdateAndRead(t *testing.T) {
+	run(t, 1, 3, 3, func(ctx context.Context, c *cluster, p *dhquorum.Proposer) {
+		value, err := p.Update(ctx, "edit/1", set("one"))
+		assert.NilError(t, err)
+		assert.Equal(t, string(value), "one")
+
+		c.crash(0)
+		value, err = p.Read(ctx, "edit/1")
+		assert.NilError(t, err)
+		assert.Equal(t, string(value), "one")
+		before := c.disks[1].Syncs() + c.disks[2].Syncs()
+		for range 3 {
+			_, err = p.Read(ctx, "edit/1")
+			assert.NilError(t, err)
+			_, err = p.Read(ctx, "edit/none")
+			assert.NilError(t, err)
+		}
+		assert.Equal(t, c.disks[1].Syncs()+c.disks[2].Syncs(), before)
+
+		c.crash(1)
+		_, err = p.Update(ctx, "edit/1", set("two"))
+		assert.Equal(t, dhcode.Of(err), dhcode.QuorumUnreachable, "%v", err)
+		assert.Equal(t, dhcode.RanOf(err), dhcode.NotRun)
+
+		c.crash(2)
+		for i := range 3 {
+			c.start(i, "unused")
+			assert.NilError(t, c.failures[i])
+		}
+		value, err = p.Read(ctx, "edit/1")
+		assert.NilError(t, err)
+		assert.Equal(t, string(value), "one")
+	})
+}
--- /dev/null
+++ b/dh/dhquorum/replace.go
@@ -0,0 +1,187 @@
+package dhquorum
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+
+	"dandelionhoist.example/dh/dhcode"
+	"dandelionhoist.example/dh/dhjournal"
+	"dandelionhoist.example/dh/dhpb"
+)
+
+// Bootstrap makes the first voter set from addresses and zones, or finds that
+// it was made before. It is safe to run on several VMs and again after a
+// failure. Before any register is used, every voter has synced the identities
+// of all (epoch 1), so that a disk wiped in between shows as a new identity.
+func (p *Proposer) Bootstrap(ctx context.Context, addresses []Member) (VoterSet, error) {
+	first := VoterSet{Epoch: 1}
+	for _, m := range addresses {
+		a, err := p.Transport.Prepare(ctx, m.Address, &dhpb.PrepareRequest{Key: VotersKey})
+		if err != nil {
+			return VoterSet{}, unreachable(fmt.Errorf("identity of the voter at %s: %w", m.Address, err))
+		}
+		if set, err := ParseVoterSet(a.Voters); err == nil && set.Epoch >= servingEpoch {
+			p.Adopt(set)
+			return set, nil
+		}
+		m.ID = a.VoterId
+		first.Voters = append(first.Voters, m)
+	}
+	for _, m := range first.Voters {
+		if ok, err := p.Teach(ctx, first, m); err != nil || !ok {
+			return VoterSet{}, unreachable(fmt.Errorf("voter at %s does not install the first set: %w", m.Address, err))
+		}
+	}
+	set := VoterSet{Epoch: servingEpoch, Voters: first.Voters}
+	p.Adopt(set)
+	p.teachAll(ctx, set)
+	return set, nil
+}
+
+// teachAll tells all voters of a set. Those that miss it are told with the
+// next message of a register.
+func (p *Proposer) teachAll(ctx context.Context, set VoterSet) {
+	p.broadcast(ctx, set.Members(), func(ctx context.Context, m Member) {
+		_, _ = p.Teach(ctx, set, m)
+	})
+}
+
+// Replace starts the replacement of a voter with a joint set. The new voter
+// finishes it with Join. Code voter-epoch-old means that the set was changed
+// by somebody else; the newest one is adopted then.
+func (p *Proposer) Replace(ctx context.Context, old string, member Member) (VoterSet, error) {
+	base := p.Set()
+	next, err := base.WithReplacement(old, member)
+	if err != nil {
+		return VoterSet{}, dhcode.Wrap(dhcode.VoterEpochOld, err)
+	}
+	return p.change(ctx, base, next)
+}
+
+// Abort ends a replacement whose new voter does not come up. The old voters
+// stay the set.
+func (p *Proposer) Abort(ctx context.Context) (VoterSet, error) {
+	base := p.Set()
+	if !base.Joint() {
+		return VoterSet{}, dhcode.Errorf(dhcode.VoterEpochOld, "no replacement is in progress in epoch %d", base.Epoch)
+	}
+	return p.change(ctx, base, base.WithEnd(false))
+}
+
+// change decides the set that follows base. The decision is made by a quorum
+// of base: f fails once this proposer knows a newer set, so that no try runs
+// under another epoch.
+func (p *Proposer) change(ctx context.Context, base, next VoterSet) (VoterSet, error) {
+	data, err := p.Update(ctx, VotersKey, func(old []byte) ([]byte, error) {
+		if epoch := p.Set().Epoch; epoch != base.Epoch {
+			return nil, dhcode.Errorf(dhcode.VoterEpochOld, "voter set has epoch %d, not %d", epoch, base.Epoch)
+		}
+		if set, err := ParseVoterSet(old); err == nil && set.Epoch > base.Epoch {
+			return old, nil
+		}
+		return next.Encode(), nil
+	})
+	if err != nil {
+		return VoterSet{}, err
+	}
+	set, err := ParseVoterSet(data)
+	if err != nil {
+		return VoterSet{}, dhcode.Wrap(dhcode.DiskCorrupt, err)
+	}
+	p.Adopt(set)
+	p.teachAll(ctx, set)
+	if string(data) != string(next.Encode()) {
+		return set, dhcode.Errorf(dhcode.VoterEpochOld, "another change of the voter set came first, epoch %d", set.Epoch)
+	}
+	return set, nil
+}
+
+// Join gives a new voter everything and then makes it count. It is called on
+// the new voter's VM when its set is joint and it is the joining voter, and
+// again after a failure. The time is bounded by ctx only.
+//
+// Why the set of the next voters alone is safe afterwards: a majority of the
+// old voters have installed the joint epoch before they are read, so nothing
+// more can be decided by a majority of old voters alone. What they had decided
+// or promised before is on the new voter, which therefore stands for a
+// majority of the old ones: a majority of the next voters either contains it
+// or is a majority of the old ones. What is decided during the joint epoch is
+// on a majority of the next voters.
+func (p *Proposer) Join(ctx context.Context, v *Voter) (VoterSet, error) {
+	status := v.Status()
+	joint := status.Set
+	if m, ok := joint.Joining(); !ok || m.ID != status.ID {
+		return VoterSet{}, dhcode.Errorf(dhcode.VoterEpochOld, "voter %s does not join in epoch %d", status.ID, joint.Epoch)
+	}
+	p.Adopt(joint)
+	if p.Set().Epoch != joint.Epoch {
+		return VoterSet{}, dhcode.Errorf(dhcode.VoterEpochOld, "voter set has epoch %d, not %d", p.Set().Epoch, joint.Epoch)
+	}
+	if !v.rules.countEarly {
+		if err := p.catchUp(ctx, joint, v); err != nil {
+			return VoterSet{}, err
+		}
+	}
+	return p.change(ctx, joint, joint.WithEnd(true))
+}
+
+func (p *Proposer) catchUp(ctx context.Context, joint VoterSet, v *Voter) error {
+	c, err := p.collect(ctx, joint, "", func(complete func(string) bool) bool {
+		return majority(joint.Voters, complete)
+	})
+	if err != nil {
+		return unreachable(fmt.Errorf("state of the old voters: %w", err))
+	}
+	// A value that is accepted by a majority is decided and can be copied. Any
+	// other is decided now, under the joint set: a copy of it could make a
+	// value look decided that a higher ballot on an unread voter replaces.
+	var open []string
+	registers := make([]*dhpb.RegisterState, 0, len(c.registers))
+	for _, key := range slices.Sorted(maps.Keys(c.registers)) {
+		m := c.registers[key]
+		r := &dhpb.RegisterState{Key: key, Promised: m.promised.message()}
+		if majority(joint.Voters, func(id string) bool { return m.holders[id] }) {
+			r.Accepted, r.Value = m.accepted.message(), m.value
+		} else {
+			open = append(open, key)
+		}
+		registers = append(registers, r)
+	}
+	for len(registers) > 0 {
+		n := min(len(registers), pageRegisters)
+		if err := v.takeOver(ctx, registers[:n], c.watermarks); err != nil {
+			return err
+		}
+		registers = registers[n:]
+	}
+	if err := v.takeOver(ctx, nil, c.watermarks); err != nil {
+		return err
+	}
+	for _, key := range open {
+		_, err := p.Update(ctx, key, func(old []byte) ([]byte, error) { return old, nil })
+		if err != nil && dhcode.Of(err) != dhcode.KeyExpired {
+			return err
+		}
+	}
+	return nil
+}
+
+// takeOver merges registers and watermarks of other voters and syncs them.
+func (v *Voter) takeOver(ctx context.Context, registers []*dhpb.RegisterState, watermarks map[string]uint64) error {
+	return v.do(ctx, func(j *dhjournal.Journal) error {
+		for prefix, bucket := range watermarks {
+			if v.state.expire(prefix, bucket) {
+				j.Append(protoRecord(recordWatermark, watermarkMessage(prefix, bucket)))
+			}
+		}
+		for _, m := range registers {
+			if !v.state.expired(m.Key) && v.state.merge(m) {
+				r := v.state.get(m.Key)
+				j.Append(protoRecord(recordRegister, r.message(m.Key)))
+			}
+		}
+		return nil
+	})
+}
