Add placement of requests on backend servers

Entry VMs choose backend servers independently on load reports that are a second old or more.

dhplacement.Placer scores a random sample of candidates and the last known holder of the prompt's prefix. The score is the expected wait, decode and prefill time, from own requests, age-weighted load reports without the own share, and known cache blocks. dhbackend.View lists its pools.

--- a/dh/dhbackend/dhbackend.go
+++ b/dh/dhbackend/dhbackend.go
@@ -12,6 +12,7 @@
 package dhbackend
 
 import (
+	"maps"
 	"slices"
 	"sort"
 	"time"
@@ -153,6 +154,11 @@
 // Pool returns a pool's backend servers sorted by id. The slice must not be changed.
 func (v *View) Pool(name string) []*Backend { return v.byPool[name] }
 
+// Pools returns the names of the pools that have backend servers, sorted.
+func (v *View) Pools() []string {
+	return slices.Sorted(maps.Keys(v.byPool))
+}
+
 // Get returns a backend server by id.
 func (v *View) Get(id string) (*Backend, bool) {
 	b, ok := v.byID[id]
--- a/dh/dhengine/announcer.go
+++ b/dh/dhengine/announcer.go
@@ -105,4 +105,3 @@
 	_, err := a.clients[i].Announce(ctx, &dhpb.AnnounceRequest{Backend: record})
 	return err
 }
-
--- /dev/null
+++ b/dh/dhplacement/dhplacement.go
@@ -0,0 +1,289 @@
+// Package dhplacement chooses the backend server for a request.
+//
+// A Placer estimates the load of each backend server from its last load report
+// and from the requests that this entry VM itself has running there. The score
+// of a candidate is the time that the request is expected to cost: waiting,
+// decoding beside others, and prefill of the prompt tokens that are not in the
+// prefix cache, plus a penalty for another availability zone. Only a random
+// sample of the candidates and the last known holder of the prompt's prefix
+// are scored, so that entry VMs that decide independently on the same lagging
+// reports do not all choose the same backend server.
+//
+// The control goroutine calls Update with each new view; traffic calls Place,
+// Begin and End concurrently. Place takes no lock unless its view is new.
+//
+// # Usage
+//
+//	placer := &dhplacement.Placer{Timers: timers, Zone: "mrc-a", Settings: dhplacement.Defaults()}
+//	placer.Update(view)
+//	p, err := placer.Place(view, dhplacement.Request{Pool: "atelier-llm", Version: v, Prefix: hashes, PromptTokens: n})
+//	placer.Begin(p)
+//	defer placer.End(p, ok)
+package dhplacement
+
+import (
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"dandelionhoist.example/dh/dhbackend"
+	"dandelionhoist.example/dh/dhcode"
+	"dandelionhoist.example/dh/dhtable"
+	"dandelionhoist.example/dh/dhtimer"
+)
+
+// Settings weigh the parts of a score. All times are costs added to a score.
+type Settings struct {
+	// Sample is how many candidates are scored in the own zone and as many in
+	// the other zones.
+	Sample int
+	// PerRunning is the cost of each request that runs beside, PerWaiting that
+	// of each request that waits for a slot before this one.
+	PerRunning, PerWaiting time.Duration
+	// PerPrefillToken is the cost of a prompt token outside the prefix cache.
+	PerPrefillToken time.Duration
+	// OtherZone is the penalty of a backend server in another zone.
+	OtherZone time.Duration
+	// ReportHalfLife is the age at which a load report counts half; the rest
+	// is the mean of the pool.
+	ReportHalfLife time.Duration
+	// ColdFactor multiplies the score of a backend server in a cold start and
+	// ColdBase is added to it.
+	ColdFactor float64
+	ColdBase   time.Duration
+	// PerFailure is the cost of a recent failure; failures count half after FailureHalfLife.
+	PerFailure, FailureHalfLife time.Duration
+	// MaxBlocks bounds the known prefix cache blocks per backend server.
+	MaxBlocks int
+}
+
+// Defaults returns the settings that docs/MEASUREMENTS.md reports on.
+func Defaults() Settings {
+	return Settings{
+		Sample: 4, PerRunning: 100 * time.Millisecond, PerWaiting: 500 * time.Millisecond,
+		PerPrefillToken: 120 * time.Microsecond, OtherZone: 50 * time.Millisecond,
+		ReportHalfLife: 4 * time.Second, ColdFactor: 3, ColdBase: 200 * time.Millisecond,
+		PerFailure: time.Second, FailureHalfLife: 2 * time.Second, MaxBlocks: 4096,
+	}
+}
+
+// BlockTokens is the number of prompt tokens that a prefix hash stands for
+// beyond the hash before it.
+const BlockTokens = 16
+
+// Request is what a choice depends on.
+type Request struct {
+	Pool    string
+	Version dhtable.Version
+	// Prefix holds the hashes of the prompt's prefixes, the shortest first.
+	Prefix       []uint64
+	PromptTokens int
+	// ZoneWeights gives the share of requests that may use a zone: 0 for a
+	// zone that is out, less than 1 while it ramps up. Other zones have 1.
+	ZoneWeights map[string]float64
+	// Exclude lists backend servers that have already failed the request.
+	Exclude []string
+	// Credit reports whether a credit for a backend server in a cold start is
+	// available. Without it none is chosen.
+	Credit func(b *dhbackend.Backend) bool
+}
+
+// Placement is a choice.
+type Placement struct {
+	Backend *dhbackend.Backend
+	// Cold is set when the request needs a credit of the backend server.
+	Cold bool
+	// CachedTokens is the expected number of prompt tokens in the prefix cache.
+	CachedTokens int
+	// Load is the estimated number of requests at the backend server, Wait the
+	// estimated time in its queue.
+	Load float64
+	Wait time.Duration
+
+	row *row
+}
+
+// Placer chooses backend servers for the requests of one entry VM. The
+// exported fields are set before use.
+type Placer struct {
+	Timers dhtimer.Service
+	// Zone is the entry VM's own availability zone.
+	Zone     string
+	Settings Settings
+	Seed     uint64
+
+	draws  atomic.Uint64
+	index  atomic.Pointer[index]
+	owners owners
+
+	mu   sync.Mutex // guards rows and the building of an index
+	rows map[string]*row
+}
+
+// Place chooses a backend server. Errors have the code no-backend when none
+// has the version and pool-full when only those in a cold start without a
+// credit have it; both state "not run".
+func (p *Placer) Place(view *dhbackend.View, r Request) (Placement, error) {
+	po := p.indexOf(view).pools[r.Pool]
+	if po == nil || po.groups[r.Version] == nil {
+		return Placement{}, dhcode.Errorf(dhcode.NoBackend, "no backend server of pool %q has version %q", r.Pool, r.Version)
+	}
+	c := choice{p: p, r: r, pool: po, group: po.groups[r.Version], now: p.Timers.Now(), random: random(p.Seed + p.draws.Add(1)*golden)}
+	c.ramp = c.random.float()
+	c.choose()
+	if c.best.Backend == nil && c.ramp > 0 {
+		// A zone that ramps up is better than none.
+		c.ramp = 0
+		c.choose()
+	}
+	if c.best.Backend == nil && c.refusedCold {
+		return Placement{}, dhcode.Errorf(dhcode.PoolFull, "backend servers of pool %q with version %q are in a cold start without a free credit", r.Pool, r.Version)
+	}
+	if c.best.Backend == nil {
+		return Placement{}, dhcode.Errorf(dhcode.NoBackend, "no usable backend server of pool %q has version %q", r.Pool, r.Version)
+	}
+	return c.best, nil
+}
+
+// Begin counts a request that is sent to the backend server of a placement
+// and expects its prefix in that server's cache.
+func (p *Placer) Begin(pl Placement, r Request) {
+	pl.row.inFlight.Add(1)
+	p.remember(pl.row, r.Prefix)
+}
+
+// End counts the end of a request. ok is false when the backend server failed it.
+func (p *Placer) End(pl Placement, ok bool) {
+	pl.row.inFlight.Add(-1)
+	if !ok {
+		pl.row.fail(p.Timers.Now(), p.Settings.FailureHalfLife)
+	}
+}
+
+// InFlight returns the number of this entry VM's requests at a backend server.
+func (p *Placer) InFlight(backend string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if row, ok := p.rows[backend]; ok {
+		return int(row.inFlight.Load())
+	}
+	return 0
+}
+
+// choice is the state of one decision.
+type choice struct {
+	p           *Placer
+	r           Request
+	pool        *pool
+	group       *group
+	now         time.Time
+	random      random
+	ramp        float64
+	best        Placement
+	bestScore   time.Duration
+	refusedCold bool
+}
+
+func (c *choice) choose() {
+	n := c.p.Settings.Sample
+	others := 0
+	for i := range c.group.zones {
+		z := &c.group.zones[i]
+		switch {
+		case !c.open(i):
+		case c.pool.zones[i].local:
+			c.sample(z, n)
+		default:
+			others += len(z.rows)
+		}
+	}
+	for i := range c.group.zones {
+		if z := &c.group.zones[i]; !c.pool.zones[i].local && len(z.rows) > 0 && c.open(i) {
+			// Each zone gets its share of the sample, rounded at random.
+			share := float64(n*len(z.rows))/float64(others) + c.random.float()
+			c.sample(z, int(share))
+		}
+	}
+	c.scoreOwner()
+	if c.best.Backend == nil {
+		c.scoreAll()
+	}
+}
+
+// open reports whether this request may use a zone.
+func (c *choice) open(zone int) bool {
+	w, ok := c.r.ZoneWeights[c.pool.zones[zone].name]
+	return !ok || w >= 1 || (w > 0 && c.ramp < w)
+}
+
+// sample scores n different candidates of a zone.
+func (c *choice) sample(z *zoneRows, n int) {
+	if len(z.rows) <= n {
+		for _, cand := range z.rows {
+			c.score(cand)
+		}
+		return
+	}
+	// A random start and a stride that is coprime to the length visit
+	// different candidates without memory.
+	at := c.random.below(len(z.rows))
+	stride := z.strides[c.random.below(len(z.strides))]
+	for range n {
+		c.score(z.rows[at])
+		at = (at + stride) % len(z.rows)
+	}
+}
+
+// scoreOwner scores the last known holder of the longest known prefix.
+func (c *choice) scoreOwner() {
+	cand := c.pool.byID[c.p.owners.longest(c.r.Prefix)]
+	if cand != nil && c.open(cand.zone) && cand.backend.Has(c.r.Version) {
+		c.score(cand)
+	}
+}
+
+func (c *choice) scoreAll() {
+	for i := range c.group.zones {
+		if c.open(i) {
+			for _, cand := range c.group.zones[i].rows {
+				c.score(cand)
+			}
+		}
+	}
+}
+
+// score compares a candidate with the best one so far.
+func (c *choice) score(cand *candidate) {
+	s := &c.p.Settings
+	b := cand.backend
+	if slices.Contains(c.r.Exclude, b.ID) {
+		return
+	}
+	cold := b.State == dhbackend.Cold
+	if cold && (c.r.Credit == nil || !c.r.Credit(b)) {
+		c.refusedCold = true
+		return
+	}
+	load := cand.others + float64(cand.row.inFlight.Load())
+	slots := float64(max(b.Slots, 1))
+	cached := cand.row.match(c.r.Prefix) * BlockTokens
+	wait := scale(s.PerWaiting, max(load+1-slots, 0))
+	score := wait + scale(s.PerRunning, min(load, slots)) +
+		time.Duration(max(c.r.PromptTokens-cached, 0))*s.PerPrefillToken
+	score += scale(s.PerFailure, cand.row.failures(c.now, s.FailureHalfLife))
+	if cold {
+		score = scale(score, s.ColdFactor) + s.ColdBase
+	}
+	if !c.pool.zones[cand.zone].local {
+		score += s.OtherZone
+	}
+	if c.best.Backend == nil || score < c.bestScore {
+		c.bestScore = score
+		c.best = Placement{Backend: b, Cold: cold, CachedTokens: cached, Load: load, Wait: wait, row: cand.row}
+	}
+}
+
+func scale(d time.Duration, factor float64) time.Duration {
+	return time.Duration(float64(d) * factor)
+}
