Add the operators' command line, table diffs and result classes

Operators had no way to read or edit the tables. cmd/dandelionhoist offers get, check, diff, apply, edit, history, status, watch, explain and bills over h2c or TLS. An edit whose answer is lost is sent again with the same edit id until it is settled or the time is over. dhtable.Diff compares two revisions by entity and field; dhcode.Class is the exit status.

go test ./cmd/dandelionhoist ./dh/dhtable ./dh/dhcode ./dh/dhwire passes.

--- /dev/null
+++ b/cmd/dandelionhoist/client.go
@@ -0,0 +1,177 @@
+package main
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/url"
+	"os"
+	"strings"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"dandelionhoist.example/dh/dhcode"
+	"dandelionhoist.example/dh/dhpb/dhpbconnect"
+	"dandelionhoist.example/dh/dhtimer"
+	"dandelionhoist.example/dh/dhwire"
+)
+
+// callTimeout bounds one call, so that an unresponsive server does not use up
+// the time of the whole command.
+const callTimeout = 5 * time.Second
+
+// server is one entry VM's operator service.
+type server struct {
+	url     string
+	service dhpbconnect.OperatorServiceClient
+}
+
+// client calls the first server that answers.
+type client struct {
+	servers []server
+	timers  dhtimer.Service
+	// first is the index of the server that answered last.
+	first int
+}
+
+func (p *program) connect() (*client, error) {
+	if p.client != nil {
+		return p.client, nil
+	}
+	if len(p.flags.servers) == 0 {
+		return nil, usageError("no server is given; use --server, DANDELIONHOIST_SERVER or the defaults file")
+	}
+	key, err := readKey(p.flags.keyFile)
+	if err != nil {
+		return nil, err
+	}
+	transport, err := newTransport(p.flags.caFile)
+	if err != nil {
+		return nil, err
+	}
+	c := &client{timers: p.Timers}
+	for _, text := range p.flags.servers {
+		u, err := url.Parse(text)
+		if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+			return nil, usageError("server %q is not a URL such as http://10.0.0.1:7000", text)
+		}
+		service := dhpbconnect.NewOperatorServiceClient(&http.Client{Transport: transport},
+			strings.TrimSuffix(text, "/"), connect.WithInterceptors(keyInterceptor(key)))
+		c.servers = append(c.servers, server{url: text, service: service})
+	}
+	p.client = c
+	return c, nil
+}
+
+func readKey(name string) (string, error) {
+	if name == "" {
+		return "", usageError("no key file is given; use --key-file, DANDELIONHOIST_KEY_FILE or the defaults file")
+	}
+	data, err := os.ReadFile(name)
+	if err != nil {
+		return "", exitUsage(err)
+	}
+	key := strings.TrimSpace(string(data))
+	if key == "" || strings.ContainsAny(key, " \t\r\n") {
+		return "", usageError("key file %s does not hold one word", name)
+	}
+	return key, nil
+}
+
+func newTransport(caFile string) (*http.Transport, error) {
+	transport := &http.Transport{Protocols: new(http.Protocols), TLSHandshakeTimeout: callTimeout}
+	transport.Protocols.SetHTTP1(false)
+	transport.Protocols.SetHTTP2(true)
+	transport.Protocols.SetUnencryptedHTTP2(true)
+	// Pings end a watch whose server is gone without a word.
+	transport.HTTP2 = &http.HTTP2Config{SendPingTimeout: 3 * callTimeout, PingTimeout: callTimeout}
+	transport.TLSClientConfig = &tls.Config{MinVersion: tls.VersionTLS12}
+	if caFile == "" {
+		return transport, nil
+	}
+	data, err := os.ReadFile(caFile)
+	if err != nil {
+		return nil, exitUsage(err)
+	}
+	transport.TLSClientConfig.RootCAs = x509.NewCertPool()
+	if !transport.TLSClientConfig.RootCAs.AppendCertsFromPEM(data) {
+		return nil, usageError("%s holds no certificate in PEM", caFile)
+	}
+	return transport, nil
+}
+
+// keyInterceptor adds the operator's key to every call.
+type keyInterceptor string
+
+func (k keyInterceptor) WrapUnary(next connect.UnaryFunc) connect.UnaryFunc {
+	return func(ctx context.Context, request connect.AnyRequest) (connect.AnyResponse, error) {
+		dhwire.SetKey(request.Header(), string(k))
+		return next(ctx, request)
+	}
+}
+
+func (k keyInterceptor) WrapStreamingClient(next connect.StreamingClientFunc) connect.StreamingClientFunc {
+	return func(ctx context.Context, spec connect.Spec) connect.StreamingClientConn {
+		conn := next(ctx, spec)
+		dhwire.SetKey(conn.RequestHeader(), string(k))
+		return conn
+	}
+}
+
+func (k keyInterceptor) WrapStreamingHandler(next connect.StreamingHandlerFunc) connect.StreamingHandlerFunc {
+	return next
+}
+
+// once calls one server with the time limit of a call.
+func (c *client) once(ctx context.Context, s server, call func(context.Context, server) error) error {
+	ctx, cancel := dhtimer.WithTimeout(ctx, c.timers, callTimeout)
+	defer cancel()
+	err := call(ctx, s)
+	if err != nil && errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+		return dhcode.Errorf(dhcode.DeadlineExceeded, "%s: no answer in time", s.url)
+	}
+	return atServer(s, dhwire.FromConnect(err))
+}
+
+// atServer names the server in err and keeps what err carries.
+func atServer(s server, err error) error {
+	if err == nil {
+		return nil
+	}
+	return fmt.Errorf("%s: %w", s.url, err)
+}
+
+// read calls the servers in order until one answers. It is for calls that
+// change nothing, so that every failure of one server is a reason to try the
+// next, and a lost answer counts as not run.
+func (c *client) read(ctx context.Context, call func(context.Context, server) error) error {
+	var first error
+	for i := range c.servers {
+		index := (c.first + i) % len(c.servers)
+		err := c.once(ctx, c.servers[index], call)
+		if err == nil || final(err) {
+			c.first = index
+			return err
+		}
+		if first == nil {
+			first = dhcode.WithRan(err, dhcode.NotRun)
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return first
+}
+
+// final reports whether another server would give the same answer.
+func final(err error) bool {
+	switch dhcode.ClassOf(err) {
+	case dhcode.ClassInvalid, dhcode.ClassNotAllowed, dhcode.ClassConflict:
+		return true
+	}
+	return dhcode.Of(err) == dhcode.EditUnknown
+}
--- /dev/null
+++ b/cmd/dandelionhoist/fake_test.go
@@ -0,0 +1,250 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/pem"
+	"fmt"
+	"io"
+	"log"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"google.golang.org/protobuf/types/known/durationpb"
+	"gotest.tools/v3/assert"
+
+	"dandelionhoist.example/dh/dhcode"
+	"dandelionhoist.example/dh/dhpb"
+	"dandelionhoist.example/dh/dhpb/dhpbconnect"
+	"dandelionhoist.example/dh/dhtimer"
+	"dandelionhoist.example/dh/dhwire"
+)
+
+const (
+	operatorKey   = "operator-key"
+	firstRevision = 41
+)
+
+// fakeDeployment holds what the entry VMs of a deployment agree on.
+type fakeDeployment struct {
+	mu        sync.Mutex
+	revisions []*dhpb.EditTablesRequest
+	// behind is how many more statuses show kandy-b behind the newest revision.
+	behind int
+	bills  []*dhpb.Bill
+}
+
+// fakeVM is the operator service of one entry VM.
+type fakeVM struct {
+	dhpbconnect.UnimplementedOperatorServiceHandler
+	deployment *fakeDeployment
+	// refuse is the answer to the next edits, one each; nil accepts.
+	refuse []error
+	// lose drops the answers to the next edits.
+	lose int
+	seen []string
+}
+
+func newDeployment(t *testing.T) *fakeDeployment {
+	t.Helper()
+	text, err := os.ReadFile("../../dh/dhtable/testdata/tringles.json")
+	assert.NilError(t, err)
+	d := &fakeDeployment{revisions: []*dhpb.EditTablesRequest{{EditId: "first", Author: "ines", Tables: text}}}
+	for i := range 3 {
+		d.bills = append(d.bills, &dhpb.Bill{
+			RequestId: fmt.Sprintf("0f8c7d2e-5b1a-4c3d-9e8f-00000000000%d", i), Account: "crew-east", Route: "cut-lists",
+			Model: "oak", Version: "v1", Tokens: 640, Cost: 6.4, Revision: firstRevision,
+		})
+	}
+	return d
+}
+
+func (f *fakeVM) serve(t *testing.T, secure bool) *httptest.Server {
+	t.Helper()
+	mux := http.NewServeMux()
+	mux.Handle(dhpbconnect.NewOperatorServiceHandler(f))
+	guarded := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if dhwire.KeyOf(r.Header) != operatorKey {
+			_ = connect.NewErrorWriter().Write(w, r, dhwire.ToConnect(dhcode.Errorf(dhcode.NotAuthenticated, "the key is not an operator's")))
+			return
+		}
+		mux.ServeHTTP(w, r)
+	})
+	server := httptest.NewUnstartedServer(guarded)
+	server.Config.ErrorLog = log.New(io.Discard, "", 0)
+	server.Config.Protocols = new(http.Protocols)
+	server.Config.Protocols.SetUnencryptedHTTP2(true)
+	server.Config.Protocols.SetHTTP2(true)
+	if secure {
+		server.EnableHTTP2 = true
+		server.StartTLS()
+	} else {
+		server.Start()
+	}
+	t.Cleanup(server.Close)
+	return server
+}
+
+func certificate(server *httptest.Server) []byte {
+	return pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: server.Certificate().Raw})
+}
+
+func (d *fakeDeployment) newest() uint64 { return firstRevision + uint64(len(d.revisions)) - 1 }
+
+func (f *fakeVM) GetTables(_ context.Context, r *dhpb.GetTablesRequest) (*dhpb.GetTablesResponse, error) {
+	d := f.deployment
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	revision := r.GetRevision()
+	if revision == 0 {
+		revision = d.newest()
+	}
+	if revision < firstRevision || revision > d.newest() {
+		return nil, dhwire.ToConnect(dhcode.Errorf(dhcode.BaseRevisionUnknown, "revision %d does not exist", revision))
+	}
+	return &dhpb.GetTablesResponse{Revision: revision, Tables: d.revisions[revision-firstRevision].GetTables()}, nil
+}
+
+func (f *fakeVM) EditTables(_ context.Context, r *dhpb.EditTablesRequest) (*dhpb.EditTablesResponse, error) {
+	d := f.deployment
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	f.seen = append(f.seen, r.GetEditId())
+	if len(f.refuse) > 0 {
+		err := f.refuse[0]
+		f.refuse = f.refuse[1:]
+		if err != nil {
+			return nil, dhwire.ToConnect(err)
+		}
+	}
+	revision, err := d.accept(r)
+	if f.lose > 0 {
+		f.lose--
+		panic(http.ErrAbortHandler)
+	}
+	return &dhpb.EditTablesResponse{Revision: revision}, dhwire.ToConnect(err)
+}
+
+func (d *fakeDeployment) accept(r *dhpb.EditTablesRequest) (uint64, error) {
+	for i, old := range d.revisions {
+		if old.GetEditId() == r.GetEditId() && bytes.Equal(old.GetTables(), r.GetTables()) {
+			return firstRevision + uint64(i), nil
+		}
+	}
+	if r.GetBaseRevision() < firstRevision || r.GetBaseRevision() > d.newest() {
+		return 0, dhcode.Errorf(dhcode.BaseRevisionUnknown, "revision %d is not known", r.GetBaseRevision())
+	}
+	if r.GetBaseRevision() != d.newest() {
+		winner := d.revisions[r.GetBaseRevision()+1-firstRevision]
+		return 0, dhcode.Errorf(dhcode.EditConflict, "revision %d is edit %s of %s", r.GetBaseRevision()+1, winner.GetEditId(), winner.GetAuthor())
+	}
+	d.revisions = append(d.revisions, r)
+	return d.newest(), nil
+}
+
+func (f *fakeVM) History(context.Context, *dhpb.HistoryRequest) (*dhpb.HistoryResponse, error) {
+	var response dhpb.HistoryResponse
+	for i, r := range f.deployment.revisions {
+		response.Revisions = append(response.Revisions, &dhpb.RevisionHeader{
+			Revision: firstRevision + uint64(i), EditId: r.GetEditId(), Author: r.GetAuthor(), ContentHash: []byte("content-hash"),
+		})
+	}
+	return &response, nil
+}
+
+func (f *fakeVM) Status(context.Context, *dhpb.StatusRequest) (*dhpb.StatusResponse, error) {
+	d := f.deployment
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	late := d.newest()
+	if d.behind > 0 {
+		d.behind--
+		late = firstRevision
+	}
+	return &dhpb.StatusResponse{
+		Revision: d.newest(),
+		Vms: []*dhpb.VMStatus{
+			{Name: "entry-mrc-a-1", Zone: "mrc-a", Role: "voter", State: "alive", Revision: d.newest(), Lag: durationpb.New(0)},
+			{Name: "entry-mrc-b-1", Zone: "mrc-b", Role: "entry", State: "alive", Revision: late, Lag: durationpb.New(1234 * time.Millisecond)},
+			{Name: "entry-mrc-c-1", Zone: "mrc-c", Role: "entry", State: "suspect", Revision: firstRevision - 1, Lag: durationpb.New(95 * time.Second)},
+			{Name: "entry-mrc-d-1", Zone: "mrc-d", Role: "entry", State: "left", Revision: firstRevision - 2},
+		},
+		Pools: []*dhpb.PoolStatus{{Pool: "atelier-llm", State: "ready", Replicas: 20, InFlight: 311, Slots: 640}},
+		Versions: []*dhpb.VersionStatus{
+			{Pool: "atelier-llm", Model: "oak", Version: "v1", Stage: "stable", Share: 95, Answers: 120345, Errors: 12, Quality: 0.931},
+			{Pool: "atelier-llm", Model: "oak", Version: "v2-with-a-long-name", Stage: "rollout", Share: 5, Answers: 611, Errors: 40, Quality: 0.71, Held: true},
+		},
+		Histograms: []*dhpb.HistogramStatus{{Name: "first-token", Label: "cut-lists", Count: 120956, P50Ms: 84.21, P95Ms: 301.5, P99Ms: 1204}},
+	}, nil
+}
+
+func (f *fakeVM) Watch(ctx context.Context, _ *dhpb.WatchRequest, stream *connect.ServerStream[dhpb.StatusResponse]) error {
+	for range 2 {
+		status, err := f.Status(ctx, nil)
+		if err != nil {
+			return err
+		}
+		if err := stream.Send(status); err != nil {
+			return err
+		}
+	}
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+func (f *fakeVM) Explain(_ context.Context, r *dhpb.ExplainRequest) (*dhpb.ExplainResponse, error) {
+	return &dhpb.ExplainResponse{
+		Model: "oak", Version: "v1", Backend: "atelier-llm-07", ResultCode: dhcode.OK.String(),
+		Reasons: []string{
+			r.GetAccount() + " may use pine/*, oak/v1 and oak/v2 on " + r.GetRoute() + "; oak/v2 is on hold since revision 40, so that new sessions get oak/v1",
+			"atelier-llm-07 has the lowest estimated wait of 4 candidates",
+		},
+	}, nil
+}
+
+func (f *fakeVM) ExportBills(_ context.Context, r *dhpb.ExportBillsRequest) (*dhpb.ExportBillsResponse, error) {
+	bills := f.deployment.bills[r.GetAfter():]
+	bills = bills[:min(len(bills), int(r.GetLimit()), 2)]
+	next := r.GetAfter() + uint64(len(bills))
+	return &dhpb.ExportBillsResponse{Bills: bills, Next: next, Complete: int(next) == len(f.deployment.bills)}, nil
+}
+
+// pollClock is a stepped clock on which pauses pass at once.
+type pollClock struct{ *dhtimer.Stepped }
+
+func (c pollClock) After(d time.Duration, f func(now time.Time)) func() {
+	cancel := c.Stepped.After(d, f)
+	if d <= maxPause {
+		c.Step(d)
+	}
+	return cancel
+}
+
+// result is what one run of the command line gave.
+type result struct {
+	status   int
+	out, err string
+}
+
+func runFor(t *testing.T, servers []*httptest.Server, args ...string) result {
+	t.Helper()
+	key := t.TempDir() + "/operator.key"
+	assert.NilError(t, os.WriteFile(key, []byte(operatorKey+"\n"), 0o600))
+	var out, errs bytes.Buffer
+	p := &program{
+		In: strings.NewReader(""), Out: &out, Err: &errs, Timers: pollClock{dhtimer.NewStepped()}, Exit: os.Exit,
+		Getenv: func(string) string { return "" },
+	}
+	args = append([]string{"--key-file=" + key}, args...)
+	for _, s := range servers {
+		args = append(args, "--server="+s.URL)
+	}
+	status := p.run(t.Context(), args)
+	return result{status, out.String(), errs.String()}
+}
--- a/cmd/dandelionhoist/main.go
+++ b/cmd/dandelionhoist/main.go
@@ -1,4 +1,49 @@
-// Command dandelionhoist is under construction.
+// Command dandelionhoist is the operators' command line.
+//
+// It reads and edits the two tables and shows the state of a deployment. Every
+// command talks to an entry VM's operator service; several --server URLs are
+// tried in order. http URLs use HTTP/2 without TLS, https URLs use TLS.
+//
+// # Usage
+//
+//	dandelionhoist --server=http://10.0.0.1:7000 --key-file=operator.key get > tables.json
+//	dandelionhoist diff tables.json
+//	dandelionhoist apply tables.json --wait
+//	dandelionhoist status
+//
+// The defaults file (see --config) is JSON with comments:
+//
+//	{
+//	  "servers": ["https://10.0.0.1:7000", "https://10.0.0.2:7000"],
+//	  "key-file": "/etc/dandelionhoist/operator.key",
+//	  "ca-file": "/etc/dandelionhoist/ca.pem",
+//	  "timeout": "30s",
+//	  "output": "text",
+//	}
+//
+// The exit status is the number of the result's class (dhcode.Class);
+// docs/RESULT-CODES.md lists them.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"dandelionhoist.example/dh/dhtimer"
+)
+
+func main() {
+	os.Exit(runProgram())
+}
+
+func runProgram() int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	p := &program{
+		In: os.Stdin, Out: os.Stdout, Err: os.Stderr, Getenv: os.Getenv,
+		Timers: dhtimer.NewSystem(), Exit: os.Exit,
+	}
+	return p.run(ctx, os.Args[1:])
+}
--- /dev/null
+++ b/cmd/dandelionhoist/status.go
@@ -0,0 +1,209 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"dandelionhoist.example/dh/dhcode"
+	"dandelionhoist.example/dh/dhpb"
+	"dandelionhoist.example/dh/dhtimer"
+	"dandelionhoist.example/dh/dhwire"
+)
+
+// pollPeriod is how often wait reads the status. An edit is in force
+// everywhere within 2 s in today's deployments.
+const pollPeriod = 200 * time.Millisecond
+
+// watchPause is the time before a broken watch is started again.
+const watchPause = time.Second
+
+func (c *client) status(ctx context.Context) (*dhpb.StatusResponse, error) {
+	var response *dhpb.StatusResponse
+	err := c.read(ctx, func(ctx context.Context, s server) error {
+		var err error
+		response, err = s.service.Status(ctx, &dhpb.StatusRequest{})
+		return err
+	})
+	return response, err
+}
+
+// waited says where a revision is in force.
+type waited struct {
+	Done bool
+	// Behind are the reachable entry VMs on which it is not in force.
+	Behind []string
+	// Unreachable are the entry VMs of which the server had no news.
+	Unreachable []string
+}
+
+// wait reads the status until a revision is in force on every reachable entry
+// VM or ctx ends. It returns an error only when there never was a status.
+func (c *client) wait(ctx context.Context, revision uint64) (waited, error) {
+	var state waited
+	seen := false
+	for {
+		status, err := c.status(ctx)
+		if err == nil {
+			seen = true
+			state = stateOf(status, revision)
+		}
+		if err == nil && state.Done {
+			return state, nil
+		}
+		if dhtimer.Sleep(ctx, c.timers, pollPeriod) != nil {
+			if !seen {
+				return state, err
+			}
+			return state, nil
+		}
+	}
+}
+
+// stateOf splits a status' entry VMs by whether a revision is in force there.
+func stateOf(status *dhpb.StatusResponse, revision uint64) waited {
+	var state waited
+	for _, vm := range status.GetVms() {
+		switch {
+		case vm.GetState() == "left" || vm.GetRevision() >= revision:
+		case vm.GetState() == "suspect" || vm.GetState() == "dead":
+			state.Unreachable = append(state.Unreachable, vm.GetName())
+		default:
+			state.Behind = append(state.Behind, vm.GetName())
+		}
+	}
+	slices.Sort(state.Behind)
+	slices.Sort(state.Unreachable)
+	state.Done = len(state.Behind) == 0 && status.GetRevision() >= revision
+	return state
+}
+
+func (p *program) statusCommand(*kingpin.CmdClause) command {
+	return func(ctx context.Context) error {
+		c, err := p.connect()
+		if err != nil {
+			return err
+		}
+		status, err := c.status(ctx)
+		if err != nil {
+			return err
+		}
+		return p.printStatus(status)
+	}
+}
+
+func (p *program) watchCommand(clause *kingpin.CmdClause) command {
+	count := clause.Flag("count", "Number of statuses after which to end; 0 is no limit.").Short('n').Int()
+	return func(ctx context.Context) error {
+		c, err := p.connect()
+		if err != nil {
+			return err
+		}
+		return p.watch(ctx, c, *count)
+	}
+}
+
+// watcher prints statuses that differ from the one before.
+type watcher struct {
+	program *program
+	// count is the number of statuses to print; 0 is no limit.
+	count int
+	shown int
+	last  []byte
+	// err is the error of printing.
+	err error
+}
+
+// show prints a status and reports whether more are wanted.
+func (w *watcher) show(status *dhpb.StatusResponse) bool {
+	text, err := w.program.statusText(status)
+	if err != nil || bytes.Equal(text, w.last) {
+		w.err = err
+		return err == nil
+	}
+	if w.shown > 0 && !w.program.json() {
+		_, w.err = w.program.Out.Write([]byte("\n"))
+	}
+	if w.err == nil {
+		_, w.err = w.program.Out.Write(text)
+	}
+	w.last = text
+	w.shown++
+	return w.err == nil && w.shown != w.count
+}
+
+// watch prints statuses until ctx ends. A broken stream is started again at
+// the next server, unless no server has answered at all.
+func (p *program) watch(ctx context.Context, c *client, count int) error {
+	w := &watcher{program: p, count: count}
+	for i := 0; ; i++ {
+		more, err := w.watchOne(ctx, c.servers[i%len(c.servers)])
+		if !more || ctx.Err() != nil {
+			return w.err
+		}
+		if final(err) || w.shown == 0 && i+1 >= len(c.servers) {
+			return dhcode.WithRan(err, dhcode.NotRun)
+		}
+		fmt.Fprintf(p.Err, "watch is started again: %v\n", err)
+		if dhtimer.Sleep(ctx, p.Timers, watchPause) != nil {
+			return nil
+		}
+	}
+}
+
+// watchOne shows the statuses of one server until its stream ends with an
+// error or no more are wanted.
+func (w *watcher) watchOne(ctx context.Context, s server) (more bool, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stream, err := s.service.Watch(ctx, &dhpb.WatchRequest{})
+	if err != nil {
+		return true, atServer(s, dhwire.FromConnect(err))
+	}
+	for stream.Receive() {
+		if !w.show(stream.Msg()) {
+			return false, nil
+		}
+	}
+	if err := stream.Err(); err != nil {
+		return true, atServer(s, dhwire.FromConnect(err))
+	}
+	return true, dhcode.Errorf(dhcode.StreamBroken, "%s: the server ended the watch", s.url)
+}
+
+// printApplied prints what became of an accepted edit. Without --wait, state
+// is nil.
+func (p *program) printApplied(revision uint64, state *waited) error {
+	if p.json() {
+		value := map[string]any{"revision": revision}
+		if state != nil {
+			value["in-force"] = state.Done
+			value["behind"] = append([]string{}, state.Behind...)
+			value["unreachable"] = append([]string{}, state.Unreachable...)
+		}
+		if err := p.printJSON(value); err != nil {
+			return err
+		}
+	} else {
+		fmt.Fprintf(p.Out, "revision %d is accepted\n", revision)
+	}
+	if state == nil {
+		return nil
+	}
+	if len(state.Unreachable) > 0 {
+		printWrapped(p.Err, "", "not reachable: "+strings.Join(state.Unreachable, ", "), p.width())
+	}
+	if !state.Done {
+		behind := firstOf(strings.Join(state.Behind, ", "), "the server that was asked")
+		return exitError{dhcode.ClassNotInForce, fmt.Errorf("revision %d is not yet in force on %s", revision, behind)}
+	}
+	if !p.json() {
+		fmt.Fprintf(p.Out, "revision %d is in force on every reachable entry VM\n", revision)
+	}
+	return nil
+}
--- a/dh/dhcode/dhcode.go
+++ b/dh/dhcode/dhcode.go
@@ -24,6 +24,7 @@
 
 //go:generate ../../bin/stringer -type=Code -linecomment
 //go:generate ../../bin/stringer -type=Ran -linecomment
+//go:generate ../../bin/stringer -type=Class -linecomment
 
 // Code is a numbered result code. Numbers are never reused.
 type Code int
--- a/dh/dhtable/dhtable.go
+++ b/dh/dhtable/dhtable.go
@@ -18,7 +18,7 @@
 	"time"
 )
 
-//go:generate ../../bin/stringer -type=Stage,PoolKind,OnHold -linecomment -output=enum_string.go
+//go:generate ../../bin/stringer -type=Stage,PoolKind,OnHold,ChangeKind,entityKind -linecomment -output=enum_string.go
 
 // Format is the version of the document format that this package writes.
 const Format = 1
