Add the daemon: a request is served, claimed and billed end to end

Cause: the parts were not assembled into a program. Change: dhdaemon wires voters, membership, tables, router and services; dandelionhoistd runs it. Placement uses dhplacement.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 MODULES = dandelionhoist.example/...
-SOURCES = $(shell git ls-files '*.go' | grep -vE '^dh/dhpb/|_string\.go$$')
+SOURCES = $(wildcard $(shell git ls-files '*.go' | grep -vE '^dh/dhpb/|_string\.go$$'))
 
 .PHONY: test race lint format generate tools programs run
 
--- /dev/null
+++ b/dh/dhdaemon/dhdaemon.go
@@ -0,0 +1,207 @@
+// Package dhdaemon assembles the parts of an entry VM and runs them. The
+// program dandelionhoistd and the tests of whole sessions both use it.
+//
+// # Usage
+//
+//	daemon := &dhdaemon.Daemon{Settings: settings, Keys: keys, Timers: dhtimer.NewSystem(), Log: log}
+//	err := daemon.Run(ctx, stop) // a value on stop starts the graceful shutdown
+package dhdaemon
+
+import (
+	"context"
+	"crypto/rand"
+	"expvar"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"dandelionhoist.example/dh/dhanswer"
+	"dandelionhoist.example/dh/dhclaim"
+	"dandelionhoist.example/dh/dhcode"
+	"dandelionhoist.example/dh/dhedit"
+	"dandelionhoist.example/dh/dhengine"
+	"dandelionhoist.example/dh/dhgroup"
+	"dandelionhoist.example/dh/dhledger"
+	"dandelionhoist.example/dh/dhlimit"
+	"dandelionhoist.example/dh/dhmember"
+	"dandelionhoist.example/dh/dhmetric"
+	"dandelionhoist.example/dh/dhnode"
+	"dandelionhoist.example/dh/dhpb"
+	"dandelionhoist.example/dh/dhpeer"
+	"dandelionhoist.example/dh/dhplacement"
+	"dandelionhoist.example/dh/dhquorum"
+	"dandelionhoist.example/dh/dhrouter"
+	"dandelionhoist.example/dh/dhserver"
+	"dandelionhoist.example/dh/dhsetting"
+	"dandelionhoist.example/dh/dhtimer"
+	"dandelionhoist.example/dh/dhversion"
+)
+
+// resumeGrace is how long a repeatable request without a reader goes on.
+const resumeGrace = 10 * time.Second
+
+// Daemon is one entry VM. Exported fields are set before Run.
+type Daemon struct {
+	Settings dhsetting.Settings
+	Keys     dhserver.Keys
+	Timers   dhtimer.Service
+	Log      *slog.Logger
+
+	group    *dhgroup.Group
+	metrics  *dhmetric.Metrics
+	peers    *dhpeer.Client
+	members  *dhmember.Members
+	proposer *dhquorum.Proposer
+	voter    *voter
+	ledger   *dhledger.Ledger
+	router   *dhrouter.Router
+	node     *dhnode.Node
+	drained  chan struct{}
+}
+
+// Run serves until a value arrives on stop and the graceful shutdown has
+// ended, or until a part fails.
+func (d *Daemon) Run(ctx context.Context, stop <-chan struct{}) error {
+	d.group = dhgroup.New(ctx)
+	d.drained = make(chan struct{})
+	if err := d.build(); err != nil {
+		return err
+	}
+	d.start()
+	d.group.Go(func(ctx context.Context) error { return d.waitStop(ctx, stop) })
+	return d.group.Wait()
+}
+
+// waitStop performs the graceful shutdown.
+func (d *Daemon) waitStop(ctx context.Context, stop <-chan struct{}) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-stop:
+	}
+	limited, cancel := dhtimer.WithTimeout(ctx, d.Timers, d.Settings.Timing.StopLimit.Std())
+	defer cancel()
+	d.node.Leave(limited)
+	d.handOver(limited)
+	close(d.drained)
+	// Handlers still write the ends of answers; the servers wait for them.
+	err := dhtimer.Sleep(limited, d.Timers, drainTime)
+	d.Log.Info("stopped", slog.Bool("complete", err == nil))
+	d.group.Stop()
+	return nil
+}
+
+// drainTime is how long open connections may take to end after the last answer.
+const drainTime = time.Second
+
+// build creates all parts; nothing runs yet.
+func (d *Daemon) build() error {
+	s := d.Settings
+	d.metrics = dhmetric.New(s.Limits.HistogramLabels)
+	d.peers = &dhpeer.Client{Key: string(d.Keys.Peer[0])}
+	if err := d.buildState(); err != nil {
+		return err
+	}
+	answers := &dhanswer.Table{
+		Timers: d.Timers, MaxAnswers: s.Limits.Answers, MaxBytes: s.Limits.AnswerBytes, Keep: s.Timing.AnswerKept.Std(),
+	}
+	limiter := &dhlimit.Limiter{Timers: d.Timers, MaxQueue: s.Limits.Queue}
+	d.router = &dhrouter.Router{
+		Timers: d.Timers, Group: d.group, Log: d.Log, Metrics: d.metrics, Answers: answers,
+		Versions: &dhversion.Chooser{Keys: d.Keys.Session},
+		Placer:   &dhplacement.Placer{Timers: d.Timers, Zone: s.Zone, Settings: dhplacement.Defaults(), Seed: seed()},
+		Credits:  noCredits{}, Limiter: limiter, Retries: &dhlimit.Budget{}, Breakers: &dhlimit.Breakers{Timers: d.Timers},
+		Backoff: dhlimit.Backoff{}.Delay,
+		Claims:  d.claims(), Ledger: d.ledger, Planner: dhrouter.LargestModel{}, Engine: &dhengine.Client{},
+		VM: s.Name, Zone: s.Zone, MaxAttempts: s.Limits.Attempts, ResumeGrace: resumeGrace,
+		NewRequestID: rand.Text,
+	}
+	d.node = &dhnode.Node{
+		Settings: s, Timers: d.Timers, Group: d.group, Log: d.Log, Metrics: d.metrics, Peers: d.peers,
+		Registers: d.proposer, Revisions: &dhedit.Revisions{Timers: d.Timers}, Router: d.router, Limiter: limiter,
+		Answers: answers, Evidence: &dhversion.Evidence{VM: s.Name, Incarnation: incarnation()},
+		VoterStatus: d.voterStatus,
+	}
+	d.members = &dhmember.Members{
+		Timers: d.Timers, Transport: d.peers, Group: d.group, Seeds: s.Peers.Seeds, Seed: seed(), Logger: d.Log,
+		Self: &dhpb.MemberRecord{
+			Name: s.Name, Address: s.Listen.Peers, Zone: s.Zone, Region: s.Region, HasDisk: s.State.Folder != "",
+		},
+		Payloads: []dhmember.Payload{dhnode.Gossip{Node: d.node}},
+		Period:   s.Timing.GossipPeriod.Std(),
+	}
+	d.node.Members = d.members
+	d.router.Report = d.node.Report
+	d.node.Init()
+	return nil
+}
+
+// owner identifies this start of this VM in claims.
+func (d *Daemon) owner() string { return d.Settings.Name + "." + rand.Text() }
+
+func (d *Daemon) claims() *dhclaim.Claims {
+	return &dhclaim.Claims{
+		Registers: d.proposer, Timers: d.Timers, Owner: d.owner(), Retention: d.Settings.Timing.ClaimRetention.Std(),
+	}
+}
+
+// start runs all parts on the group.
+func (d *Daemon) start() {
+	d.group.Go(d.node.Run)
+	d.group.Go(d.members.Run)
+	d.group.Go(d.node.KeepLease)
+	d.group.Go(d.node.WaitStarted)
+	d.group.Go(d.keepBills)
+	d.startState()
+	for _, server := range d.servers() {
+		d.group.Go(func(ctx context.Context) error {
+			err := server.Run(ctx)
+			if err != nil && ctx.Err() == nil {
+				return dhcode.Wrap(dhcode.SettingsInvalid, err)
+			}
+			return nil
+		})
+	}
+}
+
+func (d *Daemon) servers() []dhserver.Server {
+	listen := d.Settings.Listen
+	callers := &dhserver.Callers{Router: d.router, Others: &otherVMs{members: d.members, peers: d.peers}}
+	operators := &dhserver.Operators{Node: d.node, Timers: d.Timers, Bills: exporter{d.ledger}}
+	peers := &dhserver.Peers{Node: d.node, Router: d.router, Gossiper: d.members, Bills: d.ledger}
+	if d.voter != nil {
+		peers.Voter = d.voter.Voter
+	}
+	operatorMux := http.NewServeMux()
+	operatorMux.Handle("/debug/vars", dhserver.GuardOperators(d.vars(), d.Keys))
+	operatorMux.Handle("/", dhserver.OperatorHandler(operators, d.Keys))
+	callerMux := http.NewServeMux()
+	callerMux.HandleFunc("/health", d.health)
+	callerMux.Handle("/", dhserver.CallerHandler(callers, d.Settings.Limits.RequestBytes))
+	return []dhserver.Server{
+		{Address: listen.Callers, Handler: callerMux, CertFile: listen.CertFile, KeyFile: listen.KeyFile, Drained: d.drained},
+		{Address: listen.Operators, Handler: operatorMux, CertFile: listen.CertFile, KeyFile: listen.KeyFile, Drained: d.drained},
+		{Address: listen.Peers, Handler: dhserver.PeerHandler(peers, d.Keys), Drained: d.drained},
+	}
+}
+
+// health answers the balancer: 200 while this VM takes new work.
+func (d *Daemon) health(w http.ResponseWriter, _ *http.Request) {
+	if !d.node.Ready() {
+		http.Error(w, "not serving", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = w.Write([]byte("serving\n"))
+}
+
+// vars publishes the metrics in the format of expvar.
+func (d *Daemon) vars() http.Handler {
+	vars := new(expvar.Map).Init()
+	vars.Set("dandelionhoist", d.metrics)
+	vars.Set("cmdline", expvar.Get("cmdline"))
+	vars.Set("memstats", expvar.Get("memstats"))
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json; charset=utf-8")
+		_, _ = w.Write([]byte(vars.String()))
+	})
+}
--- /dev/null
+++ b/dh/dhdaemon/state.go
@@ -0,0 +1,274 @@
+package dhdaemon
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"log/slog"
+	"slices"
+	"time"
+
+	"dandelionhoist.example/dh/dhbackend"
+	"dandelionhoist.example/dh/dhcode"
+	"dandelionhoist.example/dh/dhdisk"
+	"dandelionhoist.example/dh/dhjournal"
+	"dandelionhoist.example/dh/dhledger"
+	"dandelionhoist.example/dh/dhmember"
+	"dandelionhoist.example/dh/dhpb"
+	"dandelionhoist.example/dh/dhpeer"
+	"dandelionhoist.example/dh/dhquorum"
+	"dandelionhoist.example/dh/dhtimer"
+)
+
+const (
+	// bootstrapPeriod is the time between two tries to make or find the voter set.
+	bootstrapPeriod = 200 * time.Millisecond
+	// confirmWait is how long a restarted voter collects what other VMs
+	// remember of it, after it has reached one of them.
+	confirmWait = time.Second
+	// handOverPeriod is the time between two tries to hand over held bills.
+	handOverPeriod = time.Second
+)
+
+// seed returns a random seed.
+func seed() uint64 {
+	var b [8]byte
+	_, _ = rand.Read(b[:]) // never fails
+	return binary.LittleEndian.Uint64(b[:])
+}
+
+// incarnation of this start; later starts get higher ones while the VM's clock does not go back.
+func incarnation() uint64 { return uint64(time.Now().UnixMilli()) }
+
+// voter is the durable state of a VM with a disk.
+type voter struct {
+	*dhquorum.Voter
+	bills *dhjournal.Group
+}
+
+// buildState opens the disk and creates the proposer and the ledger.
+func (d *Daemon) buildState() error {
+	s := d.Settings
+	d.proposer = &dhquorum.Proposer{
+		Name: s.Name + "." + rand.Text(), Transport: d.peers, Timers: d.Timers, Timeout: s.Timing.QuorumTimeout.Std(),
+	}
+	d.ledger = &dhledger.Ledger{
+		Name: s.Name, Group: d.group, Timers: d.Timers, Voters: d.billVoters, Reachable: d.reachable, Known: d.known,
+		MaxHeld: s.Limits.Bills,
+	}
+	if s.State.Folder == "" {
+		return nil
+	}
+	disk, err := dhdisk.OpenOS(s.State.Folder)
+	if err != nil {
+		return dhcode.Wrap(dhcode.DiskFailed, err)
+	}
+	v, err := dhquorum.OpenVoter(disk, rand.Text())
+	if err != nil {
+		return err
+	}
+	store := &dhledger.Store{VoterID: v.Status().ID}
+	journal, err := dhjournal.Open(disk, "bills", storeState{store})
+	if err != nil {
+		return err
+	}
+	d.voter = &voter{Voter: v, bills: dhjournal.NewGroup(journal)}
+	store.Journal = billJournal{d.voter.bills}
+	d.ledger.Store = store
+	return nil
+}
+
+// startState runs the voter and finds the voter set.
+func (d *Daemon) startState() {
+	if d.voter != nil {
+		d.group.Go(d.voter.Run)
+		d.group.Go(d.voter.bills.Run)
+		d.group.Go(d.confirm)
+	}
+	d.group.Go(d.bootstrap)
+}
+
+// confirm lets the voter vote once other VMs have said which of its records
+// they remember, so that a disk that was set back to an older copy is noticed.
+func (d *Daemon) confirm(ctx context.Context) error {
+	if len(d.Settings.State.Voters) > 1 {
+		select {
+		case <-d.members.Joined():
+		case <-ctx.Done():
+			return nil
+		}
+		if err := dhtimer.Sleep(ctx, d.Timers, confirmWait); err != nil {
+			return nil
+		}
+	}
+	return d.voter.Confirm(ctx, d.members.VoterSequence(d.voter.Status().ID))
+}
+
+// bootstrap makes the first voter set, or finds the one in force. VMs that are
+// not voters only find it, from the voters' answers.
+func (d *Daemon) bootstrap(ctx context.Context) error {
+	var first []dhquorum.Member
+	for _, v := range d.Settings.State.Voters {
+		first = append(first, dhquorum.Member{Address: v.Address, Zone: v.Zone})
+	}
+	for ctx.Err() == nil {
+		set, err := d.proposer.Bootstrap(ctx, first)
+		if err == nil {
+			d.Log.Info("voter set", slog.Uint64("epoch", set.Epoch), slog.Int("voters", len(set.Voters)))
+			return nil
+		}
+		d.Log.Debug("no voter set yet", slog.String("error", err.Error()))
+		if dhtimer.Sleep(ctx, d.Timers, bootstrapPeriod) != nil {
+			return nil
+		}
+	}
+	return nil
+}
+
+func (d *Daemon) voterStatus() (string, uint64) {
+	if d.voter == nil {
+		return "", 0
+	}
+	s := d.voter.Status()
+	return s.ID, s.Sequence
+}
+
+// storeState makes the merged set of bills a journal's state.
+type storeState struct{ *dhledger.Store }
+
+// Apply implements dhjournal.State.
+func (s storeState) Apply(record []byte) error { return s.Restore(record) }
+
+// billJournal makes a journal's group the journal of the bills.
+type billJournal struct{ group *dhjournal.Group }
+
+// Append implements dhledger.Journal.
+func (b billJournal) Append(record []byte) error {
+	return b.group.Do(context.Background(), func(j *dhjournal.Journal) { j.Append(record) })
+}
+
+// billPeer calls the ledger of another VM.
+type billPeer struct {
+	client  *dhpeer.Client
+	address string
+}
+
+// PutBills implements dhledger.Client.
+func (b billPeer) PutBills(ctx context.Context, r *dhpb.PutBillsRequest) (*dhpb.PutBillsResponse, error) {
+	return b.client.PutBills(ctx, b.address, r)
+}
+
+// ListBills implements dhledger.Client.
+func (b billPeer) ListBills(ctx context.Context, r *dhpb.ExportBillsRequest) (*dhpb.ExportBillsResponse, error) {
+	return b.client.ListBills(ctx, b.address, r)
+}
+
+// billVoters returns the voter set, or both sets while it changes.
+func (d *Daemon) billVoters() [][]dhledger.Peer {
+	set := d.proposer.Set()
+	var sets [][]dhledger.Peer
+	for _, members := range [][]dhquorum.Member{set.Voters, set.Next} {
+		var peers []dhledger.Peer
+		for _, m := range members {
+			peers = append(peers, dhledger.Peer{Name: m.ID, VoterID: m.ID, Client: billPeer{d.peers, m.Address}})
+		}
+		if len(peers) > 0 {
+			sets = append(sets, peers)
+		}
+	}
+	return sets
+}
+
+func (d *Daemon) reachable() []dhledger.Peer {
+	return d.otherPeers(d.members.View().Alive(), func(m dhmember.Member) bool { return m.State == dhmember.Alive })
+}
+
+func (d *Daemon) known() []dhledger.Peer {
+	return d.otherPeers(d.members.View().All(), func(m dhmember.Member) bool { return m.State != dhmember.Left })
+}
+
+func (d *Daemon) otherPeers(list []dhmember.Member, keep func(dhmember.Member) bool) []dhledger.Peer {
+	var peers []dhledger.Peer
+	for _, m := range list {
+		if m.Name != d.Settings.Name && keep(m) {
+			peers = append(peers, dhledger.Peer{Name: m.Name, VoterID: m.VoterID, Client: billPeer{d.peers, m.Address}})
+		}
+	}
+	return peers
+}
+
+// keepBills hands held bills over to the voters.
+func (d *Daemon) keepBills(ctx context.Context) error {
+	for dhtimer.Sleep(ctx, d.Timers, handOverPeriod) == nil {
+		if _, err := d.ledger.HandOver(ctx); err != nil {
+			d.Log.Warn("bills not handed over", slog.Int("held", d.ledger.Held()), slog.String("error", err.Error()))
+		}
+	}
+	return nil
+}
+
+// handOver empties the held bills before the VM stops.
+func (d *Daemon) handOver(ctx context.Context) {
+	for d.ledger.Held() > 0 {
+		_, _ = d.ledger.HandOver(ctx) // tried again until the time is over
+		if dhtimer.Sleep(ctx, d.Timers, bootstrapPeriod) != nil {
+			return
+		}
+	}
+}
+
+// exporter lists bills for operators.
+type exporter struct{ ledger *dhledger.Ledger }
+
+// Export implements dhserver.BillExporter.
+func (e exporter) Export(ctx context.Context, req *dhpb.ExportBillsRequest) (*dhpb.ExportBillsResponse, error) {
+	out, err := e.ledger.Export(ctx, req.GetAfter(), int(req.GetLimit()))
+	if err != nil {
+		return nil, err
+	}
+	return &dhpb.ExportBillsResponse{Bills: out.Bills, Next: out.Next, Complete: out.Complete}, nil
+}
+
+// otherVMs finds answers that other entry VMs hold.
+type otherVMs struct {
+	members *dhmember.Members
+	peers   *dhpeer.Client
+}
+
+// Fetch implements dhserver.AnswerFetcher.
+func (o *otherVMs) Fetch(ctx context.Context, account, requestID string, offset int64) (*dhpb.FetchAnswerResponse, error) {
+	for _, m := range o.others() {
+		out, err := o.peers.FetchAnswer(ctx, m.Address, &dhpb.FetchAnswerRequest{Account: account, RequestId: requestID, Offset: offset})
+		if err != nil && dhcode.Of(err) != dhcode.QuorumUnreachable {
+			return nil, err
+		}
+		if err == nil && out.GetFound() {
+			return out, nil
+		}
+	}
+	err := dhcode.Errorf(dhcode.AnswerNotKept, "no reachable entry VM holds the answer to request %q", requestID)
+	return nil, dhcode.WithRan(err, dhcode.RanUnknown)
+}
+
+// Cancel implements dhserver.AnswerFetcher.
+func (o *otherVMs) Cancel(ctx context.Context, account, requestID string) bool {
+	for _, m := range o.others() {
+		out, err := o.peers.FetchAnswer(ctx, m.Address, &dhpb.FetchAnswerRequest{Account: account, RequestId: requestID, Cancel: true})
+		if err == nil && out.GetFound() {
+			return true
+		}
+	}
+	return false
+}
+
+func (o *otherVMs) others() []dhmember.Member {
+	view := o.members.View()
+	return slices.DeleteFunc(view.Alive(), func(m dhmember.Member) bool { return m.Name == view.Self.Name })
+}
+
+// noCredits permits no request at a backend server in a cold start.
+type noCredits struct{}
+
+func (noCredits) Available(*dhbackend.Backend) bool          { return false }
+func (noCredits) Acquire(*dhbackend.Backend) (func(), bool)  { return nil, false }
+func (noCredits) Observe(*dhbackend.Backend, time.Duration)  {}
--- a/dh/dhrouter/attempt.go
+++ b/dh/dhrouter/attempt.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"errors"
 	"io"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/types/known/durationpb"
@@ -13,8 +14,10 @@
 	"dandelionhoist.example/dh/dhbackend"
 	"dandelionhoist.example/dh/dhclaim"
 	"dandelionhoist.example/dh/dhcode"
+	"dandelionhoist.example/dh/dhengine"
 	"dandelionhoist.example/dh/dhmetric"
 	"dandelionhoist.example/dh/dhpb"
+	"dandelionhoist.example/dh/dhplacement"
 	"dandelionhoist.example/dh/dhtimer"
 	"dandelionhoist.example/dh/dhversion"
 )
@@ -31,6 +34,8 @@
 	// failed are the backend servers that are not tried again.
 	failed []string
 	choice dhversion.Choice
+	// prefix holds the hashes of the prompt for the chosen version.
+	prefix []uint64
 }
 
 // contentHash covers what makes a keyed request the same one.
@@ -52,7 +57,7 @@
 	if err != nil {
 		return err
 	}
-	t.choice, t.failed = choice, nil
+	t.choice, t.failed, t.prefix = choice, nil, nil
 	r.Retries.First(t.route.Pool)
 	for retry := 0; ; retry++ {
 		err := r.attempt(ctx, t, a)
@@ -87,26 +92,20 @@
 	if err := dhversion.Usable(r.versionInput(s, t, t.choice.Version.Model), t.choice); err != nil {
 		return err
 	}
-	placement, err := r.place(s, t)
+	place, err := r.place(s, t)
 	if err != nil {
 		return err
 	}
-	backend := placement.Backend
-	if !r.Breakers.Begin(backend.ID) {
-		placement.Done(0, nil)
-		t.failed = append(t.failed, backend.ID)
-		return dhcode.Errorf(dhcode.BackendFailed, "the circuit breaker of backend server %q is open", backend.ID)
-	}
 	if err := r.dispatch(ctx, t); err != nil {
-		r.Breakers.Cancel(backend.ID)
-		placement.Done(0, nil)
+		r.Breakers.Cancel(place.backend.ID)
+		place.done(nil)
 		return err
 	}
 	t.number++
 	a.StartAttempt(t.number, t.choice.Version.Model, t.choice.Version.Name)
-	first, err := r.relay(ctx, t, backend, a)
-	placement.Done(first, err)
-	r.ended(ctx, t, backend, a, first, err)
+	first, err := r.relay(ctx, t, place.backend, a)
+	place.done(err)
+	r.ended(ctx, t, place.backend, a, first, err)
 	return err
 }
 
@@ -121,6 +120,9 @@
 		return
 	}
 	r.Breakers.End(b.ID, err == nil)
+	if first > 0 {
+		r.Credits.Observe(b, first)
+	}
 	_, tokens := a.Len()
 	r.Report(Event{
 		Pool: t.route.Pool, Backend: b.ID, Version: t.choice.Version, Failed: err != nil, FirstToken: first,
@@ -141,11 +143,49 @@
 	return dhversion.Usable(r.versionInput(r.Snapshot(), t, t.choice.Version.Model), t.choice)
 }
 
-func (r *Router) place(s *Snapshot, t *attempts) (Placement, error) {
-	return r.Placer.Place(s.Backends, PlaceRequest{
-		Pool: t.route.Pool, Version: t.choice.Version, Zone: r.Zone, Prompt: t.GetPrompt(),
-		Exclude: t.failed, ZoneWeight: s.ZoneWeight, Open: r.Breakers.Open,
-	})
+// place is where an attempt runs. Done is called once when it has ended.
+type place struct {
+	backend *dhbackend.Backend
+	done    func(err error)
+}
+
+// place chooses a backend server whose circuit breaker permits the attempt
+// and, in a cold start, takes a credit.
+func (r *Router) place(s *Snapshot, t *attempts) (place, error) {
+	if t.prefix == nil {
+		t.prefix = dhengine.PrefixHashes(nil, t.choice.Version, t.GetPrompt())
+	}
+	req := dhplacement.Request{
+		Pool: t.route.Pool, Version: t.choice.Version, Prefix: t.prefix, PromptTokens: dhengine.PromptTokens(t.GetPrompt()),
+		ZoneWeights: s.ZoneWeight, Exclude: t.failed, Credit: r.Credits.Available,
+	}
+	for {
+		p, err := r.Placer.Place(s.Backends, req)
+		if err != nil {
+			return place{}, err
+		}
+		id := p.Backend.ID
+		release, ok := r.acquire(p)
+		if ok && r.Breakers.Begin(id) {
+			r.Placer.Begin(p, req)
+			return place{backend: p.Backend, done: func(err error) {
+				release()
+				r.Placer.End(p, err == nil)
+			}}, nil
+		}
+		if ok {
+			release()
+		}
+		req.Exclude = append(slices.Clone(req.Exclude), id)
+	}
+}
+
+// acquire takes a credit when the placement needs one.
+func (r *Router) acquire(p dhplacement.Placement) (release func(), ok bool) {
+	if !p.Cold {
+		return func() {}, true
+	}
+	return r.Credits.Acquire(p.Backend)
 }
 
 // relay calls a backend server and appends its chunks to the answer. It
--- a/dh/dhrouter/cascade.go
+++ b/dh/dhrouter/cascade.go
@@ -6,6 +6,7 @@
 	"dandelionhoist.example/dh/dhanswer"
 	"dandelionhoist.example/dh/dhcode"
 	"dandelionhoist.example/dh/dhpb"
+	"dandelionhoist.example/dh/dhplacement"
 	"dandelionhoist.example/dh/dhtable"
 	"dandelionhoist.example/dh/dhversion"
 )
@@ -121,11 +122,12 @@
 	if choice.Pinned {
 		out.Reasons = append(out.Reasons, "the session is pinned to the version")
 	}
-	placement, err := r.place(s, t)
+	p, err := r.Placer.Place(s.Backends, dhplacement.Request{
+		Pool: t.route.Pool, Version: choice.Version, ZoneWeights: s.ZoneWeight, Credit: r.Credits.Available,
+	})
 	if err != nil {
 		return err
 	}
-	placement.Done(0, nil)
-	out.Backend = placement.Backend.ID
+	out.Backend = p.Backend.ID
 	return nil
 }
--- a/dh/dhrouter/dhrouter.go
+++ b/dh/dhrouter/dhrouter.go
@@ -30,6 +30,7 @@
 	"dandelionhoist.example/dh/dhlimit"
 	"dandelionhoist.example/dh/dhmetric"
 	"dandelionhoist.example/dh/dhpb"
+	"dandelionhoist.example/dh/dhplacement"
 	"dandelionhoist.example/dh/dhtable"
 	"dandelionhoist.example/dh/dhtimer"
 	"dandelionhoist.example/dh/dhversion"
@@ -42,7 +43,20 @@
 
 // Placer chooses a backend server and counts what runs there.
 type Placer interface {
-	Place(view *dhbackend.View, req PlaceRequest) (Placement, error)
+	Place(view *dhbackend.View, req dhplacement.Request) (dhplacement.Placement, error)
+	Begin(p dhplacement.Placement, req dhplacement.Request)
+	End(p dhplacement.Placement, ok bool)
+}
+
+// Credits bounds the requests at backend servers in a cold start.
+type Credits interface {
+	// Available reports whether Acquire may succeed.
+	Available(b *dhbackend.Backend) bool
+	// Acquire takes a credit until release is called.
+	Acquire(b *dhbackend.Backend) (release func(), ok bool)
+	// Observe reports the time to the first token of a request that a backend
+	// server in state ready answered.
+	Observe(b *dhbackend.Backend, firstToken time.Duration)
 }
 
 // Limiter admits requests.
@@ -127,6 +141,7 @@
 	Answers  *dhanswer.Table
 	Versions Versions
 	Placer   Placer
+	Credits  Credits
 	Limiter  Limiter
 	Retries  Retries
 	Breakers Breakers
--- a/dh/dhsetting/check.go
+++ b/dh/dhsetting/check.go
@@ -3,7 +3,6 @@
 import (
 	"net/netip"
 	"reflect"
-	"slices"
 
 	"dandelionhoist.example/dh/dhjson"
 )
@@ -45,6 +44,9 @@
 	for _, seed := range s.Peers.Seeds {
 		addresses = append(addresses, struct{ pointer, value string }{"/peers/seeds", seed})
 	}
+	for _, v := range s.State.Voters {
+		addresses = append(addresses, struct{ pointer, value string }{"/state/voters", v.Address})
+	}
 	for _, a := range addresses {
 		if _, err := netip.ParseAddrPort(a.value); err != nil {
 			return doc.Errorf(a.pointer, "%q is not an IP address and port such as \"10.1.0.4:8080\"", a.value)
@@ -77,9 +79,9 @@
 		return doc.Errorf("/peers/entry-vms", "entry-vms %d is less than zone-slots %d", s.Peers.EntryVMs, s.Peers.ZoneSlots)
 	}
 	if n := len(s.State.Voters); n != 1 && n != 3 && n != 5 {
-		return doc.Errorf("/state/voters", "expected 1, 3 or 5 names, found %d", n)
+		return doc.Errorf("/state/voters", "expected 1, 3 or 5 voters, found %d", n)
 	}
-	if slices.Contains(s.State.Voters, s.Name) && s.State.Folder == "" {
+	if s.IsVoter() && s.State.Folder == "" {
 		return doc.Errorf("/state/folder", "voter %q needs a folder for its state", s.Name)
 	}
 	if s.Timing.BackendLease < 2*s.Timing.Tick {
--- a/dh/dhsetting/dhsetting.go
+++ b/dh/dhsetting/dhsetting.go
@@ -11,6 +11,7 @@
 
 import (
 	"os"
+	"slices"
 	"time"
 
 	"dandelionhoist.example/dh/dhcode"
@@ -61,8 +62,19 @@
 
 // State says what durable state this VM keeps.
 type State struct {
-	Folder string   `json:"folder" doc:"folder of the durable state; empty means that this VM has no disk"`
-	Voters []string `json:"voters" doc:"names of the VMs that are the first voters; 1, 3 or 5 of them"`
+	Folder string  `json:"folder" doc:"folder of the durable state; empty means that this VM has no disk"`
+	Voters []Voter `json:"voters" doc:"the first voters, 1, 3 or 5 of them: {address: peer address, zone: availability zone}; the same on all VMs"`
+}
+
+// Voter is a VM that keeps durable state from the start.
+type Voter struct {
+	Address string `json:"address" doc:"peer address"`
+	Zone    string `json:"zone" doc:"availability zone"`
+}
+
+// IsVoter reports whether this VM is one of the first voters.
+func (s Settings) IsVoter() bool {
+	return slices.ContainsFunc(s.State.Voters, func(v Voter) bool { return v.Address == s.Listen.Peers })
 }
 
 // Timing holds periods and leases.
--- a/dh/dhsetting/dhsetting_test.go
+++ b/dh/dhsetting/dhsetting_test.go
@@ -16,7 +16,9 @@
   "peers": {"seeds": ["10.1.0.5:8082"], "zone-slot": 1, "zone-slots": 2, "entry-vms": 8},
   "keys": {"peer-file": "peer.key", "operator-file": "operators", "session-file": "session.key"},
   "listen": {"callers": "0.0.0.0:8080", "peers": "10.1.0.4:8082"},
-  "state": {"folder": "data", "voters": ["entry-1", "entry-3", "entry-5"]},
+  "state": {"folder": "data", "voters": [
+    {"address": "10.1.0.4:8082", "zone": "mrc-a"}, {"address": "10.2.0.4:8082", "zone": "mrc-b"},
+    {"address": "10.3.0.4:8082", "zone": "mrc-c"}]},
   "timing": {"tables-lease": "3s"},
 }`
 
@@ -26,13 +28,13 @@
 	assert.NilError(t, err)
 	for _, c := range []struct{ old, new, want string }{
 		{`"zone-slot": 1`, `"zone-slto": 1`, `s:4:41: unknown key "zone-slto"; expected one of seeds, zone-slot`},
-		{`"3s"`, `3`, `s:8:30: expected a duration with a unit`},
-		{`"3s"`, `"0s"`, `s:8:30: /timing/tables-lease: expected a value above zero`},
-		{`"10.1.0.4:8082"`, `"entry-1:8082"`, `is not an IP address and port`},
-		{`"10.1.0.4:8082"`, `"0.0.0.0:8082"`, `names no VM`},
+		{`"3s"`, `3`, `s:10:30: expected a duration with a unit`},
+		{`"3s"`, `"0s"`, `s:10:30: /timing/tables-lease: expected a value above zero`},
+		{`"peers": "10.1.0.4:8082"`, `"peers": "entry-1:8082"`, `is not an IP address and port`},
+		{`"peers": "10.1.0.4:8082"`, `"peers": "0.0.0.0:8082"`, `names no VM`},
 		{`"zone-slot": 1`, `"zone-slot": 2`, `is not between 0 and`},
 		{`"folder": "data", `, ``, `voter "entry-1" needs a folder`},
-		{`, "entry-5"]`, `]`, `expected 1, 3 or 5 names, found 2`},
+		{`{"address": "10.3.0.4:8082", "zone": "mrc-c"}`, ``, `expected 1, 3 or 5 voters, found 2`},
 		{`"callers"`, `"cert-file": "c.pem", "callers"`, `must be given together`},
 	} {
 		text := strings.Replace(good, c.old, c.new, 1)
