Let the daemon run on injected clock, disk, peers and engines

Cause: whole sessions must be driven through the daemon's code in tests. Change: Daemon takes PeerClient, Engine, Disk, NewID and Seed; its services are available without network servers.

--- a/dh/dhdaemon/dhdaemon.go
+++ b/dh/dhdaemon/dhdaemon.go
@@ -18,6 +18,7 @@
 	"dandelionhoist.example/dh/dhanswer"
 	"dandelionhoist.example/dh/dhclaim"
 	"dandelionhoist.example/dh/dhcode"
+	"dandelionhoist.example/dh/dhdisk"
 	"dandelionhoist.example/dh/dhedit"
 	"dandelionhoist.example/dh/dhengine"
 	"dandelionhoist.example/dh/dhgroup"
@@ -40,16 +41,38 @@
 // resumeGrace is how long a repeatable request without a reader goes on.
 const resumeGrace = 10 * time.Second
 
+// PeerClient calls other entry VMs by address.
+type PeerClient interface {
+	dhmember.Transport
+	dhquorum.Transport
+	FetchRevision(ctx context.Context, address string, revision uint64) (*dhpb.Revision, error)
+	PutBills(ctx context.Context, address string, m *dhpb.PutBillsRequest) (*dhpb.PutBillsResponse, error)
+	ListBills(ctx context.Context, address string, m *dhpb.ExportBillsRequest) (*dhpb.ExportBillsResponse, error)
+	LendCredit(ctx context.Context, address string, m *dhpb.LendCreditRequest) (*dhpb.LendCreditResponse, error)
+	FetchAnswer(ctx context.Context, address string, m *dhpb.FetchAnswerRequest) (*dhpb.FetchAnswerResponse, error)
+}
+
 // Daemon is one entry VM. Exported fields are set before Run.
 type Daemon struct {
 	Settings dhsetting.Settings
 	Keys     dhserver.Keys
 	Timers   dhtimer.Service
 	Log      *slog.Logger
+	// Peers calls other entry VMs; nil means over the network.
+	Peers PeerClient
+	// Engine calls backend servers; nil means over the network.
+	Engine dhrouter.Engine
+	// Disk holds the durable state; nil means the settings' folder, if any.
+	Disk dhdisk.Disk
+	// NewID returns random ids; nil means crypto/rand.
+	NewID func() string
+	// Seed of random choices; 0 means a random one.
+	Seed uint64
+	// NoListen leaves out the network servers.
+	NoListen bool
 
 	group    *dhgroup.Group
 	metrics  *dhmetric.Metrics
-	peers    *dhpeer.Client
 	members  *dhmember.Members
 	proposer *dhquorum.Proposer
 	voter    *voter
@@ -62,9 +85,7 @@
 // Run serves until a value arrives on stop and the graceful shutdown has
 // ended, or until a part fails.
 func (d *Daemon) Run(ctx context.Context, stop <-chan struct{}) error {
-	d.group = dhgroup.New(ctx)
-	d.drained = make(chan struct{})
-	if err := d.build(); err != nil {
+	if err := d.Build(ctx); err != nil {
 		return err
 	}
 	d.start()
@@ -94,11 +115,32 @@
 // drainTime is how long open connections may take to end after the last answer.
 const drainTime = time.Second
 
-// build creates all parts; nothing runs yet.
-func (d *Daemon) build() error {
+// setDefaults fills fields that were left out.
+func (d *Daemon) setDefaults() {
+	if d.Peers == nil {
+		d.Peers = &dhpeer.Client{Key: string(d.Keys.Peer[0])}
+	}
+	if d.Engine == nil {
+		d.Engine = engineClient{new(dhengine.Client)}
+	}
+	if d.NewID == nil {
+		d.NewID = rand.Text
+	}
+	if d.Seed == 0 {
+		d.Seed = seed()
+	}
+}
+
+// Build creates all parts; nothing runs yet. Run calls it unless it was called before.
+func (d *Daemon) Build(ctx context.Context) error {
+	if d.group != nil {
+		return nil
+	}
+	d.setDefaults()
+	d.group = dhgroup.New(ctx)
+	d.drained = make(chan struct{})
 	s := d.Settings
 	d.metrics = dhmetric.New(s.Limits.HistogramLabels)
-	d.peers = &dhpeer.Client{Key: string(d.Keys.Peer[0])}
 	if err := d.buildState(); err != nil {
 		return err
 	}
@@ -108,22 +150,22 @@
 	limiter := &dhlimit.Limiter{Timers: d.Timers, MaxQueue: s.Limits.Queue}
 	d.router = &dhrouter.Router{
 		Timers: d.Timers, Group: d.group, Log: d.Log, Metrics: d.metrics, Answers: answers,
-		Versions: &dhversion.Chooser{Keys: d.Keys.Session},
-		Placer:   &dhplacement.Placer{Timers: d.Timers, Zone: s.Zone, Settings: dhplacement.Defaults(), Seed: seed()},
+		Versions: &dhversion.Chooser{Keys: d.Keys.Session, NewSessionID: d.NewID},
+		Placer:   &dhplacement.Placer{Timers: d.Timers, Zone: s.Zone, Settings: dhplacement.Defaults(), Seed: d.Seed},
 		Credits:  noCredits{}, Limiter: limiter, Retries: &dhlimit.Budget{}, Breakers: &dhlimit.Breakers{Timers: d.Timers},
 		Backoff: dhlimit.Backoff{}.Delay,
-		Claims:  d.claims(), Ledger: d.ledger, Planner: dhrouter.LargestModel{}, Engine: &dhengine.Client{},
+		Claims:  d.claims(), Ledger: d.ledger, Planner: dhrouter.LargestModel{}, Engine: d.Engine,
 		VM: s.Name, Zone: s.Zone, MaxAttempts: s.Limits.Attempts, ResumeGrace: resumeGrace,
-		NewRequestID: rand.Text,
+		NewRequestID: d.NewID,
 	}
 	d.node = &dhnode.Node{
-		Settings: s, Timers: d.Timers, Group: d.group, Log: d.Log, Metrics: d.metrics, Peers: d.peers,
+		Settings: s, Timers: d.Timers, Group: d.group, Log: d.Log, Metrics: d.metrics, Peers: d.Peers,
 		Registers: d.proposer, Revisions: &dhedit.Revisions{Timers: d.Timers}, Router: d.router, Limiter: limiter,
-		Answers: answers, Evidence: &dhversion.Evidence{VM: s.Name, Incarnation: incarnation()},
+		Answers: answers, Evidence: &dhversion.Evidence{VM: s.Name, Incarnation: d.incarnation()},
 		VoterStatus: d.voterStatus,
 	}
 	d.members = &dhmember.Members{
-		Timers: d.Timers, Transport: d.peers, Group: d.group, Seeds: s.Peers.Seeds, Seed: seed(), Logger: d.Log,
+		Timers: d.Timers, Transport: d.Peers, Group: d.group, Seeds: s.Peers.Seeds, Seed: d.Seed, Logger: d.Log,
 		Self: &dhpb.MemberRecord{
 			Name: s.Name, Address: s.Listen.Peers, Zone: s.Zone, Region: s.Region, HasDisk: s.State.Folder != "",
 		},
@@ -137,7 +179,7 @@
 }
 
 // owner identifies this start of this VM in claims.
-func (d *Daemon) owner() string { return d.Settings.Name + "." + rand.Text() }
+func (d *Daemon) owner() string { return d.Settings.Name + "." + d.NewID() }
 
 func (d *Daemon) claims() *dhclaim.Claims {
 	return &dhclaim.Claims{
@@ -153,6 +195,9 @@
 	d.group.Go(d.node.WaitStarted)
 	d.group.Go(d.keepBills)
 	d.startState()
+	if d.NoListen {
+		return
+	}
 	for _, server := range d.servers() {
 		d.group.Go(func(ctx context.Context) error {
 			err := server.Run(ctx)
@@ -164,24 +209,37 @@
 	}
 }
 
-func (d *Daemon) servers() []dhserver.Server {
-	listen := d.Settings.Listen
-	callers := &dhserver.Callers{Router: d.router, Others: &otherVMs{members: d.members, peers: d.peers}}
-	operators := &dhserver.Operators{Node: d.node, Timers: d.Timers, Bills: exporter{d.ledger}}
+// Callers returns the callers' service.
+func (d *Daemon) Callers() *dhserver.Callers {
+	return &dhserver.Callers{Router: d.router, Others: &otherVMs{members: d.members, peers: d.Peers}}
+}
+
+// Operators returns the operators' service.
+func (d *Daemon) Operators() *dhserver.Operators {
+	return &dhserver.Operators{Node: d.node, Timers: d.Timers, Bills: exporter{d.ledger}}
+}
+
+// PeerService returns the service for other entry VMs and backend servers.
+func (d *Daemon) PeerService() *dhserver.Peers {
 	peers := &dhserver.Peers{Node: d.node, Router: d.router, Gossiper: d.members, Bills: d.ledger}
 	if d.voter != nil {
 		peers.Voter = d.voter.Voter
 	}
+	return peers
+}
+
+func (d *Daemon) servers() []dhserver.Server {
+	listen := d.Settings.Listen
 	operatorMux := http.NewServeMux()
 	operatorMux.Handle("/debug/vars", dhserver.GuardOperators(d.vars(), d.Keys))
-	operatorMux.Handle("/", dhserver.OperatorHandler(operators, d.Keys))
+	operatorMux.Handle("/", dhserver.OperatorHandler(d.Operators(), d.Keys))
 	callerMux := http.NewServeMux()
 	callerMux.HandleFunc("/health", d.health)
-	callerMux.Handle("/", dhserver.CallerHandler(callers, d.Settings.Limits.RequestBytes))
+	callerMux.Handle("/", dhserver.CallerHandler(d.Callers(), d.Settings.Limits.RequestBytes))
 	return []dhserver.Server{
 		{Address: listen.Callers, Handler: callerMux, CertFile: listen.CertFile, KeyFile: listen.KeyFile, Drained: d.drained},
 		{Address: listen.Operators, Handler: operatorMux, CertFile: listen.CertFile, KeyFile: listen.KeyFile, Drained: d.drained},
-		{Address: listen.Peers, Handler: dhserver.PeerHandler(peers, d.Keys), Drained: d.drained},
+		{Address: listen.Peers, Handler: dhserver.PeerHandler(d.PeerService(), d.Keys), Drained: d.drained},
 	}
 }
 
--- a/dh/dhdaemon/state.go
+++ b/dh/dhdaemon/state.go
@@ -11,12 +11,13 @@
 	"dandelionhoist.example/dh/dhbackend"
 	"dandelionhoist.example/dh/dhcode"
 	"dandelionhoist.example/dh/dhdisk"
+	"dandelionhoist.example/dh/dhengine"
 	"dandelionhoist.example/dh/dhjournal"
 	"dandelionhoist.example/dh/dhledger"
 	"dandelionhoist.example/dh/dhmember"
 	"dandelionhoist.example/dh/dhpb"
-	"dandelionhoist.example/dh/dhpeer"
 	"dandelionhoist.example/dh/dhquorum"
+	"dandelionhoist.example/dh/dhrouter"
 	"dandelionhoist.example/dh/dhtimer"
 )
 
@@ -38,7 +39,7 @@
 }
 
 // incarnation of this start; later starts get higher ones while the VM's clock does not go back.
-func incarnation() uint64 { return uint64(time.Now().UnixMilli()) }
+func (d *Daemon) incarnation() uint64 { return uint64(d.Timers.Now().UnixMilli()) }
 
 // voter is the durable state of a VM with a disk.
 type voter struct {
@@ -50,7 +51,7 @@
 func (d *Daemon) buildState() error {
 	s := d.Settings
 	d.proposer = &dhquorum.Proposer{
-		Name: s.Name + "." + rand.Text(), Transport: d.peers, Timers: d.Timers, Timeout: s.Timing.QuorumTimeout.Std(),
+		Name: s.Name + "." + d.NewID(), Transport: d.Peers, Timers: d.Timers, Timeout: s.Timing.QuorumTimeout.Std(),
 	}
 	d.ledger = &dhledger.Ledger{
 		Name: s.Name, Group: d.group, Timers: d.Timers, Voters: d.billVoters, Reachable: d.reachable, Known: d.known,
@@ -59,16 +60,19 @@
 	if s.State.Folder == "" {
 		return nil
 	}
-	disk, err := dhdisk.OpenOS(s.State.Folder)
-	if err != nil {
-		return dhcode.Wrap(dhcode.DiskFailed, err)
+	if d.Disk == nil {
+		disk, err := dhdisk.OpenOS(s.State.Folder)
+		if err != nil {
+			return dhcode.Wrap(dhcode.DiskFailed, err)
+		}
+		d.Disk = disk
 	}
-	v, err := dhquorum.OpenVoter(disk, rand.Text())
+	v, err := dhquorum.OpenVoter(d.Disk, d.NewID())
 	if err != nil {
 		return err
 	}
 	store := &dhledger.Store{VoterID: v.Status().ID}
-	journal, err := dhjournal.Open(disk, "bills", storeState{store})
+	journal, err := dhjournal.Open(d.Disk, "bills", storeState{store})
 	if err != nil {
 		return err
 	}
@@ -149,7 +153,7 @@
 
 // billPeer calls the ledger of another VM.
 type billPeer struct {
-	client  *dhpeer.Client
+	client  PeerClient
 	address string
 }
 
@@ -170,7 +174,7 @@
 	for _, members := range [][]dhquorum.Member{set.Voters, set.Next} {
 		var peers []dhledger.Peer
 		for _, m := range members {
-			peers = append(peers, dhledger.Peer{Name: m.ID, VoterID: m.ID, Client: billPeer{d.peers, m.Address}})
+			peers = append(peers, dhledger.Peer{Name: m.ID, VoterID: m.ID, Client: billPeer{d.Peers, m.Address}})
 		}
 		if len(peers) > 0 {
 			sets = append(sets, peers)
@@ -191,7 +195,7 @@
 	var peers []dhledger.Peer
 	for _, m := range list {
 		if m.Name != d.Settings.Name && keep(m) {
-			peers = append(peers, dhledger.Peer{Name: m.Name, VoterID: m.VoterID, Client: billPeer{d.peers, m.Address}})
+			peers = append(peers, dhledger.Peer{Name: m.Name, VoterID: m.VoterID, Client: billPeer{d.Peers, m.Address}})
 		}
 	}
 	return peers
@@ -232,7 +236,7 @@
 // otherVMs finds answers that other entry VMs hold.
 type otherVMs struct {
 	members *dhmember.Members
-	peers   *dhpeer.Client
+	peers   PeerClient
 }
 
 // Fetch implements dhserver.AnswerFetcher.
@@ -266,9 +270,21 @@
 	return slices.DeleteFunc(view.Alive(), func(m dhmember.Member) bool { return m.Name == view.Self.Name })
 }
 
+// engineClient calls backend servers over the network.
+type engineClient struct{ client *dhengine.Client }
+
+// Generate implements dhrouter.Engine.
+func (e engineClient) Generate(ctx context.Context, address string, req *dhpb.GenerateRequest) (dhrouter.Stream, error) {
+	stream, err := e.client.Generate(ctx, address, req)
+	if err != nil {
+		return nil, err
+	}
+	return stream, nil
+}
+
 // noCredits permits no request at a backend server in a cold start.
 type noCredits struct{}
 
-func (noCredits) Available(*dhbackend.Backend) bool          { return false }
-func (noCredits) Acquire(*dhbackend.Backend) (func(), bool)  { return nil, false }
-func (noCredits) Observe(*dhbackend.Backend, time.Duration)  {}
+func (noCredits) Available(*dhbackend.Backend) bool         { return false }
+func (noCredits) Acquire(*dhbackend.Backend) (func(), bool) { return nil, false }
+func (noCredits) Observe(*dhbackend.Backend, time.Duration) {}
--- a/dh/dhrouter/dhrouter.go
+++ b/dh/dhrouter/dhrouter.go
@@ -25,7 +25,6 @@
 	"dandelionhoist.example/dh/dhbackend"
 	"dandelionhoist.example/dh/dhclaim"
 	"dandelionhoist.example/dh/dhcode"
-	"dandelionhoist.example/dh/dhengine"
 	"dandelionhoist.example/dh/dhgroup"
 	"dandelionhoist.example/dh/dhlimit"
 	"dandelionhoist.example/dh/dhmetric"
@@ -105,8 +104,14 @@
 
 // Engine calls backend servers.
 type Engine interface {
-	Generate(ctx context.Context, address string, req *dhpb.GenerateRequest) (*dhengine.Stream, error)
-	Cancel(ctx context.Context, address, requestID string) (bool, error)
+	// Generate starts a request. Errors state "not run" where that is certain.
+	Generate(ctx context.Context, address string, req *dhpb.GenerateRequest) (Stream, error)
+}
+
+// Stream is an answer that arrives. Next returns io.EOF after the last chunk.
+type Stream interface {
+	Next() (*dhpb.Chunk, error)
+	Close() error
 }
 
 // Snapshot is what traffic knows of the control state. It is immutable.
