--- a/dh/dhjournal/format.go
+++ b/dh/dhjournal/format.go
@@ -1,6 +1,7 @@
 package dhjournal
 
 import (
+	"bytes"
 	"encoding/binary"
 	"fmt"
 
@@ -50,25 +51,27 @@
 	return xxhash.Sum64(b[:])
 }
 
-// headCheck returns the 32 bits of the head's sum that are stored. Zero is
-// kept for data that was never written.
-func headCheck(sum uint64) uint32 {
-	return max(uint32(sum), 1)
+// lastByte is set in the last byte of both checks, so that no single flipped
+// bit makes a check look as if its end was never written.
+const lastByte = 0x81
+
+// headCheck returns the 32 bits of the head's sum that are stored.
+func headCheck(sum uint64) []byte {
+	return binary.LittleEndian.AppendUint32(nil, uint32(sum)|lastByte<<24)
 }
 
-// payloadSum binds the payload to its position. Zero is kept for data that was
-// never written.
-func payloadSum(head uint64, payload []byte) uint64 {
-	return max(xxhash.Sum64(payload)^head, 1)
+// payloadCheck binds the payload to its position.
+func payloadCheck(head uint64, payload []byte) []byte {
+	return binary.LittleEndian.AppendUint64(nil, xxhash.Sum64(payload)^head|lastByte<<56)
 }
 
 func appendFrame(b []byte, generation, index uint64, kind byte, payload []byte) []byte {
 	sum := headSum(generation, index, uint32(len(payload)), kind)
 	b = binary.LittleEndian.AppendUint32(b, uint32(len(payload)))
 	b = append(b, kind)
-	b = binary.LittleEndian.AppendUint32(b, headCheck(sum))
+	b = append(b, headCheck(sum)...)
 	b = append(b, payload...)
-	return binary.LittleEndian.AppendUint64(b, payloadSum(sum, payload))
+	return append(b, payloadCheck(sum, payload)...)
 }
 
 func appendSnapshotEnd(b []byte, generation, index, sequence uint64) []byte {
@@ -145,26 +148,23 @@
 		return frame{torn: true}, fmt.Errorf("frame head is cut short")
 	}
 	length, kind := binary.LittleEndian.Uint32(data), data[4]
-	check, sum := binary.LittleEndian.Uint32(data[5:]), headSum(generation, index, length, kind)
-	if check != headCheck(sum) {
-		return frame{torn: check == 0 && allZero(data[frameHead:])}, fmt.Errorf("frame head is damaged")
+	sum := headSum(generation, index, length, kind)
+	if rest, ok := bytes.CutPrefix(data[5:], headCheck(sum)); !ok {
+		return frame{torn: endsInZeros(rest, headCheck(sum))}, fmt.Errorf("frame head is damaged")
 	}
 	if uint64(len(data)) < uint64(frameOverhead)+uint64(length) {
 		return frame{torn: true}, fmt.Errorf("record is cut short")
 	}
-	payload := data[frameHead : frameHead+int(length)]
-	trailer := data[frameHead+int(length):]
-	if stored := binary.LittleEndian.Uint64(trailer); stored != payloadSum(sum, payload) {
-		return frame{torn: stored == 0 && allZero(trailer)}, fmt.Errorf("record checksum does not match")
+	payload, trailer := data[frameHead:frameHead+int(length)], data[frameHead+int(length):]
+	if check := payloadCheck(sum, payload); !bytes.HasPrefix(trailer, check) {
+		return frame{torn: endsInZeros(trailer, check)}, fmt.Errorf("record checksum does not match")
 	}
 	return frame{kind: kind, payload: payload}, nil
 }
 
-func allZero(b []byte) bool {
-	for _, c := range b {
-		if c != 0 {
-			return false
-		}
-	}
-	return true
+// endsInZeros reports whether data is a part of check that is shorter than it,
+// followed by zeros only.
+func endsInZeros(data, check []byte) bool {
+	written := bytes.TrimRight(data, "\x00")
+	return len(written) < len(check) && bytes.HasPrefix(check, written)
 }
--- a/dh/dhquorum/cluster_test.go
+++ b/dh/dhquorum/cluster_test.go
@@ -28,30 +28,46 @@
 	proposers []*dhquorum.Proposer
 	failures  []error
 	breakRule func(v *dhquorum.Voter)
+	hide      bool
 }
 
-type transport struct{ node *dhfake.Node }
+// transport sends through a node. With hide it keeps record numbers from the
+// proposer, so that it cannot notice a rolled-back disk.
+type transport struct {
+	node *dhfake.Node
+	hide bool
+}
 
 func (t transport) Prepare(ctx context.Context, address string, m *dhpb.PrepareRequest) (*dhpb.PrepareResponse, error) {
 	a, err := t.node.Send(ctx, address, m)
 	r, _ := a.(*dhpb.PrepareResponse)
+	if r != nil && t.hide {
+		r.Sequence = 0
+	}
 	return r, err
 }
 
 func (t transport) Accept(ctx context.Context, address string, m *dhpb.AcceptRequest) (*dhpb.AcceptResponse, error) {
 	a, err := t.node.Send(ctx, address, m)
 	r, _ := a.(*dhpb.AcceptResponse)
+	if r != nil && t.hide {
+		r.Sequence = 0
+	}
 	return r, err
 }
 
 func (t transport) ReadState(ctx context.Context, address string, m *dhpb.ReadStateRequest) (*dhpb.ReadStateResponse, error) {
 	a, err := t.node.Send(ctx, address, m)
 	r, _ := a.(*dhpb.ReadStateResponse)
+	if r != nil && t.hide {
+		r.Sequence = 0
+	}
 	return r, err
 }
 
-func newCluster(timers *dhtimer.Stepped, network *dhfake.Network, voters int) *cluster {
+func newCluster(timers *dhtimer.Stepped, network *dhfake.Network, voters int, change func(c *cluster)) *cluster {
 	c := &cluster{timers: timers, network: network}
+	change(c)
 	c.network.Set(dhfake.Faults{MinDelay: time.Millisecond, MaxDelay: 3 * time.Millisecond})
 	for i := range voters {
 		disk := &dhdisk.Memory{}
@@ -67,11 +83,12 @@
 
 // start opens voter i and connects it.
 func (c *cluster) start(i int, newID string) {
-	c.voters[i], c.failures[i] = dhquorum.OpenVoter(c.disks[i], newID)
-	if c.failures[i] != nil {
+	v, err := dhquorum.OpenVoter(c.disks[i], newID)
+	c.failures[i] = err
+	if err != nil {
 		return
 	}
-	v := c.voters[i]
+	c.voters[i] = v
 	if c.breakRule != nil {
 		c.breakRule(v)
 	}
@@ -116,7 +133,7 @@
 	name := fmt.Sprintf("p%d", len(c.proposers))
 	random := rand.New(rand.NewPCG(seed, uint64(len(c.proposers))))
 	p := &dhquorum.Proposer{
-		Name: name, Transport: transport{c.network.Start(name, nil)},
+		Name: name, Transport: transport{c.network.Start(name, nil), c.hide},
 		Timers: dhfake.NewClock(c.timers, rate), TryTimeout: 50 * time.Millisecond, Random: random.Uint64,
 	}
 	c.proposers = append(c.proposers, p)
@@ -125,6 +142,14 @@
 
 // run runs f on a cluster with a set of the first n voters and steps time until f returns.
 func run(t *testing.T, seed uint64, voters, n int, f func(ctx context.Context, c *cluster, p *dhquorum.Proposer)) {
+	t.Helper()
+	runWith(t, seed, voters, n, func(*cluster) {}, f)
+}
+
+// runWith is run with a cluster that change has changed before it starts.
+func runWith(t *testing.T, seed uint64, voters, n int, change func(c *cluster),
+	f func(ctx context.Context, c *cluster, p *dhquorum.Proposer),
+) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		timers := dhtimer.NewStepped()
@@ -132,7 +157,7 @@
 		group := dhgroup.New(t.Context())
 		group.Go(func(ctx context.Context) error {
 			defer group.Stop()
-			c := newCluster(timers, network, voters)
+			c := newCluster(timers, network, voters, change)
 			p := c.propose(seed, 1)
 			_, err := p.Bootstrap(ctx, c.addresses(n))
 			if assert.Check(t, err) {
--- a/dh/dhquorum/voter.go
+++ b/dh/dhquorum/voter.go
@@ -163,7 +163,15 @@
 
 // current reports whether a message of an epoch may be served.
 func (v *Voter) current(epoch uint64) bool {
-	return epoch == v.state.set.Epoch && epoch >= servingEpoch || v.rules.ignoreEpoch
+	return epoch == v.epoch(epoch) && epoch >= servingEpoch
+}
+
+// epoch returns the voter's epoch for the answer to a message of an epoch.
+func (v *Voter) epoch(message uint64) uint64 {
+	if v.rules.ignoreEpoch {
+		return message
+	}
+	return v.state.set.Epoch
 }
 
 func (v *Voter) voters() []byte {
@@ -177,7 +185,7 @@
 func (v *Voter) Prepare(ctx context.Context, m *dhpb.PrepareRequest) (*dhpb.PrepareResponse, error) {
 	a := &dhpb.PrepareResponse{}
 	err := v.do(ctx, func(j *dhjournal.Journal) error {
-		a.VoterId, a.Epoch = v.state.id, v.state.set.Epoch
+		a.VoterId, a.Epoch = v.state.id, v.epoch(m.Epoch)
 		if !v.current(m.Epoch) {
 			a.Voters, a.Sequence = v.voters(), j.Appended()
 			return nil
@@ -216,7 +224,7 @@
 		if m.Key == VotersKey && m.Ballot == nil {
 			return v.install(j, m, a)
 		}
-		a.VoterId, a.Epoch = v.state.id, v.state.set.Epoch
+		a.VoterId, a.Epoch = v.state.id, v.epoch(m.Epoch)
 		if !v.current(m.Epoch) {
 			a.Voters, a.Sequence = v.voters(), j.Appended()
 			return nil
