Replace voters, keep the retention clock, feed cache events, drain on stop

Cause: an unresponsive voter stayed in the set, placement knew no cache events, and a stopping VM refused work before the balancer could notice. Change: dhdaemon runs Replacer and Join, Claims.Maintain and Editor.Compact and subscribes to cache events; a graceful shutdown fails the health check for leave-notice before it refuses work and waits for open connections.

--- a/dh/dhdaemon/dhdaemon.go
+++ b/dh/dhdaemon/dhdaemon.go
@@ -13,11 +13,11 @@
 	"expvar"
 	"log/slog"
 	"net/http"
+	"strings"
 	"time"
 
 	"dandelionhoist.example/dh/dhanswer"
 	"dandelionhoist.example/dh/dhclaim"
-	"dandelionhoist.example/dh/dhcode"
 	"dandelionhoist.example/dh/dhdisk"
 	"dandelionhoist.example/dh/dhedit"
 	"dandelionhoist.example/dh/dhengine"
@@ -71,7 +71,9 @@
 	// NoListen leaves out the network servers.
 	NoListen bool
 
-	group    *dhgroup.Group
+	group *dhgroup.Group
+	// serving runs the network servers.
+	serving  *dhgroup.Group
 	metrics  *dhmetric.Metrics
 	members  *dhmember.Members
 	proposer *dhquorum.Proposer
@@ -79,6 +81,7 @@
 	ledger   *dhledger.Ledger
 	router   *dhrouter.Router
 	node     *dhnode.Node
+	claimed  *dhclaim.Claims
 	drained  chan struct{}
 }
 
@@ -106,15 +109,12 @@
 	d.handOver(limited)
 	close(d.drained)
 	// Handlers still write the ends of answers; the servers wait for them.
-	err := dhtimer.Sleep(limited, d.Timers, drainTime)
-	d.Log.Info("stopped", slog.Bool("complete", err == nil))
+	err := d.serving.Wait()
+	d.Log.Info("stopped", slog.Bool("complete", err == nil && limited.Err() == nil))
 	d.group.Stop()
 	return nil
 }
 
-// drainTime is how long open connections may take to end after the last answer.
-const drainTime = time.Second
-
 // setDefaults fills fields that were left out.
 func (d *Daemon) setDefaults() {
 	if d.Peers == nil {
@@ -138,6 +138,7 @@
 	}
 	d.setDefaults()
 	d.group = dhgroup.New(ctx)
+	d.serving = dhgroup.New(d.group.Context())
 	d.drained = make(chan struct{})
 	s := d.Settings
 	d.metrics = dhmetric.New(s.Limits.HistogramLabels)
@@ -147,14 +148,16 @@
 	answers := &dhanswer.Table{
 		Timers: d.Timers, MaxAnswers: s.Limits.Answers, MaxBytes: s.Limits.AnswerBytes, Keep: s.Timing.AnswerKept.Std(),
 	}
+	placer := &dhplacement.Placer{Timers: d.Timers, Zone: s.Zone, Settings: dhplacement.Defaults(), Seed: d.Seed}
+	d.claimed = d.claims()
 	limiter := &dhlimit.Limiter{Timers: d.Timers, MaxQueue: s.Limits.Queue}
 	d.router = &dhrouter.Router{
 		Timers: d.Timers, Group: d.group, Log: d.Log, Metrics: d.metrics, Answers: answers,
 		Versions: &dhversion.Chooser{Keys: d.Keys.Session, NewSessionID: d.NewID},
-		Placer:   &dhplacement.Placer{Timers: d.Timers, Zone: s.Zone, Settings: dhplacement.Defaults(), Seed: d.Seed},
+		Placer:   placer,
 		Credits:  noCredits{}, Limiter: limiter, Retries: &dhlimit.Budget{}, Breakers: &dhlimit.Breakers{Timers: d.Timers},
 		Backoff: dhlimit.Backoff{}.Delay,
-		Claims:  d.claims(), Ledger: d.ledger, Planner: dhrouter.LargestModel{}, Engine: d.Engine,
+		Claims:  d.claimed, Ledger: d.ledger, Planner: dhrouter.LargestModel{}, Engine: d.Engine,
 		VM: s.Name, Zone: s.Zone, MaxAttempts: s.Limits.Attempts, ResumeGrace: resumeGrace,
 		NewRequestID: d.NewID,
 	}
@@ -173,17 +176,30 @@
 		Period:   s.Timing.GossipPeriod.Std(),
 	}
 	d.node.Members = d.members
+	d.node.TickHooks = append(d.node.TickHooks, func(_ time.Time, s *dhrouter.Snapshot) { placer.Update(s.Backends) })
+	if source, ok := d.Engine.(cacheSource); ok {
+		feed := &cacheFeed{daemon: d, source: source, placer: placer}
+		d.node.TickHooks = append(d.node.TickHooks, feed.tick)
+	}
 	d.router.Report = d.node.Report
 	d.node.Init()
 	return nil
 }
 
+// ownerGone reports whether the VM of a claim's owner is dead or has left. An
+// owner that has restarted under the same VM name is found by the claim's age.
+func (d *Daemon) ownerGone(owner string) bool {
+	m, ok := d.members.View().Get(owner[:max(strings.LastIndexByte(owner, '.'), 0)])
+	return ok && m.State >= dhmember.Dead
+}
+
 // owner identifies this start of this VM in claims.
 func (d *Daemon) owner() string { return d.Settings.Name + "." + d.NewID() }
 
 func (d *Daemon) claims() *dhclaim.Claims {
 	return &dhclaim.Claims{
-		Registers: d.proposer, Timers: d.Timers, Owner: d.owner(), Retention: d.Settings.Timing.ClaimRetention.Std(),
+		Registers: d.proposer, Timers: d.Timers, Owner: d.owner(), OwnerGone: d.ownerGone,
+		Retention: d.Settings.Timing.ClaimRetention.Std(),
 	}
 }
 
@@ -194,19 +210,15 @@
 	d.group.Go(d.node.KeepLease)
 	d.group.Go(d.node.WaitStarted)
 	d.group.Go(d.keepBills)
+	d.group.Go(d.maintain)
 	d.startState()
 	if d.NoListen {
 		return
 	}
 	for _, server := range d.servers() {
-		d.group.Go(func(ctx context.Context) error {
-			err := server.Run(ctx)
-			if err != nil && ctx.Err() == nil {
-				return dhcode.Wrap(dhcode.SettingsInvalid, err)
-			}
-			return nil
-		})
+		d.serving.Go(server.Run)
 	}
+	d.group.Go(func(context.Context) error { return d.serving.Wait() })
 }
 
 // Callers returns the callers' service.
--- a/dh/dhdaemon/state.go
+++ b/dh/dhdaemon/state.go
@@ -88,6 +88,7 @@
 		d.group.Go(d.voter.Run)
 		d.group.Go(d.voter.bills.Run)
 		d.group.Go(d.confirm)
+		d.group.Go(d.keepVoters)
 	}
 	d.group.Go(d.bootstrap)
 }
@@ -282,6 +283,11 @@
 	return stream, nil
 }
 
+// CacheEvents implements cacheSource.
+func (e engineClient) CacheEvents(ctx context.Context, address string, after uint64, f func(*dhpb.CacheEvent) bool) error {
+	return e.client.CacheEvents(ctx, address, after, f)
+}
+
 // noCredits permits no request at a backend server in a cold start.
 type noCredits struct{}
 
--- a/dh/dhnode/dhnode.go
+++ b/dh/dhnode/dhnode.go
@@ -81,8 +81,10 @@
 	lease    dhedit.Lease
 	editor   dhedit.Editor
 	events   chan event
-	leaving  atomic.Bool
-	started  atomic.Bool
+	// noticed is set when the health check fails, leaving when work is refused.
+	noticed atomic.Bool
+	leaving atomic.Bool
+	started atomic.Bool
 	// lost counts events that found the channel full.
 	lost atomic.Int64
 	// digest is what gossip sends of the control state.
@@ -214,6 +216,9 @@
 	return revision, err
 }
 
+// Compact drops the tables of old revisions from the registers.
+func (n *Node) Compact(ctx context.Context) error { return n.editor.Compact(ctx) }
+
 // decided spreads a revision that has won.
 func (n *Node) decided(*dhedit.Revision) {
 	n.post(newRevision{})
--- a/dh/dhnode/tables.go
+++ b/dh/dhnode/tables.go
@@ -89,12 +89,20 @@
 // Ready reports whether the node serves; the balancer's health check asks.
 func (n *Node) Ready() bool {
 	s := n.Router.Snapshot()
-	return s.Tables != nil && !s.Leaving
+	return s.Tables != nil && !s.Leaving && !n.noticed.Load()
 }
 
-// Leave starts a graceful shutdown: no new work is taken. It returns when
-// nothing is running or ctx ends.
+// Left reports whether work is refused because of a graceful shutdown.
+func (n *Node) Left() bool { return n.leaving.Load() }
+
+// Leave starts a graceful shutdown. Ready fails at once; work is refused only
+// after the settings' leave-notice, so that the balancer can send it elsewhere
+// first. Leave returns when nothing is running or ctx ends.
 func (n *Node) Leave(ctx context.Context) {
+	n.noticed.Store(true)
+	if dhtimer.Sleep(ctx, n.Timers, n.Settings.Timing.LeaveNotice.Std()) != nil {
+		return
+	}
 	n.leaving.Store(true)
 	n.post(newRevision{})
 	n.Log.Info("leaving", slog.Int("running", n.Answers.Running()))
--- a/dh/dhserver/dhserver.go
+++ b/dh/dhserver/dhserver.go
@@ -65,10 +65,12 @@
 	group.Go(func(ctx context.Context) error {
 		select {
 		case <-s.Drained:
-			return server.Shutdown(ctx)
+			if err := server.Shutdown(ctx); err == nil {
+				return nil
+			}
 		case <-ctx.Done():
-			return server.Close()
 		}
+		return server.Close()
 	})
 	return group.Wait()
 }
--- a/dh/dhserver/operators.go
+++ b/dh/dhserver/operators.go
@@ -100,7 +100,7 @@
 		if err := stream.Send(o.Node.Status()); err != nil {
 			return err
 		}
-		if err := dhtimer.Sleep(ctx, o.Timers, watchPeriod); err != nil {
+		if dhtimer.Sleep(ctx, o.Timers, watchPeriod) != nil || o.Node.Left() {
 			return nil
 		}
 	}
--- a/dh/dhsetting/dhsetting.go
+++ b/dh/dhsetting/dhsetting.go
@@ -86,6 +86,7 @@
 	ClaimRetention dhjson.Duration `json:"claim-retention" doc:"time that idempotency keys are kept"`
 	AnswerKept     dhjson.Duration `json:"answer-kept" doc:"time that an answer can be resumed after it has ended"`
 	QuorumTimeout  dhjson.Duration `json:"quorum-timeout" doc:"longest wait for a majority of voters"`
+	LeaveNotice    dhjson.Duration `json:"leave-notice" doc:"time from the failing health check to the refusal of new work in a graceful shutdown; longer than the balancer's check period"`
 	StopLimit      dhjson.Duration `json:"stop-limit" doc:"hard limit of a graceful shutdown"`
 	VoterReplaced  dhjson.Duration `json:"voter-replaced" doc:"time after which an unresponsive voter is replaced"`
 }
@@ -116,6 +117,7 @@
 			ClaimRetention: dhjson.Duration(24 * time.Hour),
 			AnswerKept:     dhjson.Duration(time.Minute),
 			QuorumTimeout:  dhjson.Duration(2 * time.Second),
+			LeaveNotice:    dhjson.Duration(5 * time.Second),
 			StopLimit:      dhjson.Duration(10 * time.Minute),
 			VoterReplaced:  dhjson.Duration(10 * time.Minute),
 		},
