Drive real daemons in tests; prefer loaded versions

Cause: with 5% of sessions on a rollout version that no backend server had yet, 20 streams failed with no-backend (TestStopUnderLoad), and a request right after the first announcement found no slots (pool-full). Tests run the daemon's main as processes.

--- /dev/null
+++ b/cmd/dandelionhoistd/main_test.go
@@ -0,0 +1,151 @@
+package main
+
+import (
+	"context"
+	"os"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"dandelionhoist.example/dh/dhcode"
+	"dandelionhoist.example/dh/dhengine"
+	"dandelionhoist.example/dh/dhgroup"
+	"dandelionhoist.example/dh/dhpb"
+	"dandelionhoist.example/dh/dhtable"
+	"dandelionhoist.example/dh/dhwire"
+)
+
+var (
+	pine     = dhtable.Version{Model: "pine", Name: "v1"}
+	oak      = dhtable.Version{Model: "oak", Name: "v1"}
+	cutOrder = dhtable.Version{Model: "cut-order", Name: "v1"}
+)
+
+func applyTables(t *testing.T, d *daemon) {
+	t.Helper()
+	text, err := os.ReadFile("../../dh/dhtable/testdata/tringles.json")
+	assert.NilError(t, err)
+	out, err := d.operator.EditTables(t.Context(), &dhpb.EditTablesRequest{EditId: "e-1", Tables: text, Author: "test"})
+	assert.NilError(t, err)
+	assert.Equal(t, out.GetRevision(), uint64(1))
+}
+
+// waitPool returns when a VM has a pool's backend server in its snapshot.
+func waitPool(t *testing.T, d *daemon, pool string) {
+	t.Helper()
+	for t.Context().Err() == nil {
+		status, err := d.operator.Status(t.Context(), &dhpb.StatusRequest{})
+		assert.NilError(t, err)
+		for _, p := range status.GetPools() {
+			if p.GetPool() == pool {
+				return
+			}
+		}
+	}
+}
+
+// streamed is the result of one stream.
+type streamed struct {
+	text string
+	last bool
+	err  error
+}
+
+func stream(ctx context.Context, d *daemon, req *dhpb.AskRequest) streamed {
+	var got streamed
+	s, err := d.router.Stream(ctx, req)
+	if err != nil {
+		return streamed{err: err}
+	}
+	for s.Receive() {
+		if s.Msg().GetOffset() != int64(len(got.text)) {
+			got.err = dhcode.Errorf(dhcode.StreamBroken, "offset %d after %d bytes", s.Msg().GetOffset(), len(got.text))
+			return got
+		}
+		got.text += s.Msg().GetText()
+		got.last = s.Msg().GetLast()
+	}
+	got.err = s.Err()
+	return got
+}
+
+// Guards against a planned stop that cuts off requests (R11): streams run on
+// the VM that gets SIGTERM, and each must end whole.
+func TestStopUnderLoad(t *testing.T) {
+	c := newCluster(t, 2, 1)
+	c.startAll()
+	applyTables(t, c.daemons[0])
+	c.backend("atelier-llm-1", "atelier-llm", dhtable.Engine, pine, oak)
+	const prompt = "Is matte brass in stock?"
+	waitPool(t, c.daemons[1], "atelier-llm")
+	const streams = 20
+	results := make([]streamed, streams)
+	running := dhgroup.New(t.Context())
+	for i := range results {
+		running.Go(func(ctx context.Context) error {
+			results[i] = stream(ctx, c.daemons[1], &dhpb.AskRequest{Route: "finish-questions", Prompt: prompt, MaxTokens: 60})
+			return nil
+		})
+	}
+	for c.models["atelier-llm-1"].Record().GetRunning() == 0 {
+		_, err := c.daemons[1].operator.Status(t.Context(), &dhpb.StatusRequest{})
+		assert.NilError(t, err)
+	}
+	assert.NilError(t, c.stop(c.daemons[1]))
+	assert.NilError(t, running.Wait())
+	for _, r := range results {
+		assert.NilError(t, r.err)
+		assert.Assert(t, r.last)
+		assert.Equal(t, r.text, dhengine.Answer(prompt, "oak", "v1", 60))
+	}
+	assert.NilError(t, c.stop(c.daemons[0]))
+}
+
+// Guards against an order that runs twice (R9) or is billed twice (R4) when it
+// is sent again to other VMs, also after the first VM was killed.
+func TestOrderRunsOnce(t *testing.T) {
+	c := newCluster(t, 3, 3)
+	c.startAll()
+	applyTables(t, c.daemons[0])
+	service := c.backend("atelier-app-1", "atelier-app", dhtable.Service, cutOrder)
+	req := &dhpb.AskRequest{Route: "cut-orders", Prompt: "2 poles of 140 cm", IdempotencyKey: "order-1"}
+	for _, d := range c.daemons {
+		waitPool(t, d, "atelier-app")
+	}
+	first, err := c.daemons[0].router.Ask(t.Context(), req)
+	assert.NilError(t, err)
+	assert.NilError(t, c.daemons[0].process.Process.Kill())
+	wait(t, c.daemons[0].exited)
+	for _, d := range c.daemons[1:] {
+		again, err := d.router.Ask(t.Context(), &dhpb.AskRequest{Route: req.Route, Prompt: req.Prompt, IdempotencyKey: "order-1"})
+		assert.NilError(t, err)
+		assert.Equal(t, again.GetText(), first.GetText())
+		assert.Assert(t, again.GetReplayed())
+	}
+	assert.Equal(t, service.Executions(first.GetRequestId()), 1)
+	bills, err := c.daemons[1].operator.ExportBills(t.Context(), &dhpb.ExportBillsRequest{Limit: 10})
+	assert.NilError(t, err)
+	assert.Equal(t, len(bills.GetBills()), 1)
+}
+
+// Guards against a key that opens a service it must not open.
+func TestKeysOpenOnlyTheirService(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	c.startAll()
+	applyTables(t, c.daemons[0])
+	d := c.daemons[0]
+	_, err := d.router.Ask(t.Context(), &dhpb.AskRequest{Route: "cut-lists", Prompt: "x", Deadline: nil})
+	assert.Assert(t, dhcode.Of(dhwire.FromConnect(err)) != dhcode.UnknownKey)
+	for _, key := range []string{callerKey, peerKey, ""} {
+		_, err := operatorClient(d, key).GetTables(t.Context(), &dhpb.GetTablesRequest{})
+		assert.Equal(t, dhcode.Of(dhwire.FromConnect(err)), dhcode.NotAuthenticated)
+	}
+	for _, key := range []string{operatorKey, peerKey, ""} {
+		_, err := callerClient(d, key).Ask(t.Context(), &dhpb.AskRequest{Route: "cut-lists", Prompt: "x"})
+		assert.Equal(t, dhcode.Of(dhwire.FromConnect(err)), dhcode.UnknownKey)
+	}
+	for _, key := range []string{callerKey, operatorKey, ""} {
+		_, err := announceClient(d, key).Announce(t.Context(), &dhpb.AnnounceRequest{})
+		assert.Equal(t, dhcode.Of(dhwire.FromConnect(err)), dhcode.NotAuthenticated)
+	}
+}
--- /dev/null
+++ b/cmd/dandelionhoistd/process_test.go
@@ -0,0 +1,239 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+
+	"connectrpc.com/connect"
+	"gotest.tools/v3/assert"
+
+	"dandelionhoist.example/dh/dhengine"
+	"dandelionhoist.example/dh/dhgroup"
+	"dandelionhoist.example/dh/dhpb/dhpbconnect"
+	"dandelionhoist.example/dh/dhtable"
+	"dandelionhoist.example/dh/dhtimer"
+	"dandelionhoist.example/dh/dhwire"
+)
+
+// runMain makes the test binary run the daemon, so that tests drive real processes.
+const runMain = "DANDELIONHOISTD_RUN_MAIN"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(runMain) != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+const (
+	callerKey   = "crew-east-key"
+	operatorKey = "operator-key"
+	peerKey     = "peer-key"
+)
+
+// cluster is a set of daemons and simulated backend servers on loopback.
+type cluster struct {
+	t       *testing.T
+	folder  string
+	daemons []*daemon
+	group   *dhgroup.Group
+	entries []string
+	models  map[string]*dhengine.Model
+}
+
+type daemon struct {
+	settings                    string
+	callers, operators, peers   string
+	process                     *exec.Cmd
+	router                      dhpbconnect.RouterServiceClient
+	operator                    dhpbconnect.OperatorServiceClient
+	log                         *os.File
+	serving, exited             chan struct{}
+	exit                        error
+}
+
+// newCluster writes settings for n daemons, the first voters of which have disks.
+func newCluster(t *testing.T, n, voters int) *cluster {
+	c := &cluster{t: t, folder: t.TempDir(), group: dhgroup.New(t.Context()), models: make(map[string]*dhengine.Model)}
+	write(t, c.folder, "peer.key", peerKey)
+	write(t, c.folder, "session.key", "session-key")
+	write(t, c.folder, "operators", dhtable.HashKey(operatorKey).String())
+	for range n {
+		d := &daemon{callers: freeAddress(t), operators: freeAddress(t), peers: freeAddress(t)}
+		d.router = dhpbconnect.NewRouterServiceClient(dhengine.NewHTTPClient(), "http://"+d.callers, withKey(callerKey))
+		d.operator = dhpbconnect.NewOperatorServiceClient(dhengine.NewHTTPClient(), "http://"+d.operators, withKey(operatorKey))
+		c.daemons = append(c.daemons, d)
+	}
+	var names []string
+	for i, d := range c.daemons[:voters] {
+		names = append(names, fmt.Sprintf(`{"address": %q, "zone": "mrc-%c"}`, d.peers, 'a'+i))
+	}
+	for i, d := range c.daemons {
+		state := ""
+		if i < voters {
+			state = fmt.Sprintf(`"folder": %q, `, filepath.Join(c.folder, fmt.Sprintf("data-%d", i)))
+		}
+		d.settings = write(t, c.folder, fmt.Sprintf("entry-%d.json", i), fmt.Sprintf(`{
+			"format": 1, "name": "entry-%d", "zone": "mrc-%c", "region": "mauricie",
+			"listen": {"callers": %q, "operators": %q, "peers": %q},
+			"peers": {"seeds": [%q, %q], "entry-vms": %d},
+			"keys": {"peer-file": %q, "operator-file": %q, "session-file": %q},
+			"state": {%s"voters": [%s]},
+			"timing": {"leave-notice": "100ms", "gossip-period": "100ms"},
+		}`, i, 'a'+i, d.callers, d.operators, d.peers, c.daemons[0].peers, c.daemons[n-1].peers, n,
+			filepath.Join(c.folder, "peer.key"), filepath.Join(c.folder, "operators"), filepath.Join(c.folder, "session.key"),
+			state, strings.Join(names, ", ")))
+	}
+	return c
+}
+
+func write(t *testing.T, folder, name, text string) string {
+	t.Helper()
+	path := filepath.Join(folder, name)
+	assert.NilError(t, os.WriteFile(path, []byte(text+"\n"), 0o600))
+	return path
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+func withKey(key string) connect.ClientOption {
+	return connect.WithInterceptors(keyInterceptor(key))
+}
+
+// keyInterceptor adds a key to unary calls and streams.
+type keyInterceptor string
+
+func (k keyInterceptor) WrapUnary(next connect.UnaryFunc) connect.UnaryFunc {
+	return func(ctx context.Context, req connect.AnyRequest) (connect.AnyResponse, error) {
+		dhwire.SetKey(req.Header(), string(k))
+		return next(ctx, req)
+	}
+}
+
+func (k keyInterceptor) WrapStreamingClient(next connect.StreamingClientFunc) connect.StreamingClientFunc {
+	return func(ctx context.Context, spec connect.Spec) connect.StreamingClientConn {
+		conn := next(ctx, spec)
+		dhwire.SetKey(conn.RequestHeader(), string(k))
+		return conn
+	}
+}
+
+func (k keyInterceptor) WrapStreamingHandler(next connect.StreamingHandlerFunc) connect.StreamingHandlerFunc {
+	return next
+}
+
+// start runs daemon i and waits until it serves.
+func (c *cluster) start(i int) *daemon {
+	c.t.Helper()
+	d := c.daemons[i]
+	d.serving, d.exited = make(chan struct{}), make(chan struct{})
+	d.process = exec.Command(os.Args[0], "run", d.settings)
+	d.process.Env = append(os.Environ(), runMain+"=1")
+	stderr, err := d.process.StderrPipe()
+	assert.NilError(c.t, err)
+	assert.NilError(c.t, d.process.Start())
+	c.group.Go(func(context.Context) error {
+		defer close(d.exited)
+		c.follow(d, bufio.NewScanner(stderr))
+		d.exit = d.process.Wait()
+		return nil
+	})
+	c.t.Cleanup(func() { _ = d.process.Process.Kill() })
+	return d
+}
+
+// follow reads a daemon's log until its end.
+func (c *cluster) follow(d *daemon, lines *bufio.Scanner) {
+	open := true
+	for lines.Scan() {
+		if testing.Verbose() {
+			fmt.Println(lines.Text())
+		}
+		if open && strings.Contains(lines.Text(), "msg=serving") {
+			close(d.serving)
+			open = false
+		}
+	}
+}
+
+// startAll runs all daemons and waits until they serve.
+func (c *cluster) startAll() {
+	c.t.Helper()
+	for i := range c.daemons {
+		c.start(i)
+	}
+	for _, d := range c.daemons {
+		wait(c.t, d.serving)
+	}
+}
+
+func wait(t *testing.T, done <-chan struct{}) {
+	t.Helper()
+	select {
+	case <-done:
+	case <-t.Context().Done():
+		t.Fatal("test ended while waiting for a daemon")
+	}
+}
+
+// stop sends SIGTERM and returns the exit error.
+func (c *cluster) stop(d *daemon) error {
+	c.t.Helper()
+	assert.NilError(c.t, d.process.Process.Signal(syscall.SIGTERM))
+	wait(c.t, d.exited)
+	return d.exit
+}
+
+// backend starts a simulated backend server that announces itself to all daemons.
+func (c *cluster) backend(id, pool string, kind dhtable.PoolKind, versions ...dhtable.Version) *dhengine.Model {
+	c.t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(c.t, err)
+	m := &dhengine.Model{
+		Timers: dhtimer.NewSystem(), ID: id, Address: listener.Addr().String(), Zone: "mrc-a", Pool: pool, Kind: kind,
+		Versions: versions, Incarnation: 1, Seed: 1, Slots: 64,
+	}
+	m.Start()
+	mux := http.NewServeMux()
+	mux.Handle((&dhengine.Server{Model: m}).Handler())
+	server := dhengine.NewHTTPServer(mux)
+	var entries []string
+	for _, d := range c.daemons {
+		entries = append(entries, "http://"+d.peers)
+	}
+	announcer := &dhengine.Announcer{Model: m, Timers: m.Timers, Entries: entries, PeerKey: peerKey}
+	c.group.Go(func(context.Context) error { _ = server.Serve(listener); return nil })
+	c.group.Go(announcer.Run)
+	announcer.AnnounceOnce(c.t.Context())
+	c.t.Cleanup(func() { _ = server.Close() })
+	c.models[id] = m
+	return m
+}
+
+func operatorClient(d *daemon, key string) dhpbconnect.OperatorServiceClient {
+	return dhpbconnect.NewOperatorServiceClient(dhengine.NewHTTPClient(), "http://"+d.operators, withKey(key))
+}
+
+func callerClient(d *daemon, key string) dhpbconnect.RouterServiceClient {
+	return dhpbconnect.NewRouterServiceClient(dhengine.NewHTTPClient(), "http://"+d.callers, withKey(key))
+}
+
+func announceClient(d *daemon, key string) dhpbconnect.AnnounceServiceClient {
+	return dhpbconnect.NewAnnounceServiceClient(dhengine.NewHTTPClient(), "http://"+d.peers, withKey(key))
+}
--- a/dh/dhbackend/dhbackend.go
+++ b/dh/dhbackend/dhbackend.go
@@ -172,5 +172,10 @@
 	return b, ok
 }
 
+// Loaded reports whether a backend server of the pool has the version.
+func (v *View) Loaded(pool string, version dhtable.Version) bool {
+	return slices.ContainsFunc(v.byPool[pool], func(b *Backend) bool { return b.Has(version) })
+}
+
 // Len returns the number of backend servers.
 func (v *View) Len() int { return len(v.byID) }
--- a/dh/dhnode/tick.go
+++ b/dh/dhnode/tick.go
@@ -21,9 +21,9 @@
 			slog.String("version", h.GetVersion()), slog.Uint64("revision", h.GetRevision()))
 	}
 	n.Answers.Tick(now)
-	s := n.publish(now)
 	n.tickMembers()
-	n.tickLimits(s)
+	s := n.publish(now)
+	n.Limiter.Tick()
 	for _, hook := range n.TickHooks {
 		hook(now, s)
 	}
@@ -62,6 +62,8 @@
 		s.Tables = newest.Tables
 		s.ZoneWeight = n.zones.weights(newest.Tables, now)
 	}
+	// Traffic that sees a backend server must find its slots.
+	n.setSlots(s)
 	n.Router.Publish(s)
 	n.digest.Store(&digest{
 		revision: n.Revisions.NewestNumber(), counters: n.Evidence.Counters(), holds: n.Evidence.HoldRecords(),
@@ -77,8 +79,8 @@
 	n.Members.SetSelf(change)
 }
 
-// tickLimits gives the limiter this VM's part of each pool's slots.
-func (n *Node) tickLimits(s *dhrouter.Snapshot) {
+// setSlots gives the limiter this VM's part of each pool's slots.
+func (n *Node) setSlots(s *dhrouter.Snapshot) {
 	view := n.Members.View()
 	known := slices.DeleteFunc(slices.Clone(view.All()), func(m dhmember.Member) bool { return m.State == dhmember.Left })
 	rank := slices.IndexFunc(known, func(m dhmember.Member) bool { return m.Name == view.Self.Name })
@@ -90,7 +92,6 @@
 	for pool := range s.Tables.Pools {
 		n.Limiter.SetSlots(pool, slots(s, pool, alive))
 	}
-	n.Limiter.Tick()
 }
 
 // slotHeadroom is the part by which the VMs' shares of a pool's slots exceed
--- a/dh/dhrouter/attempt.go
+++ b/dh/dhrouter/attempt.go
@@ -18,6 +18,7 @@
 	"dandelionhoist.example/dh/dhmetric"
 	"dandelionhoist.example/dh/dhpb"
 	"dandelionhoist.example/dh/dhplacement"
+	"dandelionhoist.example/dh/dhtable"
 	"dandelionhoist.example/dh/dhtimer"
 	"dandelionhoist.example/dh/dhversion"
 )
@@ -47,6 +48,7 @@
 	return dhversion.Input{
 		Tables: s.Tables, Account: t.account.Name, Route: t.route.Name, SessionID: t.GetSessionId(),
 		Token: t.GetSessionToken(), Model: model, Holds: s.Holds, LeaseExpired: s.LeaseExpired,
+		Loaded: func(v dhtable.Version) bool { return s.Backends.Loaded(t.route.Pool, v) },
 	}
 }
 
--- a/dh/dhversion/dhversion.go
+++ b/dh/dhversion/dhversion.go
@@ -41,6 +41,10 @@
 	Holds *Holds
 	// LeaseExpired is set while the tables lease has expired.
 	LeaseExpired bool
+	// Loaded reports whether a backend server has a version. A new session gets
+	// a version that is not loaded only when none of the model is, as after the
+	// interrupted start of a rollout. Nil means that all are.
+	Loaded func(v dhtable.Version) bool
 }
 
 // Choice is the version of a request.
@@ -173,10 +177,20 @@
 	return nil
 }
 
-// share returns the version of a new session. The rollout versions take the
+// share returns the version of a new session, preferably a loaded one.
+func share(in Input, id string) (dhtable.Version, error) {
+	if in.Loaded != nil {
+		if v, err := shareOf(in, id, in.Loaded); err == nil {
+			return v, nil
+		}
+	}
+	return shareOf(in, id, func(dhtable.Version) bool { return true })
+}
+
+// shareOf chooses among the versions that permit says. The rollout versions take the
 // low end of the range, so that raising the share of one does not change the
 // version of a session that lost its token while being on it.
-func share(in Input, id string) (dhtable.Version, error) {
+func shareOf(in Input, id string, permit func(dhtable.Version) bool) (dhtable.Version, error) {
 	pool := in.Tables.Routes[in.Route].Pool
 	var (
 		candidates []dhtable.VersionEntry
@@ -187,7 +201,7 @@
 	versions := in.Tables.Pools[pool].Models[in.Model].Versions
 	for _, stage := range []dhtable.Stage{dhtable.Rollout, dhtable.Stable} {
 		for _, e := range versions {
-			if e.Stage != stage {
+			if e.Stage != stage || !permit(e.Version) {
 				continue
 			}
 			err := usable(in, e.Version, false)
