--- /dev/null
+++ b/dh/dhjournal/dhjournal_test.go
@@ -0,0 +1,239 @@
+package dhjournal
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+
+	"dandelionhoist.example/dh/dhcode"
+	"dandelionhoist.example/dh/dhdisk"
+	"dandelionhoist.example/dh/dhgroup"
+)
+
+// list is a state of the last records that fit, "name=value" each.
+type list struct{ records []string }
+
+func (l *list) Apply(record []byte) error {
+	name, _, ok := strings.Cut(string(record), "=")
+	if !ok {
+		return fmt.Errorf("record without =")
+	}
+	for i, r := range l.records {
+		if strings.HasPrefix(r, name+"=") {
+			l.records[i] = string(record)
+			return nil
+		}
+	}
+	l.records = append(l.records, string(record))
+	return nil
+}
+
+func (l *list) Snapshot(add func([]byte) error) error {
+	for _, r := range l.records {
+		if err := add([]byte(r)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (l *list) Size() (int, int) { return len(l.records), len(strings.Join(l.records, "")) }
+
+func (l *list) set(j *Journal, record string) {
+	_ = l.Apply([]byte(record))
+	j.Append([]byte(record))
+}
+
+const goldenFile = "journal-format-1.golden"
+
+// sample returns a file with a snapshot of one record and three more records.
+func sample(t testing.TB) []byte {
+	disk, l := &dhdisk.Memory{}, &list{}
+	j, err := Open(disk, "voter", l)
+	assert.NilError(t, err)
+	for i, record := range []string{"a=first", "b=second", "a=third", "c="} {
+		l.set(j, record)
+		assert.NilError(t, j.Commit())
+		if i == 0 {
+			assert.NilError(t, j.Compact())
+		}
+	}
+	data, err := disk.ReadFile("voter-0000000000000002")
+	assert.NilError(t, err)
+	return data
+}
+
+func replayAll(data []byte) (records []string, sequence uint64, err error) {
+	sequence, err = replay(data, 2, func(r []byte) error {
+		records = append(records, string(r))
+		return nil
+	})
+	return records, sequence, err
+}
+
+// Guards against an unnoticed change of the format on disk.
+func TestGolden(t *testing.T) {
+	golden.AssertBytes(t, sample(t), goldenFile)
+	data := golden.Get(t, goldenFile)
+	records, sequence, err := replayAll(data)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, records, []string{"a=first", "b=second", "a=third", "c="})
+	assert.Equal(t, sequence, uint64(4))
+}
+
+// Guards against a flipped bit that goes unnoticed or passes as a torn write,
+// and against a torn write of any length that loses acknowledged records or
+// keeps a voter from starting.
+func TestEveryFlipAndTear(t *testing.T) {
+	data := sample(t)
+	for bit := range len(data) * 8 {
+		damaged := bytes.Clone(data)
+		damaged[bit/8] ^= 1 << (bit % 8)
+		_, _, err := replayAll(damaged)
+		assert.Assert(t, err != nil, "bit %d", bit)
+	}
+	all, _, _ := replayAll(data)
+	last := len(data) - frameOverhead - len("c=")
+	for end := last; end < len(data); end++ {
+		zeros := append(bytes.Clone(data[:end]), make([]byte, len(data)-end)...)
+		for _, torn := range [][]byte{data[:end], zeros} {
+			records, _, err := replayAll(torn)
+			assert.NilError(t, err, "end %d", end)
+			assert.DeepEqual(t, records, all[:3])
+		}
+	}
+	_, _, err := replayAll(data[:headerBytes+3])
+	assert.ErrorContains(t, err, "cut short")
+}
+
+// Guards against a promise after a failed write or sync, a journal that goes
+// on after one, acknowledged records lost by it, and a damaged file that is
+// removed.
+func TestDiskFaults(t *testing.T) {
+	for name, faults := range map[string]dhdisk.Faults{
+		"full disk":  {Capacity: 200},
+		"sync error": {FailSync: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			disk, l := &dhdisk.Memory{}, &list{}
+			j, err := Open(disk, "voter", l)
+			assert.NilError(t, err)
+			l.set(j, "a=acknowledged")
+			assert.NilError(t, j.Commit())
+			disk.Set(faults)
+			l.set(j, "b="+strings.Repeat("x", 200))
+			assert.Equal(t, dhcode.Of(j.Commit()), dhcode.DiskFailed)
+			disk.Set(dhdisk.Faults{})
+			l.set(j, "c=later")
+			assert.Equal(t, dhcode.Of(j.Commit()), dhcode.DiskFailed)
+			assert.Equal(t, j.Sequence(), uint64(1))
+
+			disk.Crash()
+			l = &list{}
+			j, err = Open(disk, "voter", l)
+			assert.NilError(t, err)
+			assert.DeepEqual(t, l.records, []string{"a=acknowledged"})
+			assert.Equal(t, j.Sequence(), uint64(1))
+
+			names, _ := disk.List()
+			assert.NilError(t, disk.Flip(names[0], 8*(headerBytes+frameHead)))
+			before, _ := disk.ReadFile(names[0])
+			_, err = Open(disk, "voter", &list{})
+			assert.Equal(t, dhcode.Of(err), dhcode.DiskCorrupt)
+			after, _ := disk.ReadFile(names[0])
+			assert.DeepEqual(t, after, before)
+		})
+	}
+}
+
+// Guards against a log that grows without bound, and against a crash at any
+// sync of a compaction that loses records.
+func TestCompaction(t *testing.T) {
+	disk, l := &dhdisk.Memory{}, &list{}
+	j, err := Open(disk, "voter", l)
+	assert.NilError(t, err)
+	value := strings.Repeat("v", 1000)
+	peak := 0
+	for i := range 5000 {
+		l.set(j, fmt.Sprintf("k%d=%d%s", i%100, i, value))
+		assert.NilError(t, j.Commit())
+		peak = max(peak, j.SizeBytes())
+	}
+	_, live := l.Size()
+	assert.Assert(t, peak < 4*live, "peak %d, live %d", peak, live)
+
+	want := strings.Join(l.records, "")
+	for crashAt := range 4 {
+		syncs := 0
+		disk.BeforeSync = func() {
+			if syncs++; syncs > crashAt {
+				disk.Crash()
+			}
+		}
+		l = &list{}
+		if j, err = Open(disk, "voter", l); err == nil {
+			l.set(j, "k0="+fmt.Sprint(crashAt))
+			_ = j.Commit()
+		}
+		disk.BeforeSync = nil
+		disk.Crash()
+		l = &list{}
+		j, err = Open(disk, "voter", l)
+		assert.NilError(t, err)
+		assert.Equal(t, strings.Join(l.records[1:], ""), want[len(want)-len(strings.Join(l.records[1:], "")):])
+		assert.Assert(t, j.Sequence() >= 5000)
+	}
+}
+
+// Guards against one sync per call.
+func TestGroupCommit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		disk, l := &dhdisk.Memory{}, &list{}
+		j, err := Open(disk, "voter", l)
+		assert.NilError(t, err)
+		release := make(chan struct{})
+		disk.BeforeSync = func() { <-release }
+		before := disk.Syncs()
+		owner, calls := dhgroup.New(t.Context()), dhgroup.New(t.Context())
+		group := NewGroup(j)
+		owner.Go(group.Run)
+		for i := range 100 {
+			calls.Go(func(ctx context.Context) error {
+				return group.Do(ctx, func(j *Journal) { l.set(j, fmt.Sprintf("k%d=", i)) })
+			})
+		}
+		synctest.Wait()
+		close(release)
+		assert.NilError(t, calls.Wait())
+		assert.Assert(t, disk.Syncs()-before <= 2, "%d syncs", disk.Syncs()-before)
+		owner.Stop()
+		assert.NilError(t, owner.Wait())
+		assert.Assert(t, group.Do(t.Context(), func(*Journal) {}) != nil)
+	})
+}
+
+// Guards against a damaged file that crashes the parser or yields records that
+// do not match their checksums.
+func FuzzReplay(f *testing.F) {
+	data := sample(f)
+	f.Add(data)
+	f.Add(data[:len(data)-5])
+	f.Add(data[:headerBytes])
+	f.Fuzz(func(t *testing.T, data []byte) {
+		records, sequence, err := replayAll(data)
+		if err != nil {
+			return
+		}
+		shorter, lower, err := replayAll(data[:len(data)-1])
+		assert.Assert(t, err != nil || lower <= sequence && len(shorter) <= len(records))
+		if err == nil && len(shorter) > 0 {
+			assert.DeepEqual(t, shorter, records[:len(shorter)])
+		}
+	})
+}
