--- a/dh/dhquorum/proposer.go
+++ b/dh/dhquorum/proposer.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -67,6 +68,11 @@
 	s.highest[id] = max(s.highest[id], sequence)
 }
 
+// Distrust notes that a voter's disk was rolled back. No later record number
+// is high enough: the voter goes on counting from the old copy and would
+// otherwise reach the highest number seen with other records.
+func (s *Sequences) Distrust(id string) { s.Observe(id, math.MaxUint64) }
+
 // Highest returns the highest record number seen of a voter, or 0.
 func (s *Sequences) Highest(id string) uint64 {
 	s.mu.Lock()
--- a/dh/dhquorum/round.go
+++ b/dh/dhquorum/round.go
@@ -135,6 +135,7 @@
 		}
 		// The voter answered after it had synced record number seen.
 		if sequence < seen {
+			p.Sequences.Distrust(id)
 			a.err = dhcode.Errorf(dhcode.VoterRolledBack,
 				"voter %s answers with record %d after record %d: its disk was rolled back", id, sequence, seen)
 			return a
