--- /dev/null
+++ b/dh/dhquorum/bench_test.go
@@ -0,0 +1,183 @@
+package dhquorum_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"dandelionhoist.example/dh/dhdisk"
+	"dandelionhoist.example/dh/dhgroup"
+	"dandelionhoist.example/dh/dhpb"
+	"dandelionhoist.example/dh/dhquorum"
+	"dandelionhoist.example/dh/dhtimer"
+)
+
+// direct calls voters in this process by their address.
+type direct map[string]*dhquorum.Voter
+
+func (d direct) Prepare(ctx context.Context, address string, m *dhpb.PrepareRequest) (*dhpb.PrepareResponse, error) {
+	return d[address].Prepare(ctx, m)
+}
+
+func (d direct) Accept(ctx context.Context, address string, m *dhpb.AcceptRequest) (*dhpb.AcceptResponse, error) {
+	return d[address].Accept(ctx, m)
+}
+
+func (d direct) ReadState(ctx context.Context, address string, m *dhpb.ReadStateRequest) (*dhpb.ReadStateResponse, error) {
+	return d[address].ReadState(ctx, m)
+}
+
+// counting counts the file syncs of a real disk.
+type counting struct {
+	*dhdisk.OS
+	syncs atomic.Int64
+}
+
+type countingFile struct {
+	dhdisk.File
+	syncs *atomic.Int64
+}
+
+func (c *counting) Create(name string) (dhdisk.File, error) {
+	f, err := c.OS.Create(name)
+	return countingFile{f, &c.syncs}, err
+}
+
+func (f countingFile) Sync() error {
+	f.syncs.Add(1)
+	return f.File.Sync()
+}
+
+func openCounting(b *testing.B, folder string) *counting {
+	system, err := dhdisk.OpenOS(folder)
+	assert.NilError(b, err)
+	return &counting{OS: system}
+}
+
+// BenchmarkUpdate writes values of 200 bytes to new keys on three voters with
+// real files. One update is two records and two rounds.
+func BenchmarkUpdate(b *testing.B) {
+	for _, concurrent := range []int{1, 100, 1000} {
+		b.Run(fmt.Sprintf("concurrent=%d", concurrent), func(b *testing.B) {
+			voters, disks := make(direct), []*counting{}
+			owners := dhgroup.New(b.Context())
+			var addresses []dhquorum.Member
+			for i := range 3 {
+				disk := openCounting(b, b.TempDir())
+				name := fmt.Sprintf("v%d", i)
+				v, err := dhquorum.OpenVoter(disk, name)
+				assert.NilError(b, err)
+				owners.Go(v.Run)
+				voters[name], disks = v, append(disks, disk)
+				addresses = append(addresses, dhquorum.Member{Address: name})
+			}
+			p := &dhquorum.Proposer{Name: "p", Transport: voters, Timers: dhtimer.NewSystem()}
+			_, err := p.Bootstrap(b.Context(), addresses)
+			assert.NilError(b, err)
+			before := disks[0].syncs.Load()
+			value := []byte(strings.Repeat("v", 200))
+			group := dhgroup.New(b.Context())
+			var next, failed atomic.Int64
+			b.ResetTimer()
+			for range concurrent {
+				group.Go(func(ctx context.Context) error {
+					for i := next.Add(1); i <= int64(b.N); i = next.Add(1) {
+						key := fmt.Sprintf("claim/crew-east/%d", i)
+						if _, err := p.Update(ctx, key, func([]byte) ([]byte, error) { return value, nil }); err != nil {
+							failed.Add(1)
+						}
+					}
+					return nil
+				})
+			}
+			assert.NilError(b, group.Wait())
+			b.StopTimer()
+			b.ReportMetric(float64(b.N)/float64(disks[0].syncs.Load()-before), "updates/fsync")
+			b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "updates/s")
+			b.ReportMetric(float64(failed.Load()), "failed")
+			owners.Stop()
+			assert.NilError(b, owners.Wait())
+		})
+	}
+}
+
+// BenchmarkRestart opens a voter after 1,000 edits of 4 KB and 100,000 claims
+// of 200 bytes.
+func BenchmarkRestart(b *testing.B) {
+	folder := b.TempDir()
+	live := fill(b, folder)
+	size := 0
+	b.ResetTimer()
+	for range b.N {
+		disk := openCounting(b, folder)
+		_, err := dhquorum.OpenVoter(disk, "unused")
+		assert.NilError(b, err)
+		size = sizeOnDisk(b, disk)
+	}
+	b.ReportMetric(float64(size)/float64(live), "log/live")
+}
+
+func sizeOnDisk(b *testing.B, disk *counting) int {
+	names, err := disk.List()
+	assert.NilError(b, err)
+	size := 0
+	for _, name := range names {
+		data, err := disk.ReadFile(name)
+		assert.NilError(b, err)
+		size += len(data)
+	}
+	return size
+}
+
+// fill writes the registers through a voter's messages, each key three times
+// as a claim is, and returns the bytes of keys and values.
+func fill(b *testing.B, folder string) (live int) {
+	disk := openCounting(b, folder)
+	v, err := dhquorum.OpenVoter(disk, "v0")
+	assert.NilError(b, err)
+	owner := dhgroup.New(b.Context())
+	owner.Go(v.Run)
+	voters := direct{"v0": v}
+	p := &dhquorum.Proposer{Name: "p", Transport: voters, Timers: dhtimer.NewSystem()}
+	set, err := p.Bootstrap(b.Context(), []dhquorum.Member{{Address: "v0"}})
+	assert.NilError(b, err)
+	_, err = p.Read(b.Context(), "none") // installs the set
+	assert.NilError(b, err)
+	group := dhgroup.New(b.Context())
+	const writers = 1000
+	var total, peak atomic.Int64
+	for w := range writers {
+		group.Go(func(ctx context.Context) error {
+			for i := w; i < 101_000; i += writers {
+				key, value := fmt.Sprintf("claim/crew-east/%d", i), make([]byte, 200)
+				if i < 1000 {
+					key, value = fmt.Sprintf("revision/%d", i), make([]byte, 4096)
+				}
+				for n := range uint64(3) {
+					ballot := &dhpb.Ballot{Number: n + 1, Proposer: "p"}
+					if _, err := v.Prepare(ctx, &dhpb.PrepareRequest{Epoch: set.Epoch, Key: key, Ballot: ballot}); err != nil {
+						return err
+					}
+					a, err := v.Accept(ctx, &dhpb.AcceptRequest{Epoch: set.Epoch, Key: key, Ballot: ballot, Value: value})
+					if err != nil || !a.Ok {
+						return fmt.Errorf("accept: %v %w", a, err)
+					}
+				}
+				total.Add(int64(len(key) + len(value)))
+				if w == 0 {
+					peak.Store(max(peak.Load(), int64(sizeOnDisk(b, disk))))
+				}
+			}
+			return nil
+		})
+	}
+	assert.NilError(b, group.Wait())
+	owner.Stop()
+	assert.NilError(b, owner.Wait())
+	b.Logf("live %d bytes, log %d bytes before the restart, peak %d", total.Load(), sizeOnDisk(b, disk), peak.Load())
+	return int(total.Load())
+}
