--- /dev/null
+++ b/dh/dhledger/store.go
@@ -0,0 +1,298 @@
+package dhledger
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"fmt"
+	"slices"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
+
+	"dandelionhoist.example/dh/dhcode"
+	"dandelionhoist.example/dh/dhpb"
+)
+
+const (
+	// MaxBills bounds the bills of one voter.
+	MaxBills = 4_000_000
+	// MaxList bounds one answer to List.
+	MaxList = 4096
+
+	// maxWrites bounds the messages that wait for the journal.
+	maxWrites = 1024
+
+	recordFormat = 1
+	// sequenceBits is the part of a cursor that is the voter's own number; the
+	// rest identifies the voter, whose numbers mean nothing to other voters.
+	sequenceBits = 48
+)
+
+// Journal keeps records.
+type Journal interface {
+	// Append returns nil once the record is synced.
+	Append(record []byte) error
+}
+
+// Store is a voter's merged set of bills. Its fields are set before use.
+type Store struct {
+	// VoterID is the voter's identity.
+	VoterID  string
+	Journal  Journal
+	MaxBills int
+
+	mu       sync.Mutex
+	sequence uint64
+	rows     map[string]*row
+	// order holds rows by sequence; a replaced row stays until it is compacted.
+	order    []*row
+	replaced int
+	busy     bool
+	waiting  []*write
+	failed   error
+}
+
+type row struct {
+	bill     *dhpb.Bill
+	sequence uint64
+	replaced bool
+}
+
+// write is a call of Put that waits for the journal. Turn gets a value when it
+// is this call's turn to write for all waiting ones.
+type write struct {
+	bills []*dhpb.Bill
+	turn  chan struct{}
+	done  chan error
+}
+
+// Merge returns which of two bills of one request stays; either may be nil.
+func Merge(a, b *dhpb.Bill) *dhpb.Bill {
+	if a == nil {
+		return b
+	}
+	if b == nil || compare(a, b) <= 0 {
+		return a
+	}
+	return b
+}
+
+// compare orders bills by revision and then by content hash. Encoding is in
+// order of field numbers, so releases that know different fields agree.
+func compare(a, b *dhpb.Bill) int {
+	if a.GetRevision() != b.GetRevision() {
+		if a.GetRevision() < b.GetRevision() {
+			return -1
+		}
+		return 1
+	}
+	x, y := hash(a), hash(b)
+	return bytes.Compare(x[:], y[:])
+}
+
+func hash(b *dhpb.Bill) [sha256.Size]byte {
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(b)
+	if err != nil {
+		// A bill that cannot be encoded came over no wire; it sorts by its text.
+		data = []byte(b.String())
+	}
+	return sha256.Sum256(data)
+}
+
+// Put merges bills and returns nil once they, or better ones of the same
+// requests, are synced. Calls that wait share one record and one sync.
+// After an error of the journal it refuses everything until a restart.
+func (s *Store) Put(bills []*dhpb.Bill) error {
+	w := &write{bills: bills, turn: make(chan struct{}, 1), done: make(chan error, 1)}
+	s.mu.Lock()
+	if len(s.waiting) >= maxWrites {
+		s.mu.Unlock()
+		return dhcode.Errorf(dhcode.BillNotSafe, "%d messages wait for the journal, no more are accepted", maxWrites)
+	}
+	s.waiting = append(s.waiting, w)
+	if !s.busy {
+		s.busy = true
+		w.turn <- struct{}{}
+	}
+	s.mu.Unlock()
+	select {
+	case err := <-w.done:
+		return err
+	case <-w.turn:
+	}
+	s.writeWaiting()
+	return <-w.done
+}
+
+// writeWaiting writes the waiting bills and passes the turn on.
+func (s *Store) writeWaiting() {
+	s.mu.Lock()
+	batch := s.waiting
+	s.waiting = nil
+	record, err := s.prepare(batch)
+	s.mu.Unlock()
+	if err == nil && len(record.GetBills()) > 0 {
+		err = s.append(record)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err == nil {
+		s.apply(record)
+	} else if dhcode.Of(err) == dhcode.DiskFailed {
+		s.failed = err
+	}
+	for _, w := range batch {
+		w.done <- err
+	}
+	if s.busy = len(s.waiting) > 0; s.busy {
+		s.waiting[0].turn <- struct{}{}
+	}
+}
+
+// prepare numbers the bills that change the merged set.
+func (s *Store) prepare(batch []*write) (*dhpb.BillRecord, error) {
+	if s.failed != nil {
+		return nil, s.failed
+	}
+	changed := make(map[string]*dhpb.Bill)
+	var ids []string
+	for _, w := range batch {
+		for _, bill := range w.bills {
+			id := bill.GetRequestId()
+			best, queued := changed[id]
+			if r, ok := s.rows[id]; ok && !queued {
+				best = r.bill
+			}
+			if best != nil && compare(best, bill) <= 0 {
+				continue
+			}
+			if !queued {
+				ids = append(ids, id)
+			}
+			changed[id] = bill
+		}
+	}
+	record := &dhpb.BillRecord{Format: recordFormat}
+	next, added := s.sequence, 0
+	for _, id := range ids {
+		if _, ok := s.rows[id]; !ok {
+			added++
+		}
+		next++
+		record.Bills = append(record.Bills, changed[id])
+		record.Sequences = append(record.Sequences, next)
+	}
+	if limit := s.maxBills(); len(s.rows)+added > limit {
+		return nil, dhcode.Errorf(dhcode.BillNotSafe, "voter has %d bills, at most %d are kept", len(s.rows), limit)
+	}
+	return record, nil
+}
+
+func (s *Store) maxBills() int {
+	if s.MaxBills <= 0 {
+		return MaxBills
+	}
+	return s.MaxBills
+}
+
+func (s *Store) append(record *dhpb.BillRecord) error {
+	data, err := proto.Marshal(record)
+	if err != nil {
+		return dhcode.Wrap(dhcode.Internal, err)
+	}
+	if err := s.Journal.Append(data); err != nil {
+		return dhcode.Wrap(dhcode.DiskFailed, fmt.Errorf("journal of bills: %w", err))
+	}
+	return nil
+}
+
+// apply makes the bills of a synced record visible.
+func (s *Store) apply(record *dhpb.BillRecord) {
+	if s.rows == nil {
+		s.rows = make(map[string]*row)
+	}
+	for i, bill := range record.GetBills() {
+		if old, ok := s.rows[bill.GetRequestId()]; ok {
+			old.replaced = true
+			s.replaced++
+		}
+		r := &row{bill: bill, sequence: record.GetSequences()[i]}
+		s.rows[bill.GetRequestId()] = r
+		s.order = append(s.order, r)
+		s.sequence = max(s.sequence, r.sequence)
+	}
+	if s.replaced > len(s.order)/2 {
+		s.order = slices.DeleteFunc(s.order, func(r *row) bool { return r.replaced })
+		s.replaced = 0
+	}
+}
+
+// Restore applies a record that the journal read back, in the order in which
+// records were appended.
+func (s *Store) Restore(data []byte) error {
+	record := &dhpb.BillRecord{}
+	if err := proto.Unmarshal(data, record); err != nil {
+		return dhcode.Wrap(dhcode.DiskCorrupt, fmt.Errorf("record of bills: %w", err))
+	}
+	if record.GetFormat() != recordFormat || len(record.GetBills()) != len(record.GetSequences()) {
+		return dhcode.Errorf(dhcode.DiskCorrupt, "record of bills has format %d, %d bills and %d numbers",
+			record.GetFormat(), len(record.GetBills()), len(record.GetSequences()))
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.apply(record)
+	return nil
+}
+
+// Snapshot calls f with records that restore the current set.
+func (s *Store) Snapshot(f func(record []byte) error) error {
+	s.mu.Lock()
+	rows := slices.Clone(s.order)
+	s.mu.Unlock()
+	for chunk := range slices.Chunk(rows, MaxBatch) {
+		record := &dhpb.BillRecord{Format: recordFormat}
+		for _, r := range chunk {
+			record.Bills = append(record.Bills, r.bill)
+			record.Sequences = append(record.Sequences, r.sequence)
+		}
+		data, err := proto.Marshal(record)
+		if err != nil {
+			return dhcode.Wrap(dhcode.Internal, err)
+		}
+		if err := f(data); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// List returns up to limit bills after a cursor, and the next cursor. A bill
+// that replaced another one of the same request comes again under a new
+// number. A cursor of another voter starts at the beginning, so that the
+// reader sees bills twice rather than not at all.
+func (s *Store) List(after uint64, limit int) ([]*dhpb.Bill, uint64) {
+	base := cursorBase(s.VoterID)
+	if after < base || after-base >= 1<<sequenceBits {
+		after = base
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at, _ := slices.BinarySearchFunc(s.order, after-base+1, func(r *row, n uint64) int {
+		return int(int64(r.sequence) - int64(n))
+	})
+	var bills []*dhpb.Bill
+	limit = min(max(limit, 1), MaxList)
+	for ; at < len(s.order) && len(bills) < limit; at++ {
+		after = base + s.order[at].sequence
+		if !s.order[at].replaced {
+			bills = append(bills, s.order[at].bill)
+		}
+	}
+	return bills, after
+}
+
+// cursorBase is the part of a cursor that identifies a voter.
+func cursorBase(voterID string) uint64 {
+	return xxhash.Sum64String(voterID) >> sequenceBits << sequenceBits
+}
