Bill by account and request id; cancel requests without a reader

Cause: request ids are chosen by callers, so two accounts with one id shared a bill; a request whose caller was gone ran to its end. Change: the bill's id starts with the account; a repeatable request is cancelled 10 s after its last reader has gone.

--- a/cmd/dandelionhoistd/process_test.go
+++ b/cmd/dandelionhoistd/process_test.go
@@ -52,14 +52,14 @@
 }
 
 type daemon struct {
-	settings                    string
-	callers, operators, peers   string
-	process                     *exec.Cmd
-	router                      dhpbconnect.RouterServiceClient
-	operator                    dhpbconnect.OperatorServiceClient
-	log                         *os.File
-	serving, exited             chan struct{}
-	exit                        error
+	settings                  string
+	callers, operators, peers string
+	process                   *exec.Cmd
+	router                    dhpbconnect.RouterServiceClient
+	operator                  dhpbconnect.OperatorServiceClient
+	log                       *os.File
+	serving, exited           chan struct{}
+	exit                      error
 }
 
 // newCluster writes settings for n daemons, the first voters of which have disks.
--- a/dh/dhanswer/dhanswer.go
+++ b/dh/dhanswer/dhanswer.go
@@ -42,6 +42,11 @@
 	err     error
 	ended   time.Time
 	cancel  context.CancelFunc
+	// readers is the number of callers that follow the answer, idle the time
+	// since there is none.
+	readers     int
+	idle        time.Time
+	abandonable bool
 }
 
 // Part is what a reader gets: text from an offset on. Done is set when the
@@ -59,11 +64,12 @@
 // RequestID returns the id of the answered request.
 func (a *Answer) RequestID() string { return a.requestID }
 
-// SetCancel sets the function that stops the request.
-func (a *Answer) SetCancel(cancel context.CancelFunc) {
+// SetCancel sets the function that stops the request, and whether it may be
+// called because the answer has no reader.
+func (a *Answer) SetCancel(cancel context.CancelFunc, abandonable bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.cancel = cancel
+	a.cancel, a.abandonable = cancel, abandonable
 }
 
 // Cancel stops the request. It returns false when the answer has ended.
@@ -77,6 +83,29 @@
 	return true
 }
 
+// Follow counts a reader until stop is called.
+func (a *Answer) Follow(timers dhtimer.Service) (stop func()) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.readers++
+	return func() {
+		now := timers.Now()
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.readers--
+		a.idle = now
+	}
+}
+
+// abandon cancels the request when it has had no reader since t.
+func (a *Answer) abandon(t time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.done && a.abandonable && a.readers == 0 && !a.idle.IsZero() && a.idle.Before(t) {
+		a.cancel()
+	}
+}
+
 // StartAttempt makes attempt the only one whose chunks are taken.
 func (a *Answer) StartAttempt(attempt int32, model, version string) {
 	a.mu.Lock()
@@ -231,6 +260,9 @@
 	MaxAnswers, MaxBytes int
 	// Keep is how long an answer stays after its end.
 	Keep time.Duration
+	// Grace is how long a request goes on after its last reader has gone, so
+	// that the caller can resume; 0 means to its end.
+	Grace time.Duration
 
 	mu      sync.Mutex
 	answers map[name]*Answer
@@ -277,7 +309,8 @@
 	delete(t.answers, name{account, requestID})
 }
 
-// Tick drops answers that ended longer than Keep ago.
+// Tick drops answers that ended longer than Keep ago and cancels requests
+// without a reader.
 func (t *Table) Tick(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -285,6 +318,9 @@
 		if a.endedBefore(now.Add(-t.Keep)) {
 			delete(t.answers, key)
 		}
+		if t.Grace > 0 {
+			a.abandon(now.Add(-t.Grace))
+		}
 	}
 }
 
--- a/dh/dhanswer/dhanswer_test.go
+++ b/dh/dhanswer/dhanswer_test.go
@@ -95,3 +95,25 @@
 	_, _, err = tab.Create("retailers", "r2", 4)
 	assert.NilError(t, err)
 }
+
+// Guards against requests that go on for nobody, and against one that is
+// cancelled while a caller may still resume it.
+func TestAbandonedRequestIsCancelled(t *testing.T) {
+	tab := table()
+	tab.Grace = 10 * time.Second
+	timers := tab.Timers.(*dhtimer.Stepped)
+	a, _, err := tab.Create("crew-east", "r1", 1)
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	a.SetCancel(cancel, true)
+	tab.Tick(timers.Now().Add(time.Hour))
+	assert.NilError(t, ctx.Err(), "no reader has come yet")
+	stop := a.Follow(timers)
+	tab.Tick(timers.Now().Add(time.Hour))
+	assert.NilError(t, ctx.Err())
+	stop()
+	tab.Tick(timers.Now().Add(9 * time.Second))
+	assert.NilError(t, ctx.Err())
+	tab.Tick(timers.Now().Add(11 * time.Second))
+	assert.ErrorIs(t, ctx.Err(), context.Canceled)
+}
--- a/dh/dhdaemon/dhdaemon.go
+++ b/dh/dhdaemon/dhdaemon.go
@@ -38,7 +38,7 @@
 	"dandelionhoist.example/dh/dhversion"
 )
 
-// resumeGrace is how long a repeatable request without a reader goes on.
+// resumeGrace is how long a request without a reader goes on.
 const resumeGrace = 10 * time.Second
 
 // PeerClient calls other entry VMs by address.
@@ -147,6 +147,7 @@
 	}
 	answers := &dhanswer.Table{
 		Timers: d.Timers, MaxAnswers: s.Limits.Answers, MaxBytes: s.Limits.AnswerBytes, Keep: s.Timing.AnswerKept.Std(),
+		Grace: resumeGrace,
 	}
 	placer := &dhplacement.Placer{Timers: d.Timers, Zone: s.Zone, Settings: dhplacement.Defaults(), Seed: d.Seed}
 	d.claimed = d.claims()
@@ -158,7 +159,7 @@
 		Credits:  noCredits{}, Limiter: limiter, Retries: &dhlimit.Budget{}, Breakers: &dhlimit.Breakers{Timers: d.Timers},
 		Backoff: dhlimit.Backoff{}.Delay,
 		Claims:  d.claimed, Ledger: d.ledger, Planner: dhrouter.LargestModel{}, Engine: d.Engine,
-		VM: s.Name, Zone: s.Zone, MaxAttempts: s.Limits.Attempts, ResumeGrace: resumeGrace,
+		VM: s.Name, Zone: s.Zone, MaxAttempts: s.Limits.Attempts,
 		NewRequestID: d.NewID,
 	}
 	d.node = &dhnode.Node{
--- a/dh/dhrouter/dhrouter.go
+++ b/dh/dhrouter/dhrouter.go
@@ -159,8 +159,6 @@
 	VM, Zone string
 	// MaxAttempts bounds the attempts of a request.
 	MaxAttempts int
-	// ResumeGrace is how long a request without a reader goes on.
-	ResumeGrace time.Duration
 	// Report takes events of attempts; it must not block.
 	Report func(Event)
 	// NewRequestID returns an id for a request that has none.
--- a/dh/dhrouter/request.go
+++ b/dh/dhrouter/request.go
@@ -54,7 +54,8 @@
 		return answer, nil
 	}
 	ctx, cancel := context.WithCancel(r.Group.Context())
-	answer.SetCancel(cancel)
+	// A request that must not run twice goes on, since its outcome counts.
+	answer.SetCancel(cancel, !q.keyed())
 	r.Group.Go(func(context.Context) error {
 		defer cancel()
 		r.run(ctx, q, answer)
--- a/dh/dhrouter/run.go
+++ b/dh/dhrouter/run.go
@@ -149,7 +149,8 @@
 	tables := r.Snapshot().Tables
 	cost := tables.Pools[q.route.Pool].Models[result.GetModel()].CostPer1000Tokens
 	return &dhpb.Bill{
-		RequestId: result.GetRequestId(), Account: q.account.Name, Route: q.route.Name,
+		// Request ids are chosen by callers, so they are unique only per account.
+		RequestId: q.account.Name + "/" + result.GetRequestId(), Account: q.account.Name, Route: q.route.Name,
 		Model: result.GetModel(), Version: result.GetVersion(), Tokens: result.GetTokens(),
 		Cost: cost * float64(result.GetTokens()) / 1000, Revision: tables.Revision, IdempotencyKey: q.GetIdempotencyKey(),
 	}
--- a/dh/dhserver/callers.go
+++ b/dh/dhserver/callers.go
@@ -54,6 +54,7 @@
 	if err != nil {
 		return nil, dhwire.ToConnect(err)
 	}
+	defer answer.Follow(c.Router.Timers)()
 	result, err := answer.Wait(ctx)
 	return result, dhwire.ToConnect(err)
 }
@@ -64,6 +65,7 @@
 	if err != nil {
 		return dhwire.ToConnect(err)
 	}
+	defer answer.Follow(c.Router.Timers)()
 	return dhwire.ToConnect(send(ctx, answer, 0, stream))
 }
 
@@ -71,6 +73,7 @@
 func (c *Callers) Resume(ctx context.Context, req *dhpb.ResumeRequest, stream *connect.ServerStream[dhpb.Chunk]) error {
 	account := AccountOf(ctx).Name
 	if answer, ok := c.Router.Answer(account, req.GetRequestId()); ok {
+		defer answer.Follow(c.Router.Timers)()
 		return dhwire.ToConnect(send(ctx, answer, int(req.GetOffset()), stream))
 	}
 	if c.Others == nil {
--- a/dh/dhserver/peers.go
+++ b/dh/dhserver/peers.go
@@ -139,6 +139,7 @@
 	if !ok {
 		return &dhpb.FetchAnswerResponse{}, nil
 	}
+	defer answer.Follow(p.Router.Timers)()
 	part, err := answer.Read(ctx, int(m.GetOffset()))
 	if err != nil {
 		return nil, dhwire.ToTwirp(err)
