--- a/dh/dhjournal/dhjournal.go
+++ b/dh/dhjournal/dhjournal.go
@@ -23,7 +23,8 @@
 import (
 	"errors"
 	"fmt"
-	"io/fs"
+	"iter"
+	"math"
 	"strings"
 
 	"dandelionhoist.example/dh/dhcode"
@@ -35,8 +36,12 @@
 type State interface {
 	// Apply replays one record. It must not keep the slice.
 	Apply(record []byte) error
-	// Snapshot calls add with records that rebuild the whole state.
-	Snapshot(add func(record []byte) error) error
+	// Snapshot yields records that rebuild the whole state. The state changes
+	// while the sequence is read: a snapshot is written in parts between
+	// commits, mixed with the records appended meanwhile. So each record must
+	// carry its part of the state whole, and the sequence must allow changes
+	// as a range over a map does.
+	Snapshot() iter.Seq[[]byte]
 	// Size returns the number and the total bytes of the records of a snapshot.
 	Size() (records, bytes int)
 }
@@ -45,10 +50,7 @@
 const MaxRecordBytes = 4 << 20
 
 // compactSlackBytes keeps a small state from being compacted at every commit.
-const compactSlackBytes = 64 << 10
-
-// snapshotBufferBytes is the size of one write of a snapshot.
-const snapshotBufferBytes = 1 << 20
+const compactSlackBytes = 4 << 10
 
 // Journal is an open log. It is not safe for concurrent use; see Group.
 type Journal struct {
@@ -62,6 +64,7 @@
 	synced     uint64
 	size       int
 	pending    []byte
+	next       *snapshot
 	err        error
 }
 
@@ -88,7 +91,10 @@
 			return nil, dhcode.Wrap(dhcode.DiskCorrupt, fmt.Errorf("journal %s: %w", j.fileName(j.generation), err))
 		}
 	}
-	if err := j.Compact(); err != nil {
+	if err := j.beginSnapshot(); err != nil {
+		return nil, err
+	}
+	if err := j.stepSnapshot(math.MaxInt); err != nil {
 		return nil, err
 	}
 	return j, nil
@@ -136,6 +142,9 @@
 	j.pending = appendFrame(j.pending, j.generation, j.frames, kindRecord, record)
 	j.frames++
 	j.sequence++
+	if j.next != nil {
+		j.next.add(record)
+	}
 }
 
 // Commit writes and syncs all appended records. An error is final and carries disk-failed.
@@ -149,16 +158,22 @@
 	if err := j.file.Sync(); err != nil {
 		return j.fail(fmt.Errorf("sync: %w", err))
 	}
-	j.size += len(j.pending)
+	written := len(j.pending)
+	j.size += written
 	j.pending = j.pending[:0]
 	if cap(j.pending) > 2*MaxRecordBytes {
 		j.pending = nil
 	}
 	j.synced = j.sequence
-	// Twice the live state before a compaction and a third copy during it stay
-	// within the bound of four.
-	if records, bytes := j.state.Size(); j.size > 2*(bytes+records*frameOverhead)+compactSlackBytes {
-		return j.Compact()
+	// Twice the live state at the start of a compaction, a quarter until its
+	// end and the new copy with the same quarter stay within the bound of four.
+	if records, bytes := j.state.Size(); j.next == nil && j.size > 2*(bytes+records*frameOverhead)+compactSlackBytes {
+		if err := j.beginSnapshot(); err != nil {
+			return err
+		}
+	}
+	if j.next != nil {
+		return j.stepSnapshot(max(snapshotStepBytes, 4*written))
 	}
 	return nil
 }
@@ -170,8 +185,14 @@
 // Appended returns the number that Sequence has after the next commit.
 func (j *Journal) Appended() uint64 { return j.sequence }
 
-// SizeBytes returns the size of the journal's file.
-func (j *Journal) SizeBytes() int { return j.size }
+// SizeBytes returns the size of the journal's files, with that of an
+// unfinished snapshot.
+func (j *Journal) SizeBytes() int {
+	if j.next != nil {
+		return j.size + j.next.size
+	}
+	return j.size
+}
 
 // Err returns the error that stopped the journal, or nil.
 func (j *Journal) Err() error { return j.err }
@@ -180,87 +201,15 @@
 	if j.err == nil {
 		j.err = dhcode.Wrap(dhcode.DiskFailed, fmt.Errorf("journal %s stopped: %w", j.fileName(j.generation), err))
 	}
+	j.dropSnapshot()
 	return j.err
 }
 
-// Compact writes the state to a new file and removes the old one. Appended
-// records that are not yet committed become part of the snapshot.
-func (j *Journal) Compact() error {
-	if j.err != nil {
-		return j.err
-	}
-	old := j.file
-	next := j.generation + 1
-	temporary := j.fileName(next) + temporarySuffix
-	file, err := j.disk.Create(temporary)
-	if err != nil {
-		return j.fail(fmt.Errorf("create snapshot: %w", err))
-	}
-	size, frames, err := j.writeSnapshot(file, next)
-	if err != nil {
-		return j.fail(errors.Join(fmt.Errorf("write snapshot: %w", err), file.Close()))
-	}
-	if err := j.disk.Rename(temporary, j.fileName(next)); err != nil {
-		return j.fail(errors.Join(fmt.Errorf("rename snapshot: %w", err), file.Close()))
-	}
-	if err := j.disk.SyncDir(); err != nil {
-		return j.fail(errors.Join(fmt.Errorf("sync folder: %w", err), file.Close()))
-	}
-	j.file, j.generation, j.size, j.frames = file, next, size, frames
-	j.pending, j.synced = nil, j.sequence
-	if old != nil {
-		_ = old.Close() // its data is no longer needed
-	}
-	return j.removeOld()
-}
-
-func (j *Journal) writeSnapshot(file dhdisk.File, generation uint64) (size int, frames uint64, err error) {
-	buffer := appendHeader(nil, generation)
-	flush := func() error {
-		n, err := file.Write(buffer)
-		size += n
-		buffer = buffer[:0]
-		return err
-	}
-	err = j.state.Snapshot(func(record []byte) error {
-		buffer = appendFrame(buffer, generation, frames, kindSnapshot, record)
-		frames++
-		if len(buffer) < snapshotBufferBytes {
-			return nil
-		}
-		return flush()
-	})
-	if err != nil {
-		return 0, 0, err
-	}
-	buffer = appendSnapshotEnd(buffer, generation, frames, j.sequence)
-	frames++
-	if err := flush(); err != nil {
-		return 0, 0, err
-	}
-	return size, frames, file.Sync()
-}
-
-// removeOld removes the files of older generations. A crash before it leaves
-// them behind; the highest generation is the valid one.
-func (j *Journal) removeOld() error {
-	generations, err := j.generations()
-	if err != nil {
-		return j.fail(err)
-	}
-	for _, g := range generations {
-		if g >= j.generation {
-			continue
-		}
-		if err := j.disk.Remove(j.fileName(g)); err != nil && !errors.Is(err, fs.ErrNotExist) {
-			return j.fail(fmt.Errorf("remove old file: %w", err))
-		}
-	}
-	return nil
-}
-
-// Close closes the file without a commit.
+// Close ends the journal without a commit.
 func (j *Journal) Close() error {
-	j.err = errors.Join(j.err, errors.New("journal is closed"))
+	if j.err == nil {
+		j.err = errors.New("journal is closed")
+	}
+	j.dropSnapshot()
 	return j.file.Close()
 }
--- a/dh/dhjournal/dhjournal_test.go
+++ b/dh/dhjournal/dhjournal_test.go
@@ -4,6 +4,9 @@
 	"bytes"
 	"context"
 	"fmt"
+	"iter"
+	"math"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -34,16 +37,22 @@
 	return nil
 }
 
-func (l *list) Snapshot(add func([]byte) error) error {
-	for _, r := range l.records {
-		if err := add([]byte(r)); err != nil {
-			return err
+func (l *list) Snapshot() iter.Seq[[]byte] {
+	return func(yield func([]byte) bool) {
+		for i := 0; i < len(l.records); i++ {
+			if !yield([]byte(l.records[i])) {
+				return
+			}
 		}
 	}
-	return nil
 }
 
-func (l *list) Size() (int, int) { return len(l.records), len(strings.Join(l.records, "")) }
+func (l *list) Size() (records, bytes int) {
+	for _, r := range l.records {
+		bytes += len(r)
+	}
+	return len(l.records), bytes
+}
 
 func (l *list) set(j *Journal, record string) {
 	_ = l.Apply([]byte(record))
@@ -61,7 +70,8 @@
 		l.set(j, record)
 		assert.NilError(t, j.Commit())
 		if i == 0 {
-			assert.NilError(t, j.Compact())
+			assert.NilError(t, j.beginSnapshot())
+			assert.NilError(t, j.stepSnapshot(math.MaxInt))
 		}
 	}
 	data, err := disk.ReadFile("voter-0000000000000002")
@@ -152,43 +162,42 @@
 	}
 }
 
-// Guards against a log that grows without bound, and against a crash at any
-// sync of a compaction that loses records.
+// Guards against a log that grows without bound, and against records that are
+// lost by a crash at any sync, above all in the middle of a snapshot.
 func TestCompaction(t *testing.T) {
 	disk, l := &dhdisk.Memory{}, &list{}
 	j, err := Open(disk, "voter", l)
 	assert.NilError(t, err)
-	value := strings.Repeat("v", 1000)
-	peak := 0
-	for i := range 5000 {
-		l.set(j, fmt.Sprintf("k%d=%d%s", i%100, i, value))
-		assert.NilError(t, j.Commit())
-		peak = max(peak, j.SizeBytes())
+	value := strings.Repeat("v", 10_000) // a snapshot takes several steps
+	syncs, crashed := 0, 0
+	disk.BeforeSync = func() {
+		if syncs++; syncs%23 == 0 {
+			disk.Crash()
+			crashed++
+		}
 	}
-	_, live := l.Size()
-	assert.Assert(t, peak < 4*live, "peak %d, live %d", peak, live)
-
-	want := strings.Join(l.records, "")
-	for crashAt := range 4 {
-		syncs := 0
-		disk.BeforeSync = func() {
-			if syncs++; syncs > crashAt {
-				disk.Crash()
-			}
+	for i := range 1500 {
+		name := fmt.Sprintf("k%d", i%100)
+		l.set(j, fmt.Sprintf("%s=%d%s", name, i, value))
+		err := j.Commit()
+		if _, live := l.Size(); i > 200 {
+			assert.Assert(t, j.SizeBytes() < 4*live, "size %d, live %d", j.SizeBytes(), live)
 		}
-		l = &list{}
-		if j, err = Open(disk, "voter", l); err == nil {
-			l.set(j, "k0="+fmt.Sprint(crashAt))
-			_ = j.Commit()
+		if err == nil {
+			continue
+		}
+		want := slices.DeleteFunc(l.records, func(r string) bool { return strings.HasPrefix(r, name+"=") })
+		sequence := j.Sequence()
+		for err != nil {
+			l = &list{}
+			j, err = Open(disk, "voter", l)
+		}
+		assert.Assert(t, j.Sequence() >= sequence)
+		for _, record := range want {
+			assert.Assert(t, slices.Contains(l.records, record), "record %.9s is lost", record)
 		}
-		disk.BeforeSync = nil
-		disk.Crash()
-		l = &list{}
-		j, err = Open(disk, "voter", l)
-		assert.NilError(t, err)
-		assert.Equal(t, strings.Join(l.records[1:], ""), want[len(want)-len(strings.Join(l.records[1:], "")):])
-		assert.Assert(t, j.Sequence() >= 5000)
 	}
+	assert.Assert(t, crashed > 50, "%d crashes", crashed)
 }
 
 // Guards against one sync per call.
--- a/dh/dhjournal/group.go
+++ b/dh/dhjournal/group.go
@@ -34,9 +34,11 @@
 	return &Group{journal: j, calls: make(chan *call, queuedCalls), stopped: make(chan struct{})}
 }
 
-// Run serves calls until ctx ends or the journal fails. It returns the journal's error.
+// Run serves calls until ctx ends or the journal fails, then closes the
+// journal. It returns the journal's error.
 func (g *Group) Run(ctx context.Context) error {
 	defer close(g.stopped)
+	defer func() { _ = g.journal.Close() }()
 	g.err = errStopped
 	batch := make([]*call, 0, queuedCalls)
 	for {
--- a/dh/dhquorum/state.go
+++ b/dh/dhquorum/state.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"fmt"
+	"iter"
 	"maps"
 	"slices"
 	"strings"
@@ -79,29 +80,25 @@
 }
 
 // Snapshot implements dhjournal.State.
-func (s *state) Snapshot(add func([]byte) error) error {
-	if s.id == "" {
-		return nil
-	}
-	if err := add(record(recordIdentity, []byte(s.id))); err != nil {
-		return err
-	}
-	if s.set.Epoch > 0 {
-		if err := add(record(recordVoters, s.set.Encode())); err != nil {
-			return err
+func (s *state) Snapshot() iter.Seq[[]byte] {
+	return func(yield func([]byte) bool) {
+		if s.id == "" || !yield(record(recordIdentity, []byte(s.id))) {
+			return
 		}
-	}
-	for prefix, bucket := range s.watermarks {
-		if err := add(protoRecord(recordWatermark, watermarkMessage(prefix, bucket))); err != nil {
-			return err
+		if s.set.Epoch > 0 && !yield(record(recordVoters, s.set.Encode())) {
+			return
 		}
-	}
-	for key, r := range s.registers {
-		if err := add(protoRecord(recordRegister, r.message(key))); err != nil {
-			return err
+		for prefix, bucket := range s.watermarks {
+			if !yield(protoRecord(recordWatermark, watermarkMessage(prefix, bucket))) {
+				return
+			}
+		}
+		for key, r := range s.registers {
+			if !yield(protoRecord(recordRegister, r.message(key))) {
+				return
+			}
 		}
 	}
-	return nil
 }
 
 // Apply implements dhjournal.State.
