Measure capacity with whole sessions

An open loop far beyond capacity fails many requests, so sessions rarely reach their later turns with long prompts and the capacity came out 20 to 30% too high: at "80%" the deployment was overloaded.

Capacity now keeps a fixed number of sessions open without think time.

--- a/dh/dhmeasure/dhmeasure.go
+++ b/dh/dhmeasure/dhmeasure.go
@@ -103,17 +103,24 @@
 	Settings   dhplacement.Settings
 	// Rate is the mean number of requests per second.
 	Rate float64
-	Seed uint64
+	// Sessions, when set, replaces Rate: so many sessions are always open and
+	// ask without think time.
+	Sessions int
+	Seed     uint64
 	// Warmup precedes the measured Length; 60 s and 240 s by default.
 	Warmup, Length time.Duration
 }
 
 func versionOf(model string) dhtable.Version { return dhtable.Version{Model: model, Name: "v1"} }
 
+// sessionsPerReplica keeps all slots of the engines busy.
+const sessionsPerReplica = 32
+
 // Capacity returns the requests per second that round robin completes when
-// much more is asked for.
+// sessions without think time keep all backend servers busy. Sessions run to
+// their end, so that the mix of first and later turns is that of a normal run.
 func Capacity(d Deployment, seed uint64) float64 {
-	r := Run{Deployment: d, Policy: RoundRobin, Settings: dhplacement.Defaults(), Rate: 10 * float64(d.Replicas), Seed: seed, Warmup: 40 * time.Second, Length: time.Minute}
+	r := Run{Deployment: d, Policy: RoundRobin, Settings: dhplacement.Defaults(), Sessions: sessionsPerReplica * d.Replicas, Seed: seed, Warmup: time.Minute, Length: 2 * time.Minute}
 	result := r.Do()
 	return float64(result.Completed) / r.Length.Seconds()
 }
--- a/dh/dhmeasure/simulation.go
+++ b/dh/dhmeasure/simulation.go
@@ -262,7 +262,7 @@
 
 func (c *call) record(h *hdrhistogram.Histogram) {
 	if now := c.s.timers.Now(); !c.began.Before(c.s.from) && now.Before(c.s.to) {
-		_ = h.RecordValue((now.Add(c.latency).Sub(c.began)).Microseconds())
+		_ = h.RecordValue(now.Add(c.latency).Sub(c.began).Microseconds())
 	}
 }
 
--- a/dh/dhmeasure/workload.go
+++ b/dh/dhmeasure/workload.go
@@ -33,10 +33,20 @@
 	return w
 }
 
+// start opens sessions, or keeps Run.Sessions of them open without think time.
 func (w *workload) start() {
+	for range w.s.run.Sessions {
+		w.openSession()
+	}
+	if w.s.run.Sessions == 0 {
+		w.openLater()
+	}
+}
+
+func (w *workload) openLater() {
 	w.s.timers.After(time.Duration(w.rng.ExpFloat64()/w.opens*float64(time.Second)), func(time.Time) {
 		w.openSession()
-		w.start()
+		w.openLater()
 	})
 }
 
@@ -61,8 +71,14 @@
 	vm := w.s.vms[w.rng.IntN(len(w.s.vms))]
 	w.s.send(vm, req, func(ok bool) {
 		if !ok || left == 1 {
+			if w.s.run.Sessions > 0 {
+				w.s.timers.After(0, func(time.Time) { w.openSession() })
+			}
 			return
 		}
+		if w.s.run.Sessions > 0 {
+			think = 0
+		}
 		w.s.timers.After(think, func(time.Time) {
 			answer := dhengine.Answer(prompt, c.Model, versionOf(c.Model).Name, c.MaxTokens)
 			w.turn(session, c, prompt+answer, left-1)
