Use load reports for a shorter time and larger cache blocks

With a half-life of 4 s entry VMs agreed on old reports and herded: the policy was worse than least own connections. Cache events of 64 byte blocks took half of the run time in Observe.

The half-life of reports is 300 ms, five candidates are scored per side, and a cache block is 64 prompt tokens in engine and policy, with the same cache size in tokens.

--- a/cmd/dandelionhoist-engine/options.go
+++ b/cmd/dandelionhoist-engine/options.go
@@ -32,7 +32,7 @@
 		listen: "127.0.0.1:0", leaveLimit: 2 * time.Minute,
 		model: &dhengine.Model{
 			Timers: dhtimer.NewSystem(), Costs: dhengine.DefaultCosts(), ColdStart: dhengine.DefaultCold(),
-			Slots: 16, QueueLimit: 256, CacheBlocks: 4096, LoadFor: 2 * time.Second, EventDelay: 500 * time.Millisecond,
+			Slots: 16, QueueLimit: 256, CacheBlocks: 1024, LoadFor: 2 * time.Second, EventDelay: 500 * time.Millisecond,
 			ReportLag: time.Second, LeaveGrace: 3 * time.Second, Seed: 1,
 		},
 	}
@@ -73,7 +73,7 @@
 	duration("per-sequence", "Time added to a step for each decoding request", &m.Costs.PerSequence)
 	duration("per-prefill-token", "Time added to a step for each prompt token", &m.Costs.PerPrefillToken)
 	duration("service-time", "Mean execution time of a plain service", &m.Costs.Service)
-	number("cache-blocks", "Limit of the prefix cache in blocks of 64 bytes", &m.CacheBlocks)
+	number("cache-blocks", "Limit of the prefix cache in blocks of 256 bytes", &m.CacheBlocks)
 	duration("event-delay", "Mean delay of cache events", &m.EventDelay)
 	app.Flag("event-loss", "Share of cache events that are lost (0).").Float64Var(&m.EventLoss)
 	duration("report-lag", "Age of load reports", &m.ReportLag)
--- a/dh/dhengine/answer.go
+++ b/dh/dhengine/answer.go
@@ -11,7 +11,7 @@
 const (
 	TokenBytes       = 6
 	PromptTokenBytes = 4
-	BlockBytes       = 64
+	BlockBytes       = 256
 )
 
 // DefaultMaxTokens applies to requests without a maximum.
--- a/dh/dhengine/dhengine.go
+++ b/dh/dhengine/dhengine.go
@@ -101,7 +101,7 @@
 	IgnoreFencing bool
 	// LoadFor is how long loading a version takes (2 s).
 	LoadFor time.Duration
-	// CacheBlocks bounds the prefix cache in blocks of BlockBytes (4096).
+	// CacheBlocks bounds the prefix cache in blocks of BlockBytes (1024).
 	CacheBlocks int
 	// EventDelay is the mean delay of cache events (500 ms) and EventLoss the share that is lost.
 	EventDelay time.Duration
@@ -178,7 +178,7 @@
 	}
 	setDefault(&m.Slots, 16)
 	setDefault(&m.QueueLimit, 256)
-	setDefault(&m.CacheBlocks, 4096)
+	setDefault(&m.CacheBlocks, 1024)
 	setDefaultTime(&m.LoadFor, 2*time.Second)
 	setDefaultTime(&m.EventDelay, 500*time.Millisecond)
 	setDefaultTime(&m.ReportLag, time.Second)
--- a/dh/dhengine/dhengine_test.go
+++ b/dh/dhengine/dhengine_test.go
@@ -96,7 +96,7 @@
 // Guards against a prefix cache that saves nothing, never forgets or forgets
 // what was used last.
 func TestPrefixCacheIsLimited(t *testing.T) {
-	m, timers := start(func(m *Model) { m.CacheBlocks = 40 })
+	m, timers := start(func(m *Model) { m.CacheBlocks = 10 })
 	first := func(prompt string) time.Duration {
 		began := timers.Now()
 		a := ask(m, timers, "r", prompt)
@@ -195,7 +195,7 @@
 // which would make affinity look better than it is.
 func TestEventsAndReportsLag(t *testing.T) {
 	m, timers := start(func(m *Model) { m.EventLoss = 0.5; m.Seed = 7 })
-	ask(m, timers, "1", strings.Repeat("a", 64*100))
+	ask(m, timers, "1", strings.Repeat("a", BlockBytes*100))
 	timers.Step(500 * time.Millisecond)
 	assert.Equal(t, m.Record().GetRunning(), int32(0))
 	timers.Step(800 * time.Millisecond)
--- a/dh/dhplacement/dhplacement.go
+++ b/dh/dhplacement/dhplacement.go
@@ -61,16 +61,16 @@
 // Defaults returns the settings that docs/MEASUREMENTS.md reports on.
 func Defaults() Settings {
 	return Settings{
-		Sample: 4, PerRunning: 100 * time.Millisecond, PerWaiting: 500 * time.Millisecond,
+		Sample: 5, PerRunning: 100 * time.Millisecond, PerWaiting: 500 * time.Millisecond,
 		PerPrefillToken: 120 * time.Microsecond, OtherZone: 50 * time.Millisecond,
-		ReportHalfLife: 4 * time.Second, ColdFactor: 3, ColdBase: 200 * time.Millisecond,
-		PerFailure: time.Second, FailureHalfLife: 2 * time.Second, MaxBlocks: 4096,
+		ReportHalfLife: 300 * time.Millisecond, ColdFactor: 3, ColdBase: 200 * time.Millisecond,
+		PerFailure: time.Second, FailureHalfLife: 2 * time.Second, MaxBlocks: 1024,
 	}
 }
 
 // BlockTokens is the number of prompt tokens that a prefix hash stands for
 // beyond the hash before it.
-const BlockTokens = 16
+const BlockTokens = 64
 
 // Request is what a choice depends on.
 type Request struct {
