Test rollouts by betting against the pooled rate

The test now multiplies, per block of answers, the likelihood ratio of "worse by a ratio" against "both at the pooled rate". It needs no bound of the stable rate and stays valid at any stopping time. Ratings are counted and tested apart from other faults, since versions may be rated at different rates.

--- a/dh/dhversion/evidence.go
+++ b/dh/dhversion/evidence.go
@@ -26,14 +26,12 @@
 	// FalseHolds is the accepted probability that a rollout that is no worse
 	// than the stable version is ever held; 0 means 0.001.
 	FalseHolds float64
-	// Tolerance is by how much, relative to the stable version's rate, a
-	// rollout may be worse; 0 means 0.1, a negative value none.
-	Tolerance float64
 
 	rollouts rollouts
 	counters map[counterKey]count
 	totals   map[totalKey]count
 	holds    map[versionKey]uint64
+	tests    map[versionKey]*rolloutTest
 	dropped  int64
 	snapshot *Holds
 }
@@ -52,11 +50,30 @@
 	rollout uint64
 }
 
-type count struct{ answers, bad int64 }
+type count struct{ answers, bad, rated, low int64 }
+
+func (c count) plus(d count) count {
+	return count{c.answers + d.answers, c.bad + d.bad, c.rated + d.rated, c.low + d.low}
+}
+
+func (c count) minus(d count) count {
+	return count{c.answers - d.answers, c.bad - d.bad, c.rated - d.rated, c.low - d.low}
+}
+
+// max returns the later of two states of one counter, whose parts only grow.
+func (c count) max(d count) count {
+	return count{max(c.answers, d.answers), max(c.bad, d.bad), max(c.rated, d.rated), max(c.low, d.low)}
+}
+
+func (c count) valid() bool {
+	return 0 <= c.bad && c.bad <= c.answers && 0 <= c.low && c.low <= c.rated
+}
 
 // Rate is what has been counted of a version.
 type Rate struct {
 	Answers, Bad int64
+	// Rated counts the answers that were rated, Low those with a low rating.
+	Rated, Low int64
 	// Held is set while its rollout is on hold.
 	Held bool
 }
@@ -69,9 +86,14 @@
 	if !e.rollouts.observe(t, fetch) {
 		return
 	}
+	for k := range e.tests {
+		if _, ok := e.rollouts.began[k]; !ok {
+			delete(e.tests, k)
+		}
+	}
 	for k := range e.counters {
 		if e.outdated(k) {
-			e.add(k, count{-e.counters[k].answers, -e.counters[k].bad})
+			e.add(k, count{}.minus(e.counters[k]))
 			delete(e.counters, k)
 		}
 	}
@@ -108,9 +130,18 @@
 
 // Count adds answers of this VM.
 func (e *Evidence) Count(pool string, v dhtable.Version, answers, bad int64) {
+	e.count(pool, v, count{answers: answers, bad: bad})
+}
+
+// CountRatings adds ratings of answers of this VM. Versions may be rated at
+// different rates, since ratings are compared among themselves.
+func (e *Evidence) CountRatings(pool string, v dhtable.Version, rated, low int64) {
+	e.count(pool, v, count{rated: rated, low: low})
+}
+
+func (e *Evidence) count(pool string, v dhtable.Version, c count) {
 	k := counterKey{e.VM, e.Incarnation, versionKey{pool, v}, e.epoch(pool, v.Model)}
-	c := e.counters[k]
-	e.set(k, count{c.answers + answers, c.bad + bad})
+	e.set(k, e.counters[k].plus(c))
 }
 
 func (e *Evidence) set(k counterKey, c count) {
@@ -124,14 +155,12 @@
 		return
 	}
 	e.counters[k] = c
-	e.add(k, count{c.answers - old.answers, c.bad - old.bad})
+	e.add(k, c.minus(old))
 }
 
 func (e *Evidence) add(k counterKey, c count) {
 	t := totalKey{k.versionKey, k.rollout}
-	sum := e.totals[t]
-	sum.answers += c.answers
-	sum.bad += c.bad
+	sum := e.totals[t].plus(c)
 	if sum == (count{}) {
 		delete(e.totals, t)
 		return
@@ -148,7 +177,7 @@
 	for k, c := range e.counters {
 		list = append(list, &dhpb.VersionCounter{
 			Vm: k.vm, Incarnation: k.incarnation, Pool: k.pool, Model: k.version.Model, Version: k.version.Name,
-			Answers: c.answers, Bad: c.bad, RolloutRevision: k.rollout,
+			Answers: c.answers, Bad: c.bad, Rated: c.rated, Low: c.low, RolloutRevision: k.rollout,
 		})
 	}
 	slices.SortFunc(list, compareCounters)
@@ -192,11 +221,12 @@
 		v := dhtable.Version{Model: m.GetModel(), Name: m.GetVersion()}
 		k := counterKey{m.GetVm(), m.GetIncarnation(), versionKey{m.GetPool(), v}, m.GetRolloutRevision()}
 		own := k.vm == e.VM && k.incarnation == e.Incarnation
-		if own || m.GetBad() < 0 || m.GetBad() > m.GetAnswers() || e.outdated(k) {
+		c := count{m.GetAnswers(), m.GetBad(), m.GetRated(), m.GetLow()}
+		if own || !c.valid() || e.outdated(k) {
 			continue
 		}
 		old := e.counters[k]
-		if c := (count{max(old.answers, m.GetAnswers()), max(old.bad, m.GetBad())}); c != old {
+		if c = c.max(old); c != old {
 			e.set(k, c)
 		}
 	}
@@ -265,42 +295,34 @@
 	return found
 }
 
-// worse tests a rollout against the stable versions of its model. Half of the
-// accepted error goes to the bound of the stable rate, half to the test.
+// worse continues the test of a rollout against the stable versions of its model.
 func (e *Evidence) worse(k versionKey, b began) bool {
+	t, ok := e.tests[k]
+	if !ok || t.began != b {
+		t = newRolloutTest(b)
+		if e.tests == nil {
+			e.tests = make(map[versionKey]*rolloutTest)
+		}
+		e.tests[k] = t
+	}
 	var stable count
 	for _, entry := range e.rollouts.tables.Pools[k.pool].Models[k.version.Model].Versions {
 		if entry.Stage == dhtable.Stable {
-			c := e.sum(versionKey{k.pool, entry.Version}, b)
-			stable.answers += c.answers
-			stable.bad += c.bad
+			stable = stable.plus(e.sum(versionKey{k.pool, entry.Version}, b))
 		}
 	}
-	c := e.sum(k, b)
-	if c.bad == 0 || stable.answers == 0 {
-		return false
-	}
 	alpha := e.FalseHolds
 	if alpha <= 0 {
 		alpha = 0.001
 	}
-	tolerance := e.Tolerance
-	if tolerance == 0 {
-		tolerance = 0.1
-	}
-	rate := upperRate(float64(stable.bad), float64(stable.answers), alpha/2) * (1 + max(tolerance, 0))
-	if rate >= 1 {
-		return false
-	}
-	return logEvidence(float64(c.bad), float64(c.answers), rate) >= math.Log(2/alpha)
+	return t.update(stable, e.sum(k, b)) >= math.Log(1/alpha)
 }
 
 func (e *Evidence) sum(k versionKey, b began) count {
 	var s count
 	for t, n := range e.totals {
 		if t.versionKey == k && (!b.exact || t.rollout >= b.revision) {
-			s.answers += n.answers
-			s.bad += n.bad
+			s = s.plus(n)
 		}
 	}
 	return s
@@ -311,7 +333,7 @@
 func (e *Evidence) Rate(pool string, v dhtable.Version) Rate {
 	k := versionKey{pool, v}
 	c := e.sum(k, began{})
-	return Rate{Answers: c.answers, Bad: c.bad, Held: e.snapshot.Held(pool, v)}
+	return Rate{Answers: c.answers, Bad: c.bad, Rated: c.rated, Low: c.low, Held: e.snapshot.Held(pool, v)}
 }
 
 func orDefault(n, d int) int {
--- a/dh/dhversion/evidence_test.go
+++ b/dh/dhversion/evidence_test.go
@@ -24,12 +24,19 @@
 func holdOf(t testing.TB, now *dhtable.Tables) *dhversion.Holds {
 	t.Helper()
 	e := evidence("a", now)
-	e.Count("p", oakV1, 1000, 10)
-	e.Count("p", oakV2, 20, 20)
+	fail(e)
 	assert.Equal(t, len(e.Tick()), 1)
 	return e.Holds()
 }
 
+// fail makes the rollout fail after the stable version's rate is known.
+func fail(e *dhversion.Evidence) {
+	e.Count("p", oakV1, 900, 9)
+	e.Tick()
+	e.Count("p", oakV1, 100, 1)
+	e.Count("p", oakV2, 20, 20)
+}
+
 func evidence(vm string, now *dhtable.Tables) *dhversion.Evidence {
 	e := &dhversion.Evidence{VM: vm, Incarnation: 1}
 	e.Observe(now, exact(now))
@@ -44,6 +51,8 @@
 	a, b := evidence("a", now), evidence("b", now)
 	a.Count("p", oakV1, 500, 5)
 	old := a.Counters()
+	b.Merge(old, nil)
+	assert.Equal(t, len(b.Tick()), 0)
 	a.Count("p", oakV1, 500, 5)
 	a.Count("p", oakV2, 10, 10)
 	b.Merge(a.Counters(), nil)
@@ -58,6 +67,7 @@
 	assert.Equal(t, a.Rate("p", oakV1), dhversion.Rate{Answers: 1000, Bad: 10})
 	assert.Equal(t, b.Rate("p", oakV1), dhversion.Rate{Answers: 1000, Bad: 10})
 	assert.Equal(t, b.Rate("p", oakV2), dhversion.Rate{Answers: 20, Bad: 20})
+	b.Merge([]*dhpb.VersionCounter{{Vm: "c", Pool: "p", Model: "oak", Version: "v1", RolloutRevision: 1, Rated: 1, Low: 2}}, nil)
 	assert.Equal(t, len(b.Tick()), 1)
 	assert.Equal(t, len(b.Tick()), 0, "a hold is reported once")
 	a.Merge(nil, b.HoldRecords())
@@ -71,8 +81,7 @@
 	r3 := tables(t, 3, "all", stages("stable", 100, "withdrawn", 0))
 	r4, r5 := rollout(t, 4, 5), rollout(t, 5, 6)
 	e := evidence("a", r1)
-	e.Count("p", oakV1, 1000, 10)
-	e.Count("p", oakV2, 20, 20)
+	fail(e)
 	holds := e.Tick()
 	assert.Equal(t, holds[0].GetRevision(), uint64(1))
 	e.Observe(r2, nil)
--- a/dh/dhversion/sequential.go
+++ b/dh/dhversion/sequential.go
@@ -2,60 +2,93 @@
 
 import "math"
 
-// The prior of a bad-answer rate is Beta(priorBad, priorGood), with most of
-// its weight on small rates, where both versions of a sound rollout lie.
+// ratios are the alternatives of the test: how many times as many answers of
+// the rollout are bad. The least one is a tolerance, since a rollout that is
+// worse by less than half of it loses the bet.
+var ratios = [...]float64{2, 4, 10, 40}
+
+// The stable rate is estimated as if priorAnswers had been seen before, of
+// which priorBad were bad.
 const (
-	priorBad  = 0.5
-	priorGood = 2.0
+	priorBad     = 0.5
+	priorAnswers = 25
+	maxRate      = 0.98
 )
 
-// logMixture returns the logarithm of the probability of a sequence with bad
-// of n answers bad, averaged over the prior of the rate.
-func logMixture(bad, n float64) float64 {
-	return logBeta(bad+priorBad, n-bad+priorGood) - logBeta(priorBad, priorGood)
+// rolloutTest tests whether a rollout has a higher rate of bad answers or of
+// low ratings than the stable version.
+//
+// For each block of new answers and each ratio it takes the likelihood ratio
+// of "the rollout's rate is ratio times the stable one" against "both have
+// the pooled rate". With the rates chosen before the block is seen, the
+// expectation of this is at most 1 whenever the rollout's rate is at most the
+// stable one, whatever that is. The mean over ratios of the products over
+// blocks is thus a nonnegative supermartingale, which ever reaches 1/alpha
+// with probability alpha at most, whenever the test stops.
+type rolloutTest struct {
+	began        began
+	answers, low stream
 }
 
-func logBeta(a, b float64) float64 {
-	x, _ := math.Lgamma(a)
-	y, _ := math.Lgamma(b)
-	z, _ := math.Lgamma(a + b)
-	return x + y - z
+func newRolloutTest(b began) *rolloutTest { return &rolloutTest{began: b} }
+
+// update takes the totals of both versions and returns the logarithm of the
+// evidence against the rollout.
+func (t *rolloutTest) update(stable, rollout count) float64 {
+	t.answers.update(sample{stable.answers, stable.bad, rollout.answers, rollout.bad})
+	t.low.update(sample{stable.rated, stable.low, rollout.rated, rollout.low})
+	return logMean(append(t.answers.evidence[:], t.low.evidence[:]...))
 }
 
-// logLikelihood returns the logarithm of the probability of a sequence with
-// bad of n answers bad at the given rate in (0, 1).
-func logLikelihood(bad, n, rate float64) float64 {
-	return bad*math.Log(rate) + (n-bad)*math.Log1p(-rate)
+// stream is the test of answers or of ratings.
+type stream struct {
+	seen     sample
+	evidence [len(ratios)]float64
 }
 
-// upperRate returns an upper confidence bound of a rate that holds at all
-// times together with probability 1-delta: the largest rate whose likelihood
-// ratio against the mixture has not fallen to delta.
-func upperRate(bad, n, delta float64) float64 {
-	const most = 1 - 1e-9
-	floor := logMixture(bad, n) + math.Log(delta)
-	low, high := max(bad/max(n, 1), 1e-9), most
-	if low >= most || logLikelihood(bad, n, most) > floor {
-		return most
+// sample counts answers and bad ones of both versions.
+type sample struct{ stable, stableBad, rollout, rolloutBad int64 }
+
+// update bets on the answers since the last block. The stable rate is
+// estimated from the answers before. A block needs answers of both versions.
+func (s *stream) update(total sample) {
+	b := sample{
+		total.stable - s.seen.stable, total.stableBad - s.seen.stableBad,
+		total.rollout - s.seen.rollout, total.rolloutBad - s.seen.rolloutBad,
+	}
+	if b.stable == 0 && b.stableBad == 0 && b.rollout > 0 {
+		return
 	}
-	for range 50 {
-		mid := (low + high) / 2
-		if logLikelihood(bad, n, mid) > floor {
-			low = mid
-		} else {
-			high = mid
-		}
+	stable := (float64(s.seen.stableBad) + priorBad) / (float64(s.seen.stable) + priorAnswers)
+	s.seen = total
+	// Counts shrink when a counter is dropped; the block is then not used.
+	if b.rollout <= 0 || b.stable <= 0 || b.rolloutBad < 0 || b.stableBad < 0 || b.rolloutBad > b.rollout || b.stableBad > b.stable {
+		return
 	}
-	return high
+	for i, ratio := range ratios {
+		rollout := min(ratio*stable, max(maxRate, stable))
+		pooled := (float64(b.stable)*stable + float64(b.rollout)*rollout) / float64(b.stable+b.rollout)
+		s.evidence[i] += logLikelihood(b.stableBad, b.stable, stable) +
+			logLikelihood(b.rolloutBad, b.rollout, rollout) -
+			logLikelihood(b.stableBad+b.rolloutBad, b.stable+b.rollout, pooled)
+	}
+}
+
+// logLikelihood returns the logarithm of the probability of a sequence with
+// bad of n answers bad at the given rate in (0, 1).
+func logLikelihood(bad, n int64, rate float64) float64 {
+	return float64(bad)*math.Log(rate) + float64(n-bad)*math.Log1p(-rate)
 }
 
-// logEvidence returns the logarithm of the mixture likelihood ratio against
-// every rate up to the given one. If the true rate is at most that, the ratio
-// ever reaches 1/alpha with a probability of at most alpha, whenever the test
-// stops (Ville's inequality for the martingale that the ratio is).
-func logEvidence(bad, n, rate float64) float64 {
-	if n == 0 || bad/n <= rate {
-		return 0
+// logMean returns the logarithm of the mean of the numbers with the given logarithms.
+func logMean(logs []float64) float64 {
+	most := math.Inf(-1)
+	for _, l := range logs {
+		most = max(most, l)
+	}
+	sum := 0.0
+	for _, l := range logs {
+		sum += math.Exp(l - most)
 	}
-	return logMixture(bad, n) - logLikelihood(bad, n, rate)
+	return most + math.Log(sum/float64(len(logs)))
 }
