--- a/cmd/dandelionhoistd/speed_test.go
+++ b/cmd/dandelionhoistd/speed_test.go
@@ -198,7 +198,7 @@
 	elapsed := time.Since(start).Seconds()
 	b.ReportMetric(float64(count.Load())/elapsed, "tokens/s")
 	b.ReportMetric((processorTime(b, d)-cpu).Seconds()/elapsed, "cores")
-	b.ReportMetric(float64((processorTime(b, d) - cpu).Microseconds())/float64(count.Load()), "µs/token")
+	b.ReportMetric(float64((processorTime(b, d)-cpu).Microseconds())/float64(count.Load()), "µs/token")
 }
 
 // profile stores the daemon's processor profile of the next seconds in a file.
--- a/dh/dhdaemon/dhdaemon.go
+++ b/dh/dhdaemon/dhdaemon.go
@@ -31,6 +31,7 @@
 	"dandelionhoist.example/dh/dhpb"
 	"dandelionhoist.example/dh/dhpeer"
 	"dandelionhoist.example/dh/dhplacement"
+	"dandelionhoist.example/dh/dhpool"
 	"dandelionhoist.example/dh/dhquorum"
 	"dandelionhoist.example/dh/dhrouter"
 	"dandelionhoist.example/dh/dhserver"
@@ -83,6 +84,7 @@
 	router   *dhrouter.Router
 	node     *dhnode.Node
 	claimed  *dhclaim.Claims
+	pools    *pools
 	drained  chan struct{}
 }
 
@@ -183,6 +185,9 @@
 		feed := &cacheFeed{daemon: d, source: source, placer: placer}
 		d.node.TickHooks = append(d.node.TickHooks, feed.tick)
 	}
+	if orders, ok := d.Engine.(dhpool.Orders); ok && d.voter != nil {
+		d.pools = newPools(d, orders)
+	}
 	d.router.Report = d.node.Report
 	d.node.Init()
 	return nil
@@ -191,7 +196,11 @@
 // ownerGone reports whether the VM of a claim's owner is dead or has left. An
 // owner that has restarted under the same VM name is found by the claim's age.
 func (d *Daemon) ownerGone(owner string) bool {
-	m, ok := d.members.View().Get(owner[:max(strings.LastIndexByte(owner, '.'), 0)])
+	return d.nameGone(owner[:max(strings.LastIndexByte(owner, '.'), 0)])
+}
+
+func (d *Daemon) nameGone(name string) bool {
+	m, ok := d.members.View().Get(name)
 	return ok && m.State >= dhmember.Dead
 }
 
@@ -213,6 +222,9 @@
 	d.group.Go(d.node.WaitStarted)
 	d.group.Go(d.keepBills)
 	d.group.Go(d.maintain)
+	if d.pools != nil {
+		d.group.Go(d.pools.run)
+	}
 	d.startState()
 	if d.NoListen {
 		return
--- a/dh/dhdaemon/state.go
+++ b/dh/dhdaemon/state.go
@@ -148,8 +148,11 @@
 type billJournal struct{ group *dhjournal.Group }
 
 // Append implements dhledger.Journal.
-func (b billJournal) Append(record []byte) error {
-	return b.group.Do(context.Background(), func(j *dhjournal.Journal) { j.Append(record) })
+func (b billJournal) Append(record []byte, apply func()) error {
+	return b.group.Do(context.Background(), func(j *dhjournal.Journal) {
+		apply()
+		j.Append(record)
+	})
 }
 
 // billPeer calls the ledger of another VM.
--- a/dh/dhledger/cluster_test.go
+++ b/dh/dhledger/cluster_test.go
@@ -26,7 +26,7 @@
 	gate    chan struct{} // when set, each Append waits for a value
 }
 
-func (j *journal) Append(record []byte) error {
+func (j *journal) Append(record []byte, apply func()) error {
 	if j.gate != nil {
 		<-j.gate
 	}
@@ -36,6 +36,7 @@
 		return j.err
 	}
 	j.records = append(j.records, record)
+	apply()
 	return nil
 }
 
--- a/dh/dhledger/dhledger_test.go
+++ b/dh/dhledger/dhledger_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"google.golang.org/protobuf/proto"
@@ -178,11 +179,7 @@
 	_, middle := store.List(0, 33)
 	tail, _ := store.List(middle, 1000)
 
-	var snapshot [][]byte
-	assert.NilError(t, store.Snapshot(func(record []byte) error {
-		snapshot = append(snapshot, record)
-		return nil
-	}))
+	snapshot := slices.Collect(store.Snapshot())
 	for _, records := range [][][]byte{j.records, snapshot} {
 		restored := &dhledger.Store{VoterID: "a", Journal: &journal{}}
 		for _, record := range records {
--- a/dh/dhledger/store.go
+++ b/dh/dhledger/store.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"crypto/sha256"
 	"fmt"
+	"iter"
 	"slices"
 	"sync"
 
@@ -31,8 +32,9 @@
 
 // Journal keeps records.
 type Journal interface {
-	// Append returns nil once the record is synced.
-	Append(record []byte) error
+	// Append returns nil once the record is synced. It calls apply before it
+	// may take a snapshot that has to contain the record.
+	Append(record []byte, apply func()) error
 }
 
 // Store is a voter's merged set of bills. Its fields are set before use.
@@ -48,9 +50,11 @@
 	// order holds rows by sequence; a replaced row stays until it is compacted.
 	order    []*row
 	replaced int
-	busy     bool
-	waiting  []*write
-	failed   error
+	// bytes is the encoded size of the bills in rows.
+	bytes   int
+	busy    bool
+	waiting []*write
+	failed  error
 }
 
 type row struct {
@@ -137,9 +141,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if err == nil {
-		s.apply(record)
-	} else if dhcode.Of(err) == dhcode.DiskFailed {
+	if dhcode.Of(err) == dhcode.DiskFailed {
 		s.failed = err
 	}
 	for _, w := range batch {
@@ -201,13 +203,19 @@
 	if err != nil {
 		return dhcode.Wrap(dhcode.Internal, err)
 	}
-	if err := s.Journal.Append(data); err != nil {
+	apply := func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.apply(record)
+	}
+	if err := s.Journal.Append(data, apply); err != nil {
 		return dhcode.Wrap(dhcode.DiskFailed, fmt.Errorf("journal of bills: %w", err))
 	}
 	return nil
 }
 
-// apply makes the bills of a synced record visible.
+// apply makes the bills of a record visible. Until the record is synced, no
+// other call of Put is answered, since calls write one after the other.
 func (s *Store) apply(record *dhpb.BillRecord) {
 	if s.rows == nil {
 		s.rows = make(map[string]*row)
@@ -216,10 +224,12 @@
 		if old, ok := s.rows[bill.GetRequestId()]; ok {
 			old.replaced = true
 			s.replaced++
+			s.bytes -= proto.Size(old.bill)
 		}
 		r := &row{bill: bill, sequence: record.GetSequences()[i]}
 		s.rows[bill.GetRequestId()] = r
 		s.order = append(s.order, r)
+		s.bytes += proto.Size(bill)
 		s.sequence = max(s.sequence, r.sequence)
 	}
 	if s.replaced > len(s.order)/2 {
@@ -245,26 +255,34 @@
 	return nil
 }
 
-// Snapshot calls f with records that restore the current set.
-func (s *Store) Snapshot(f func(record []byte) error) error {
+// Size returns the number and the bytes of the records of a snapshot.
+func (s *Store) Size() (records, bytes int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return (len(s.order) + MaxBatch - 1) / MaxBatch, s.bytes
+}
+
+// Snapshot returns records that restore the current set.
+func (s *Store) Snapshot() iter.Seq[[]byte] {
 	s.mu.Lock()
 	rows := slices.Clone(s.order)
 	s.mu.Unlock()
-	for chunk := range slices.Chunk(rows, MaxBatch) {
-		record := &dhpb.BillRecord{Format: recordFormat}
-		for _, r := range chunk {
-			record.Bills = append(record.Bills, r.bill)
-			record.Sequences = append(record.Sequences, r.sequence)
-		}
-		data, err := proto.Marshal(record)
-		if err != nil {
-			return dhcode.Wrap(dhcode.Internal, err)
-		}
-		if err := f(data); err != nil {
-			return err
+	return func(yield func([]byte) bool) {
+		for chunk := range slices.Chunk(rows, MaxBatch) {
+			record := &dhpb.BillRecord{Format: recordFormat}
+			for _, r := range chunk {
+				record.Bills = append(record.Bills, r.bill)
+				record.Sequences = append(record.Sequences, r.sequence)
+			}
+			data, err := proto.Marshal(record)
+			if err != nil {
+				panic(err) // every bill was encoded when it was appended
+			}
+			if !yield(data) {
+				return
+			}
 		}
 	}
-	return nil
 }
 
 // List returns up to limit bills after a cursor, and the next cursor. A bill
--- a/dh/dhversion/measure_test.go
+++ b/dh/dhversion/measure_test.go
@@ -145,11 +145,20 @@
 }
 
 var faults = []fault{
-	{"errors", 0.01, 0.05, 0}, {"errors", 0.01, 0.10, 0}, {"errors", 0.01, 0.30, 0}, {"errors", 0.01, 1.00, 0},
-	{"wrong length", 0.02, 0.10, 0}, {"wrong length", 0.02, 0.30, 0}, {"wrong length", 0.02, 1.00, 0},
-	{"slow", 0.05, 0.15, 0}, {"slow", 0.05, 0.30, 0}, {"slow", 0.05, 1.00, 0},
-	{"low ratings", 0.04, 0.30, 1}, {"low ratings", 0.04, 1.00, 1},
-	{"low ratings", 0.04, 0.30, 0.5}, {"low ratings", 0.04, 1.00, 0.5},
+	{"errors", 0.01, 0.05, 0},
+	{"errors", 0.01, 0.10, 0},
+	{"errors", 0.01, 0.30, 0},
+	{"errors", 0.01, 1.00, 0},
+	{"wrong length", 0.02, 0.10, 0},
+	{"wrong length", 0.02, 0.30, 0},
+	{"wrong length", 0.02, 1.00, 0},
+	{"slow", 0.05, 0.15, 0},
+	{"slow", 0.05, 0.30, 0},
+	{"slow", 0.05, 1.00, 0},
+	{"low ratings", 0.04, 0.30, 1},
+	{"low ratings", 0.04, 1.00, 1},
+	{"low ratings", 0.04, 0.30, 0.5},
+	{"low ratings", 0.04, 1.00, 0.5},
 }
 
 // Measures the bad answers of a rollout before its hold.
