--- a/dh/dhmember/cluster_test.go
+++ b/dh/dhmember/cluster_test.go
@@ -52,12 +52,14 @@
 			t: t, timers: dhtimer.NewStepped(), group: dhgroup.New(context.Background()), seed: 1,
 			delay: 5 * time.Millisecond, cut: make(map[string]bool), sent: make(map[string]uint64),
 		}
+		defer func() {
+			for _, n := range c.nodes {
+				n.crash()
+			}
+			c.step(5 * time.Second)
+			assert.NilError(t, c.group.Wait())
+		}()
 		f(c)
-		for _, n := range c.nodes {
-			n.crash()
-		}
-		c.step(5 * time.Second)
-		assert.NilError(t, c.group.Wait())
 	})
 }
 
--- a/dh/dhmember/dhmember.go
+++ b/dh/dhmember/dhmember.go
@@ -125,7 +125,9 @@
 	since time.Time // of the current state
 	heard time.Time // of the last message from the member itself
 	sends int       // messages that still carry the record as news
-	busy  bool      // an exchange started by a tick is under way
+	// busy is set while an exchange started by a tick is under way, doubted
+	// while others are asked to probe the member.
+	busy, doubted bool
 }
 
 // sendFactor times the logarithm of the number of members is how many messages carry a change.
--- a/dh/dhmember/probe.go
+++ b/dh/dhmember/probe.go
@@ -141,30 +141,38 @@
 // probe exchanges messages with a member and suspects it when neither it nor
 // a member asked to probe it answers.
 func (m *Members) probe(ctx context.Context, to Member, page int) {
-	defer m.endProbe(to.Name)
 	start := m.Timers.Now()
-	if _, err := m.exchange(ctx, to, "", m.ProbeTimeout, page); err == nil || ctx.Err() != nil {
-		return
-	}
-	if m.askOthers(ctx, to) || ctx.Err() != nil {
+	_, err := m.exchange(ctx, to, "", m.ProbeTimeout, page)
+	if !m.doubt(to.Name, err != nil && ctx.Err() == nil) {
 		return
 	}
+	reached := m.askOthers(ctx, to)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	r := m.rows[to.Name]
-	if r == nil || r.State != Alive || r.Incarnation != to.Incarnation || !r.heard.Before(start) {
+	if r != nil {
+		r.doubted = false
+	}
+	if reached || ctx.Err() != nil || r == nil || r.State != Alive || r.Incarnation != to.Incarnation || !r.heard.Before(start) {
 		return
 	}
 	m.changed(r, Suspect, m.Timers.Now())
 	m.publish()
 }
 
-func (m *Members) endProbe(name string) {
+// doubt ends an exchange started by a tick and says whether others should be
+// asked about the member. Exchanges with it go on in the meantime.
+func (m *Members) doubt(name string, failed bool) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if r := m.rows[name]; r != nil {
-		r.busy = false
+	r := m.rows[name]
+	if r == nil {
+		return false
 	}
+	r.busy = false
+	ask := failed && !r.doubted && r.State == Alive
+	r.doubted = r.doubted || ask
+	return ask
 }
 
 // askOthers asks other members to probe one and says whether any reached it.
--- /dev/null
+++ b/dh/dhmember/slopes_test.go
@@ -0,0 +1,121 @@
+package dhmember_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"syscall"
+	"testing"
+	"time"
+
+	"dandelionhoist.example/dh/dhmember"
+	"dandelionhoist.example/dh/dhpb"
+)
+
+var slopes = flag.Bool("slopes", false, "measure at 10, 100 and 300 members")
+
+// follower adopts the newest revision that messages carry, as a daemon does.
+type follower struct{ n *node }
+
+func (f follower) Fill(dhmember.Member, *dhpb.GossipMessage) {}
+
+func (f follower) Merge(msg *dhpb.GossipMessage) {
+	if msg.GetRevision() > f.n.View().Self.Revision {
+		f.n.SetSelf(dhmember.Change{Revision: msg.GetRevision()})
+		f.n.View()
+	}
+}
+
+func cpu() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// Guards against messages or detection times that grow faster than the
+// two-year size allows; prints the figures that docs/CAPACITY.md is computed
+// from. Bytes are those of encoded messages, sent, without HTTP; CPU includes
+// the simulated network.
+func TestSlopes(t *testing.T) {
+	sizes := []int{10}
+	if *slopes {
+		sizes = []int{10, 100, 300}
+	}
+	for _, size := range sizes {
+		run(t, func(c *cluster) { measure(c, size) })
+	}
+}
+
+// quiet steps until messages are small and have stopped shrinking and returns
+// how long that took.
+func (c *cluster) quiet() time.Duration {
+	start := c.timers.Now()
+	for last := 0; ; {
+		messages, bytes := c.messages, c.bytes
+		c.step(15 * time.Second)
+		messages, bytes = c.messages-messages, c.bytes-bytes
+		if last > 0 && bytes > last*97/100 && bytes < 200*messages {
+			return c.timers.Now().Sub(start)
+		}
+		last = bytes
+	}
+}
+
+func measure(c *cluster, size int) {
+	c.prepare = func(n *node) { n.Payloads = []dhmember.Payload{follower{n}} }
+	c.start(size)
+	c.within(time.Minute, "members know each other", c.converged)
+	settled := c.quiet()
+
+	const window = 60
+	spent, messages, bytes := cpu(), c.messages, c.bytes
+	c.step(window * time.Second)
+	per := float64(size) * window
+	mean := float64(c.bytes-bytes) / float64(c.messages-messages)
+	fmt.Printf("steady members=%d settled_s=%.0f bytes_per_member_s=%.0f messages_per_member_s=%.2f cpu_us_per_member_s=%.0f bytes_per_message=%.0f\n",
+		size, settled.Seconds(), float64(c.bytes-bytes)/per, float64(c.messages-messages)/per,
+		float64((cpu()-spent).Microseconds())/per, mean)
+	if limit := 800.0 * per; float64(c.bytes-bytes) > limit {
+		c.t.Errorf("%d members: %d bytes in %d s, limit %.0f", size, c.bytes-bytes, window, limit)
+	}
+
+	// change runs one membership change and prints what it cost.
+	change := func(kind string, done func() bool, first func() bool) {
+		messages, bytes := c.messages, c.bytes
+		detected := c.within(30*time.Second, kind+" noticed", first)
+		spread := c.within(30*time.Second, kind+" known to all", done)
+		c.step(60 * time.Second)
+		extra := float64(c.bytes-bytes) - mean*float64(c.messages-messages)
+		fmt.Printf("change kind=%s members=%d detected_ms=%d spread_ms=%d bytes_per_member=%.0f\n",
+			kind, size, detected.Milliseconds(), spread.Milliseconds(), extra/float64(size))
+	}
+	last := c.nodes[size-1]
+	name := last.Self.GetName()
+	seen := func(state dhmember.State) func() bool {
+		return func() bool {
+			for _, n := range c.up() {
+				if m, ok := n.View().Get(name); ok && m.State == state {
+					return true
+				}
+			}
+			return false
+		}
+	}
+	last.crash()
+	change("crash", func() bool { return c.all(name, dhmember.Dead) }, seen(dhmember.Dead))
+	back := last.restart()
+	change("restart", c.converged, func() bool { return back.View().Self.Incarnation > 0 })
+	c.group.Go(func(ctx context.Context) error { back.Leave(ctx); return nil })
+	change("leave", func() bool { return c.all(name, dhmember.Left) }, seen(dhmember.Left))
+	back.crash()
+	c.nodes[0].SetSelf(dhmember.Change{Revision: 9})
+	c.group.Go(func(ctx context.Context) error { c.nodes[0].Push(ctx); return nil })
+	change("revision", func() bool {
+		for _, n := range c.up() {
+			if n.View().Self.Revision != 9 {
+				return false
+			}
+		}
+		return true
+	}, func() bool { return true })
+}
