Add sessions of whole deployments on the stepped clock

Nothing ran several daemons together. dhsession runs them with callers over the connect handlers, simulated backend servers and operators on one fake network, and compares what they saw with a golden text.

The fate of a message of the fake network can follow from its key in place of its number on the link, and the daemon's seed covers the backoff of retries and proposers, so that a run repeats exactly also under the race detector.

--- a/dh/dhdaemon/dhdaemon.go
+++ b/dh/dhdaemon/dhdaemon.go
@@ -74,6 +74,7 @@
 	group *dhgroup.Group
 	// serving runs the network servers.
 	serving  *dhgroup.Group
+	random   *random
 	metrics  *dhmetric.Metrics
 	members  *dhmember.Members
 	proposer *dhquorum.Proposer
@@ -142,6 +143,7 @@
 	d.drained = make(chan struct{})
 	s := d.Settings
 	d.metrics = dhmetric.New(s.Limits.HistogramLabels)
+	d.random = newRandom(d.Seed)
 	if err := d.buildState(); err != nil {
 		return err
 	}
@@ -156,7 +158,7 @@
 		Versions: &dhversion.Chooser{Keys: d.Keys.Session, NewSessionID: d.NewID},
 		Placer:   placer,
 		Credits:  noCredits{}, Limiter: limiter, Retries: &dhlimit.Budget{}, Breakers: &dhlimit.Breakers{Timers: d.Timers},
-		Backoff: dhlimit.Backoff{}.Delay,
+		Backoff: dhlimit.Backoff{Random: d.random.float64}.Delay,
 		Claims:  d.claimed, Ledger: d.ledger, Planner: dhrouter.LargestModel{}, Engine: d.Engine,
 		VM: s.Name, Zone: s.Zone, MaxAttempts: s.Limits.Attempts, ResumeGrace: resumeGrace,
 		NewRequestID: d.NewID,
--- a/dh/dhdaemon/state.go
+++ b/dh/dhdaemon/state.go
@@ -5,7 +5,9 @@
 	"crypto/rand"
 	"encoding/binary"
 	"log/slog"
+	mathrand "math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"dandelionhoist.example/dh/dhbackend"
@@ -38,6 +40,27 @@
 	return binary.LittleEndian.Uint64(b[:])
 }
 
+// random is a seeded generator that goroutines share, so that a test with a
+// seed repeats exactly.
+type random struct {
+	mu   sync.Mutex
+	rand *mathrand.Rand
+}
+
+func newRandom(seed uint64) *random { return &random{rand: mathrand.New(mathrand.NewPCG(seed, 2))} }
+
+func (r *random) uint64() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.rand.Uint64()
+}
+
+func (r *random) float64() float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.rand.Float64()
+}
+
 // incarnation of this start; later starts get higher ones while the VM's clock does not go back.
 func (d *Daemon) incarnation() uint64 { return uint64(d.Timers.Now().UnixMilli()) }
 
@@ -52,6 +75,7 @@
 	s := d.Settings
 	d.proposer = &dhquorum.Proposer{
 		Name: s.Name + "." + d.NewID(), Transport: d.Peers, Timers: d.Timers, Timeout: s.Timing.QuorumTimeout.Std(),
+		Random: d.random.uint64,
 	}
 	d.ledger = &dhledger.Ledger{
 		Name: s.Name, Group: d.group, Timers: d.Timers, Voters: d.billVoters, Reachable: d.reachable, Known: d.known,
--- a/dh/dhfake/network.go
+++ b/dh/dhfake/network.go
@@ -14,6 +14,10 @@
 	"dandelionhoist.example/dh/dhtimer"
 )
 
+// Keyed is a message whose fate follows from its key in place of its number on
+// the link, so that it does not depend on the order in which goroutines send.
+type Keyed interface{ Key() string }
+
 // Handler answers a message. Its error reaches the sender like an answer.
 type Handler func(ctx context.Context, from string, message any) (answer any, err error)
 
@@ -40,7 +44,15 @@
 	sent   int
 }
 
-type link struct{ from, to string }
+type link struct{ from, to, key string }
+
+func linkOf(from, to string, message any) link {
+	l := link{from: from, to: to}
+	if k, ok := message.(Keyed); ok {
+		l.key = k.Key()
+	}
+	return l
+}
 
 // Node is one run of a process on the network, until Crash.
 type Node struct {
@@ -142,7 +154,7 @@
 		return nil, fmt.Errorf("node %s is down", n.name)
 	}
 	results := make(chan result, 1)
-	n.network.transmit(n.name, to, func() { n.network.deliver(n, to, message, results) })
+	n.network.transmit(linkOf(n.name, to, message), func() { n.network.deliver(n, to, message, results) })
 	select {
 	case r := <-results:
 		return r.answer, r.err
@@ -165,7 +177,7 @@
 		if !node.up() {
 			return nil
 		}
-		n.transmit(to, from.name, func() {
+		n.transmit(linkOf(to, from.name, message), func() {
 			select {
 			case results <- result{answer: answer, err: err}:
 			default: // a duplicate
@@ -176,10 +188,9 @@
 }
 
 // transmit schedules the arrivals of one message: none, one or two.
-func (n *Network) transmit(from, to string, arrive func()) {
+func (n *Network) transmit(l link, arrive func()) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	l := link{from, to}
 	n.counts[l]++
 	n.sent++
 	random := n.random(l, n.counts[l])
@@ -196,14 +207,15 @@
 			d += time.Duration(random.Int64N(int64(spread)))
 		}
 		n.timers.After(d, func(time.Time) {
-			if n.connected(from, to) {
+			if n.Connected(l.from, l.to) {
 				arrive()
 			}
 		})
 	}
 }
 
-func (n *Network) connected(from, to string) bool {
+// Connected reports whether no partition separates two nodes.
+func (n *Network) Connected(from, to string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.side[from] == n.side[to]
@@ -212,6 +224,6 @@
 // random returns the generator of one message, so that the order in which
 // goroutines send does not change what happens to each message.
 func (n *Network) random(l link, count uint64) *rand.Rand {
-	key := binary.LittleEndian.AppendUint64([]byte(l.from+"\x00"+l.to+"\x00"), count)
+	key := binary.LittleEndian.AppendUint64([]byte(l.from+"\x00"+l.to+"\x00"+l.key), count)
 	return rand.New(rand.NewPCG(n.seed, xxhash.Sum64(key)))
 }
--- /dev/null
+++ b/dh/dhsession/operator.go
@@ -0,0 +1,77 @@
+package dhsession
+
+import (
+	"context"
+	"testing/synctest"
+	"time"
+
+	"dandelionhoist.example/dh/dhcode"
+	"dandelionhoist.example/dh/dhpb"
+	"dandelionhoist.example/dh/dhwire"
+)
+
+// Edit sends an edit of the tables to a VM. The answer of a lost one is not
+// seen by the operator.
+func (w *World) Edit(vm, id string, base uint64, text string, lost bool) *Edit {
+	e := &Edit{ID: id, VM: vm, Base: base, Text: text, Sent: w.Timers.Now(), Code: dhcode.StreamBroken}
+	r := w.vms[vm].up()
+	if r == nil {
+		w.Facts.edited(e)
+		return e
+	}
+	w.group.Go(func(ctx context.Context) error {
+		out, err := r.operators.EditTables(ctx, &dhpb.EditTablesRequest{EditId: id, BaseRevision: base, Author: "operator", Tables: []byte(text)})
+		if lost || w.vms[vm].up() != r {
+			w.Facts.note("operator %s@%s lost", id, vm)
+			return nil
+		}
+		e.At, e.Revision, e.Code = w.Timers.Now(), out.GetRevision(), dhcode.Of(dhwire.FromConnect(err))
+		w.Facts.edited(e)
+		return nil
+	})
+	synctest.Wait()
+	return e
+}
+
+// probe asks each VM for its newest revision.
+func (w *World) probe() {
+	for _, name := range w.names {
+		r := w.vms[name].up()
+		if r == nil || r.stopping {
+			continue
+		}
+		out, err := r.operators.GetTables(context.Background(), &dhpb.GetTablesRequest{})
+		if err == nil && out.GetRevision() > 0 {
+			w.Facts.revision(name, out.GetRevision())
+		}
+	}
+}
+
+// ExportBills reads all bills through a VM.
+func (w *World) ExportBills(vm string) bool {
+	r := w.vms[vm].up()
+	if r == nil {
+		return false
+	}
+	var bills []*dhpb.Bill
+	ended, complete := false, false
+	w.group.Go(func(ctx context.Context) error {
+		defer func() { ended = true }()
+		for after := uint64(0); ; {
+			out, err := r.operators.ExportBills(ctx, &dhpb.ExportBillsRequest{After: after, Limit: 1000})
+			if err != nil {
+				w.Facts.note("bills: %v", err)
+				return nil
+			}
+			bills = append(bills, out.GetBills()...)
+			if len(out.GetBills()) == 0 || out.GetNext() == after {
+				complete = out.GetComplete()
+				return nil
+			}
+			after = out.GetNext()
+		}
+	})
+	w.Until(10*time.Second, func() bool { return ended })
+	w.Facts.billed(bills, complete)
+	return complete
+}
--- /dev/null
+++ b/dh/dhsession/session_test.go
@@ -0,0 +1,54 @@
+package dhsession_test
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"testing/cryptotest"
+	"testing/synctest"
+
+	"github.com/rogpeppe/go-internal/txtar"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+
+	"dandelionhoist.example/dh/dhsession"
+)
+
+// Each session causes the failure that its first lines name. The golden text
+// guards against any change of what callers and operators see.
+func TestSession(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txtar")
+	assert.NilError(t, err)
+	assert.Assert(t, len(files) > 0)
+	for _, file := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(file), ".txtar"), func(t *testing.T) {
+			archive, err := txtar.ParseFile(file)
+			assert.NilError(t, err)
+			text := run(t, archive)
+			last := &archive.Files[len(archive.Files)-1]
+			assert.Equal(t, last.Name, "golden")
+			if golden.FlagUpdate() {
+				last.Data = []byte(text)
+				assert.NilError(t, os.WriteFile(file, txtar.Format(archive), 0o666))
+				return
+			}
+			assert.Equal(t, text, string(last.Data))
+		})
+	}
+}
+
+func run(t *testing.T, archive *txtar.Archive) (text string) {
+	cryptotest.SetGlobalRandom(t, 1)
+	synctest.Test(t, func(t *testing.T) {
+		w := dhsession.NewWorld(1)
+		defer w.Close()
+		script := &dhsession.Script{World: w, Folder: "testdata", Archive: archive}
+		assert.NilError(t, script.Run())
+		for _, fault := range w.Facts.Check() {
+			t.Error(fault)
+		}
+		text = strings.Join(w.Facts.Lines(script.Skip), "\n") + "\n"
+	})
+	return text
+}
