Push a decided revision only once it is published

The push to all members ran at the same time as the event that publishes the revision, so that its messages could still carry the old one. Under the race detector VMs then learned of an edit 90 ms to 400 ms late, by gossip.

--- a/dh/dhnode/dhnode.go
+++ b/dh/dhnode/dhnode.go
@@ -220,15 +220,22 @@
 func (n *Node) Compact(ctx context.Context) error { return n.editor.Compact(ctx) }
 
 // decided spreads a revision that has won.
-func (n *Node) decided(*dhedit.Revision) {
-	n.post(newRevision{})
+func (n *Node) decided(*dhedit.Revision) { n.post(newRevision{push: true}) }
+
+// newRevision puts the newest revision into force.
+type newRevision struct {
+	// push sends it to the members at once. The messages carry the published
+	// revision, so that they must not be sent before it is in force.
+	push bool
+}
+
+func (e newRevision) apply(n *Node, now time.Time) {
+	n.publish(now)
+	if !e.push {
+		return
+	}
 	n.Group.Go(func(ctx context.Context) error {
 		n.Members.Push(ctx)
 		return nil
 	})
 }
-
-// newRevision puts the newest revision into force.
-type newRevision struct{}
-
-func (newRevision) apply(n *Node, now time.Time) { n.publish(now) }
