Pass records of backend servers between availability zones

Cause: an entry VM knew only the backend servers of its own zone. Change: dhbackend.Digest is a payload of the gossip; announcements feed it.

--- a/dh/dhdaemon/dhdaemon.go
+++ b/dh/dhdaemon/dhdaemon.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"dandelionhoist.example/dh/dhanswer"
+	"dandelionhoist.example/dh/dhbackend"
 	"dandelionhoist.example/dh/dhclaim"
 	"dandelionhoist.example/dh/dhdisk"
 	"dandelionhoist.example/dh/dhedit"
@@ -84,6 +85,7 @@
 	ledger   *dhledger.Ledger
 	router   *dhrouter.Router
 	node     *dhnode.Node
+	digest   *dhbackend.Digest
 	claimed  *dhclaim.Claims
 	pools    *pools
 	drained  chan struct{}
@@ -173,12 +175,16 @@
 		Answers: answers, Evidence: &dhversion.Evidence{VM: s.Name, Incarnation: d.incarnation()},
 		VoterStatus: d.voterStatus,
 	}
+	d.digest = &dhbackend.Digest{
+		Timers: d.Timers, Name: s.Name, Zone: s.Zone, Received: d.node.Learn,
+		Lease: s.Timing.BackendLease.Std(), MaxBackends: s.Limits.Backends,
+	}
 	d.members = &dhmember.Members{
 		Timers: d.Timers, Transport: d.Peers, Group: d.group, Seeds: s.Peers.Seeds, Seed: d.Seed, Logger: d.Log,
 		Self: &dhpb.MemberRecord{
 			Name: s.Name, Address: s.Listen.Peers, Zone: s.Zone, Region: s.Region, HasDisk: s.State.Folder != "",
 		},
-		Payloads: []dhmember.Payload{dhnode.Gossip{Node: d.node}},
+		Payloads: []dhmember.Payload{dhnode.Gossip{Node: d.node}, d.digest},
 		Period:   s.Timing.GossipPeriod.Std(),
 	}
 	d.node.Members = d.members
@@ -249,7 +255,7 @@
 
 // PeerService returns the service for other entry VMs and backend servers.
 func (d *Daemon) PeerService() *dhserver.Peers {
-	peers := &dhserver.Peers{Node: d.node, Router: d.router, Gossiper: d.members, Bills: d.ledger}
+	peers := &dhserver.Peers{Node: d.node, Announced: d.digest.Announced, Router: d.router, Gossiper: d.members, Bills: d.ledger}
 	if d.voter != nil {
 		peers.Voter = d.voter.Voter
 	}
--- a/dh/dhnode/dhnode.go
+++ b/dh/dhnode/dhnode.go
@@ -154,6 +154,9 @@
 	}
 }
 
+// Learn takes a record of a backend server that another entry VM passed on.
+func (n *Node) Learn(b *dhbackend.Backend) { n.post(announced{backend: b}) }
+
 // Announce takes an announcement of a backend server. The code table-full
 // says that too many events wait.
 func (n *Node) Announce(r *dhpb.BackendRecord) error {
--- a/dh/dhserver/peers.go
+++ b/dh/dhserver/peers.go
@@ -49,6 +49,8 @@
 	Voter    Voter
 	Bills    BillKeeper
 	Lender   Lender
+	// Announced takes each announcement that is passed on to other entry VMs.
+	Announced func(*dhpb.BackendRecord)
 }
 
 // PeerHandler returns the HTTP handler for entry VMs and backend servers.
@@ -56,7 +58,7 @@
 	mux := http.NewServeMux()
 	twirpServer := dhpb.NewPeerServiceServer(p)
 	mux.Handle(twirpServer.PathPrefix(), twirpServer)
-	path, announce := dhpbconnect.NewAnnounceServiceHandler(&announcements{node: p.Node})
+	path, announce := dhpbconnect.NewAnnounceServiceHandler(&announcements{peers: p})
 	mux.Handle(path, announce)
 	return newGuard(mux, peerBytes, peerCheck(keys))
 }
@@ -147,15 +149,24 @@
 	return &dhpb.FetchAnswerResponse{Found: true, Text: part.Text, Complete: part.Done, Answer: part.Result}, nil
 }
 
+// Announce takes an announcement of a backend server.
+func (p *Peers) Announce(r *dhpb.BackendRecord) error {
+	if err := p.Node.Announce(r); err != nil {
+		return err
+	}
+	p.Announced(r)
+	return nil
+}
+
 // announcements is the service that backend servers use.
-type announcements struct{ node *dhnode.Node }
+type announcements struct{ peers *Peers }
 
 // Announce implements the announcement service.
 func (a *announcements) Announce(_ context.Context, req *dhpb.AnnounceRequest) (*dhpb.AnnounceResponse, error) {
 	req.GetBackend().AnnouncementAge = nil // only entry VMs pass on records with an age
-	if err := a.node.Announce(req.GetBackend()); err != nil {
+	if err := a.peers.Announce(req.GetBackend()); err != nil {
 		return nil, dhwire.ToConnect(err)
 	}
-	lease := a.node.Settings.Timing.BackendLease
+	lease := a.peers.Node.Settings.Timing.BackendLease
 	return &dhpb.AnnounceResponse{Lease: durationpb.New(lease.Std())}, nil
 }
--- a/dh/dhsession/engine.go
+++ b/dh/dhsession/engine.go
@@ -63,7 +63,7 @@
 		w.Facts.announced(b.ID, record.GetState())
 		w.Timers.After(w.delay("announce", b.ID, name), func(time.Time) {
 			if r := vm.up(); r != nil && w.Network.Connected(name, b.ID) {
-				_ = r.peers.Node.Announce(proto.Clone(record).(*dhpb.BackendRecord))
+				_ = r.peers.Announce(proto.Clone(record).(*dhpb.BackendRecord))
 			}
 		})
 	}
