--- a/dh/dhclaim/clock.go
+++ b/dh/dhclaim/clock.go
@@ -27,7 +27,8 @@
 // A VM uses a reading for clockFresh at most, and checks it after Take has
 // written. So whoever finds a dropped claim absent also finds its key expired.
 const (
-	clockKey     = "claim-clock"
+	// ClockKey is the register of the retention clock.
+	ClockKey     = "claim-clock"
 	clockFresh   = time.Minute
 	clockAdvance = 5 * time.Minute
 	maxStep      = 30 * time.Minute
@@ -62,9 +63,9 @@
 
 func (c *Claims) refreshClock(ctx context.Context) (int64, error) {
 	asked := c.Timers.Now()
-	value, err := c.Registers.Read(ctx, clockKey)
+	value, err := c.Registers.Read(ctx, ClockKey)
 	if err == nil && value == nil {
-		value, err = c.Registers.Update(ctx, clockKey, setClock(nil, asked.Unix()))
+		value, err = c.Registers.Update(ctx, ClockKey, setClock(nil, asked.Unix()))
 	}
 	if err != nil {
 		return 0, err
@@ -87,7 +88,7 @@
 		return nil
 	}
 	next := cached.now + int64(elapsed/time.Second)
-	value, err := c.Registers.Update(ctx, clockKey, setClock(&cached.now, next))
+	value, err := c.Registers.Update(ctx, ClockKey, setClock(&cached.now, next))
 	if err != nil {
 		return err
 	}
@@ -130,7 +131,7 @@
 func decodeClock(value []byte) (int64, error) {
 	m := &dhpb.RetentionClock{}
 	if err := proto.Unmarshal(value, m); err != nil {
-		return 0, dhcode.Wrap(dhcode.Internal, fmt.Errorf("value of %q: %w", clockKey, err))
+		return 0, dhcode.Wrap(dhcode.Internal, fmt.Errorf("value of %q: %w", ClockKey, err))
 	}
 	return m.GetNow(), nil
 }
--- a/dh/dhclaim/dhclaim_test.go
+++ b/dh/dhclaim/dhclaim_test.go
@@ -209,7 +209,7 @@
 		assert.Equal(t, status.Answer.GetText(), "answer", key)
 	}
 	day(4)
-	clock, err := w.store.Read(t.Context(), clockKey)
+	clock, err := w.store.Read(t.Context(), ClockKey)
 	assert.NilError(t, err)
 	dropped := 0
 	for _, compacted := range []bool{false, true} {
--- a/dh/dhclaim/schedule_test.go
+++ b/dh/dhclaim/schedule_test.go
@@ -84,7 +84,7 @@
 }
 
 func (p port) call(ctx context.Context, key string, apply func() ([]byte, error)) ([]byte, error) {
-	if key == clockKey {
+	if key == ClockKey {
 		return apply()
 	}
 	return p.vm.schedule.wait(&pause{actor: ctx.Value(actorKey{}).(int), owner: p.owner, vm: p.vm, apply: apply})
--- a/dh/dhdaemon/maintain.go
+++ b/dh/dhdaemon/maintain.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"time"
 
+	"dandelionhoist.example/dh/dhclaim"
 	"dandelionhoist.example/dh/dhcode"
 	"dandelionhoist.example/dh/dhmember"
 	"dandelionhoist.example/dh/dhquorum"
@@ -34,10 +35,17 @@
 		if err := d.node.Compact(ctx); err != nil {
 			d.Log.Warn("revisions not compacted", slog.String("error", err.Error()))
 		}
+		if err := d.voter.Prune(ctx, dhclaim.ClockKey, d.keepClaim); err != nil {
+			d.Log.Warn("claims not pruned", slog.String("error", err.Error()))
+		}
 	}
 	return nil
 }
 
+func (d *Daemon) keepClaim(key string, value, clock []byte) ([]byte, bool) {
+	return dhclaim.Compact(key, value, clock, d.Settings.Timing.ClaimRetention.Std())
+}
+
 // keepVoters replaces voters that are unresponsive for long, and joins the
 // voter set when this VM is the replacement. Only VMs with a disk decide.
 func (d *Daemon) keepVoters(ctx context.Context) error {
