--- a/dh/dhclaim/dhclaim_test.go
+++ b/dh/dhclaim/dhclaim_test.go
@@ -233,6 +233,57 @@
 	assert.Equal(t, dropped, 2)
 }
 
+// pausedRegister runs pause before an update of a claim is applied.
+type pausedRegister struct {
+	Register
+	pause func()
+}
+
+func (p *pausedRegister) Update(ctx context.Context, key string, f func([]byte) ([]byte, error)) ([]byte, error) {
+	if pause := p.pause; pause != nil && key != clockKey {
+		p.pause = nil
+		pause()
+	}
+	return p.Register.Update(ctx, key, f)
+}
+
+// Guards against a VM that was paused between its reading of the clock and its
+// write, for so long that the voters have dropped the claim, and that then
+// takes the key as fresh or dispatches an attempt that others have forgotten.
+func TestPausedOwnerFindsKeyExpired(t *testing.T) {
+	for _, key := range []string{"plain", fmt.Sprintf("t%d-k", dhtimer.NewStepped().Now().Unix())} {
+		w := newWorld()
+		a, b := w.vm("a"), w.vm("b")
+		paused := &pausedRegister{Register: &w.store}
+		a.Registers = paused
+		first := take(t, a, request(key))
+		w.timers.Step(TakeOverAfter)
+		assert.Equal(t, codeOfTake(t, b, request(key)), dhcode.InProgress)
+		w.timers.Step(TakeOverAfter)
+		second := take(t, b, request(key))
+		assert.NilError(t, b.Dispatch(t.Context(), second))
+		assert.NilError(t, b.Finish(t.Context(), second, dhcode.OK, nil))
+		assert.Equal(t, dhcode.Of(a.Close(t.Context(), first)), dhcode.InProgress)
+		paused.pause = func() {
+			for range 27 * 6 {
+				w.timers.Step(10 * time.Minute)
+				assert.NilError(t, b.Maintain(t.Context()))
+			}
+			clock, err := w.store.Read(t.Context(), clockKey)
+			assert.NilError(t, err)
+			_, err = w.store.Update(t.Context(), second.key, func(old []byte) ([]byte, error) {
+				kept, _ := Compact(second.key, old, clock, 0)
+				return kept, nil
+			})
+			assert.NilError(t, err)
+		}
+		assert.Equal(t, codeOfTake(t, a, request(key)), dhcode.KeyExpired, key)
+		assert.Assert(t, paused.pause == nil)
+		second.dispatched = false
+		assert.Assert(t, b.Dispatch(t.Context(), second) != nil, key)
+	}
+}
+
 // Guards against a retention clock that runs faster than time: by VMs that
 // advance it together, or by one that was away for long.
 func TestRetentionClockIsNotFast(t *testing.T) {
--- a/dh/dhclaim/settle.go
+++ b/dh/dhclaim/settle.go
@@ -108,7 +108,8 @@
 	return err
 }
 
-// Outcome returns the status of a key. Code key-expired: it is no longer kept.
+// Outcome returns the status of a key. A request that a stopped owner was
+// dispatching is broken. Code key-expired: the key is no longer kept.
 func (c *Claims) Outcome(ctx context.Context, account, key string) (*Status, error) {
 	if err := checkRequest(account, key); err != nil {
 		return nil, err
@@ -129,7 +130,11 @@
 	if State(v.GetState()) == Expired || claimExpired(v, clock, c.retention()) || issueExpired(key, clock, c.retention(), 0) {
 		return nil, errExpired(key)
 	}
-	return statusOf(v), nil
+	status := statusOf(v)
+	if status.State == Dispatching && c.OwnerGone != nil && c.OwnerGone(status.Owner) {
+		status.State = Broken
+	}
+	return status, nil
 }
 
 // change applies f to the claim's value as long as the claim is the current
--- a/dh/dhclaim/take.go
+++ b/dh/dhclaim/take.go
@@ -159,7 +159,7 @@
 	if !ok && len(c.seen) >= maxSeen {
 		c.forgetSeen(now)
 	}
-	if len(c.seen) < maxSeen {
+	if ok || len(c.seen) < maxSeen {
 		if c.seen == nil {
 			c.seen = make(map[string]sighting)
 		}
