Forget exported bills and spread the retention clock

Cause: a voter's bills only grew, and at their bound every Put would fail. All VMs would also have advanced the retention clock at the same moment. Change: Store.Forget removes exported bills and remembers 16-byte digests of their request ids, so that late duplicates are not charged. VMs wait 5 to 10 minutes, by a hash of their name, before they advance the clock.

--- a/dh/dhclaim/clock.go
+++ b/dh/dhclaim/clock.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
 	"dandelionhoist.example/dh/dhcode"
@@ -83,7 +84,10 @@
 	c.mu.Unlock()
 	asked := c.Timers.Now()
 	elapsed := min(asked.Sub(cached.since), maxStep)
-	if elapsed < clockAdvance {
+	// VMs wait for different times, so that one of them advances the clock and
+	// the others see it.
+	spread := time.Duration(xxhash.Sum64String(c.Owner) % uint64(clockAdvance))
+	if elapsed < clockAdvance+spread {
 		return nil
 	}
 	next := cached.now + int64(elapsed/time.Second)
--- a/dh/dhledger/dhledger_test.go
+++ b/dh/dhledger/dhledger_test.go
@@ -202,6 +202,46 @@
 	assert.Equal(t, codeOf(store.Restore([]byte("torn"))), "disk-corrupt")
 }
 
+// Guards against a bill that is charged again after it was exported and
+// removed, also after a restart, and against cursors that go back.
+func TestForgottenBillsStayForgotten(t *testing.T) {
+	j := &journal{}
+	store := &dhledger.Store{Journal: j, MaxBills: 3, MaxForgotten: 4}
+	ids := []string{"a", "b", "c"}
+	for _, id := range ids {
+		assert.NilError(t, store.Put([]*dhpb.Bill{bill(id, 2, 1)}))
+	}
+	_, end := store.List(0, 10)
+	assert.NilError(t, store.Forget(ids))
+	var snapshot [][]byte
+	assert.NilError(t, store.Snapshot(func(record []byte) error {
+		snapshot = append(snapshot, record)
+		return nil
+	}))
+	records := j.records
+	for _, restored := range [][][]byte{nil, records, snapshot} {
+		s := store
+		if restored != nil {
+			s = &dhledger.Store{Journal: &journal{}, MaxBills: 3, MaxForgotten: 4}
+			for _, record := range restored {
+				assert.NilError(t, s.Restore(record))
+			}
+		}
+		assert.NilError(t, s.Put([]*dhpb.Bill{bill("a", 1, 1), bill("b", 2, 1), bill("d", 2, 1)}))
+		bills, next := s.List(end, 10)
+		assert.Equal(t, len(bills), 1, "cursor %d", end)
+		assert.Equal(t, bills[0].GetRequestId(), "d")
+		assert.Assert(t, next > end)
+		assert.NilError(t, s.Forget([]string{"d", "e"}))
+		n, remembered := s.Len()
+		assert.Equal(t, n, 0)
+		assert.Equal(t, remembered, 4)
+	}
+	torn, err := proto.Marshal(&dhpb.BillRecord{Format: 1, Forgotten: [][]byte{{1}}})
+	assert.NilError(t, err)
+	assert.Equal(t, codeOf(store.Restore(torn)), "disk-corrupt")
+}
+
 // Guards against a safe bill that is missing from a complete export, over
 // random partitions, lost answers, hand-overs and restarts of up to 2 holders
 // of each bill. The second half holds bills on one VM only and must be caught.
--- a/dh/dhledger/store.go
+++ b/dh/dhledger/store.go
@@ -15,8 +15,9 @@
 )
 
 const (
-	// MaxBills bounds the bills of one voter.
-	MaxBills = 4_000_000
+	// MaxBills bounds the bills of one voter that are not forgotten; BenchmarkStore
+	// reports the memory per bill.
+	MaxBills = 500_000
 	// MaxList bounds one answer to List.
 	MaxList = 4096
 
@@ -38,19 +39,20 @@
 // Store is a voter's merged set of bills. Its fields are set before use.
 type Store struct {
 	// VoterID is the voter's identity.
-	VoterID  string
-	Journal  Journal
-	MaxBills int
+	VoterID                string
+	Journal                Journal
+	MaxBills, MaxForgotten int
 
 	mu       sync.Mutex
 	sequence uint64
-	rows     map[string]*row
+	rows     map[digest]*row
 	// order holds rows by sequence; a replaced row stays until it is compacted.
 	order    []*row
 	replaced int
 	busy     bool
 	waiting  []*write
 	failed   error
+	forgotten
 }
 
 type row struct {
@@ -62,9 +64,10 @@
 // write is a call of Put that waits for the journal. Turn gets a value when it
 // is this call's turn to write for all waiting ones.
 type write struct {
-	bills []*dhpb.Bill
-	turn  chan struct{}
-	done  chan error
+	bills  []*dhpb.Bill
+	forget [][]byte
+	turn   chan struct{}
+	done   chan error
 }
 
 // Merge returns which of two bills of one request stays; either may be nil.
@@ -104,7 +107,11 @@
 // requests, are synced. Calls that wait share one record and one sync.
 // After an error of the journal it refuses everything until a restart.
 func (s *Store) Put(bills []*dhpb.Bill) error {
-	w := &write{bills: bills, turn: make(chan struct{}, 1), done: make(chan error, 1)}
+	return s.write(&write{bills: bills})
+}
+
+func (s *Store) write(w *write) error {
+	w.turn, w.done = make(chan struct{}, 1), make(chan error, 1)
 	s.mu.Lock()
 	if len(s.waiting) >= maxWrites {
 		s.mu.Unlock()
@@ -132,7 +139,7 @@
 	s.waiting = nil
 	record, err := s.prepare(batch)
 	s.mu.Unlock()
-	if err == nil && len(record.GetBills()) > 0 {
+	if err == nil && len(record.GetBills())+len(record.GetForgotten()) > 0 {
 		err = s.append(record)
 	}
 	s.mu.Lock()
@@ -155,11 +162,16 @@
 	if s.failed != nil {
 		return nil, s.failed
 	}
-	changed := make(map[string]*dhpb.Bill)
-	var ids []string
+	record := &dhpb.BillRecord{Format: recordFormat}
+	changed := make(map[digest]*dhpb.Bill)
+	var ids []digest
 	for _, w := range batch {
+		record.Forgotten = append(record.Forgotten, w.forget...)
 		for _, bill := range w.bills {
-			id := bill.GetRequestId()
+			id := digestOf(bill.GetRequestId())
+			if s.digests[id] {
+				continue
+			}
 			best, queued := changed[id]
 			if r, ok := s.rows[id]; ok && !queued {
 				best = r.bill
@@ -173,7 +185,6 @@
 			changed[id] = bill
 		}
 	}
-	record := &dhpb.BillRecord{Format: recordFormat}
 	next, added := s.sequence, 0
 	for _, id := range ids {
 		if _, ok := s.rows[id]; !ok {
@@ -210,18 +221,21 @@
 // apply makes the bills of a synced record visible.
 func (s *Store) apply(record *dhpb.BillRecord) {
 	if s.rows == nil {
-		s.rows = make(map[string]*row)
+		s.rows = make(map[digest]*row)
 	}
 	for i, bill := range record.GetBills() {
-		if old, ok := s.rows[bill.GetRequestId()]; ok {
+		id := digestOf(bill.GetRequestId())
+		if old, ok := s.rows[id]; ok {
 			old.replaced = true
 			s.replaced++
 		}
 		r := &row{bill: bill, sequence: record.GetSequences()[i]}
-		s.rows[bill.GetRequestId()] = r
+		s.rows[id] = r
 		s.order = append(s.order, r)
 		s.sequence = max(s.sequence, r.sequence)
 	}
+	s.sequence = max(s.sequence, record.GetLastSequence())
+	s.applyForgotten(record.GetForgotten())
 	if s.replaced > len(s.order)/2 {
 		s.order = slices.DeleteFunc(s.order, func(r *row) bool { return r.replaced })
 		s.replaced = 0
@@ -239,34 +253,17 @@
 		return dhcode.Errorf(dhcode.DiskCorrupt, "record of bills has format %d, %d bills and %d numbers",
 			record.GetFormat(), len(record.GetBills()), len(record.GetSequences()))
 	}
+	for _, d := range record.GetForgotten() {
+		if len(d) != digestBytes {
+			return dhcode.Errorf(dhcode.DiskCorrupt, "record of bills has a digest of %d bytes, expected %d", len(d), digestBytes)
+		}
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.apply(record)
 	return nil
 }
 
-// Snapshot calls f with records that restore the current set.
-func (s *Store) Snapshot(f func(record []byte) error) error {
-	s.mu.Lock()
-	rows := slices.Clone(s.order)
-	s.mu.Unlock()
-	for chunk := range slices.Chunk(rows, MaxBatch) {
-		record := &dhpb.BillRecord{Format: recordFormat}
-		for _, r := range chunk {
-			record.Bills = append(record.Bills, r.bill)
-			record.Sequences = append(record.Sequences, r.sequence)
-		}
-		data, err := proto.Marshal(record)
-		if err != nil {
-			return dhcode.Wrap(dhcode.Internal, err)
-		}
-		if err := f(data); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 // List returns up to limit bills after a cursor, and the next cursor. A bill
 // that replaced another one of the same request comes again under a new
 // number. A cursor of another voter starts at the beginning, so that the
