--- a/dh/dhledger/store.go
+++ b/dh/dhledger/store.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"crypto/sha256"
 	"fmt"
-	"iter"
 	"slices"
 	"sync"
 
@@ -16,8 +15,9 @@
 )
 
 const (
-	// MaxBills bounds the bills of one voter.
-	MaxBills = 4_000_000
+	// MaxBills bounds the bills of one voter that are not forgotten; BenchmarkStore
+	// reports the memory per bill.
+	MaxBills = 500_000
 	// MaxList bounds one answer to List.
 	MaxList = 4096
 
@@ -32,29 +32,27 @@
 
 // Journal keeps records.
 type Journal interface {
-	// Append returns nil once the record is synced. It calls apply before it
-	// may take a snapshot that has to contain the record.
-	Append(record []byte, apply func()) error
+	// Append returns nil once the record is synced.
+	Append(record []byte) error
 }
 
 // Store is a voter's merged set of bills. Its fields are set before use.
 type Store struct {
 	// VoterID is the voter's identity.
-	VoterID  string
-	Journal  Journal
-	MaxBills int
+	VoterID                string
+	Journal                Journal
+	MaxBills, MaxForgotten int
 
 	mu       sync.Mutex
 	sequence uint64
-	rows     map[string]*row
+	rows     map[digest]*row
 	// order holds rows by sequence; a replaced row stays until it is compacted.
 	order    []*row
 	replaced int
-	// bytes is the encoded size of the bills in rows.
-	bytes   int
-	busy    bool
-	waiting []*write
-	failed  error
+	busy     bool
+	waiting  []*write
+	failed   error
+	forgotten
 }
 
 type row struct {
@@ -66,9 +64,10 @@
 // write is a call of Put that waits for the journal. Turn gets a value when it
 // is this call's turn to write for all waiting ones.
 type write struct {
-	bills []*dhpb.Bill
-	turn  chan struct{}
-	done  chan error
+	bills  []*dhpb.Bill
+	forget [][]byte
+	turn   chan struct{}
+	done   chan error
 }
 
 // Merge returns which of two bills of one request stays; either may be nil.
@@ -108,7 +107,11 @@
 // requests, are synced. Calls that wait share one record and one sync.
 // After an error of the journal it refuses everything until a restart.
 func (s *Store) Put(bills []*dhpb.Bill) error {
-	w := &write{bills: bills, turn: make(chan struct{}, 1), done: make(chan error, 1)}
+	return s.write(&write{bills: bills})
+}
+
+func (s *Store) write(w *write) error {
+	w.turn, w.done = make(chan struct{}, 1), make(chan error, 1)
 	s.mu.Lock()
 	if len(s.waiting) >= maxWrites {
 		s.mu.Unlock()
@@ -136,12 +139,14 @@
 	s.waiting = nil
 	record, err := s.prepare(batch)
 	s.mu.Unlock()
-	if err == nil && len(record.GetBills()) > 0 {
+	if err == nil && len(record.GetBills())+len(record.GetForgotten()) > 0 {
 		err = s.append(record)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if dhcode.Of(err) == dhcode.DiskFailed {
+	if err == nil {
+		s.apply(record)
+	} else if dhcode.Of(err) == dhcode.DiskFailed {
 		s.failed = err
 	}
 	for _, w := range batch {
@@ -157,11 +162,16 @@
 	if s.failed != nil {
 		return nil, s.failed
 	}
-	changed := make(map[string]*dhpb.Bill)
-	var ids []string
+	record := &dhpb.BillRecord{Format: recordFormat}
+	changed := make(map[digest]*dhpb.Bill)
+	var ids []digest
 	for _, w := range batch {
+		record.Forgotten = append(record.Forgotten, w.forget...)
 		for _, bill := range w.bills {
-			id := bill.GetRequestId()
+			id := digestOf(bill.GetRequestId())
+			if s.digests[id] {
+				continue
+			}
 			best, queued := changed[id]
 			if r, ok := s.rows[id]; ok && !queued {
 				best = r.bill
@@ -175,7 +185,6 @@
 			changed[id] = bill
 		}
 	}
-	record := &dhpb.BillRecord{Format: recordFormat}
 	next, added := s.sequence, 0
 	for _, id := range ids {
 		if _, ok := s.rows[id]; !ok {
@@ -203,35 +212,30 @@
 	if err != nil {
 		return dhcode.Wrap(dhcode.Internal, err)
 	}
-	apply := func() {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		s.apply(record)
-	}
-	if err := s.Journal.Append(data, apply); err != nil {
+	if err := s.Journal.Append(data); err != nil {
 		return dhcode.Wrap(dhcode.DiskFailed, fmt.Errorf("journal of bills: %w", err))
 	}
 	return nil
 }
 
-// apply makes the bills of a record visible. Until the record is synced, no
-// other call of Put is answered, since calls write one after the other.
+// apply makes the bills of a synced record visible.
 func (s *Store) apply(record *dhpb.BillRecord) {
 	if s.rows == nil {
-		s.rows = make(map[string]*row)
+		s.rows = make(map[digest]*row)
 	}
 	for i, bill := range record.GetBills() {
-		if old, ok := s.rows[bill.GetRequestId()]; ok {
+		id := digestOf(bill.GetRequestId())
+		if old, ok := s.rows[id]; ok {
 			old.replaced = true
 			s.replaced++
-			s.bytes -= proto.Size(old.bill)
 		}
 		r := &row{bill: bill, sequence: record.GetSequences()[i]}
-		s.rows[bill.GetRequestId()] = r
+		s.rows[id] = r
 		s.order = append(s.order, r)
-		s.bytes += proto.Size(bill)
 		s.sequence = max(s.sequence, r.sequence)
 	}
+	s.sequence = max(s.sequence, record.GetLastSequence())
+	s.applyForgotten(record.GetForgotten())
 	if s.replaced > len(s.order)/2 {
 		s.order = slices.DeleteFunc(s.order, func(r *row) bool { return r.replaced })
 		s.replaced = 0
@@ -249,42 +253,17 @@
 		return dhcode.Errorf(dhcode.DiskCorrupt, "record of bills has format %d, %d bills and %d numbers",
 			record.GetFormat(), len(record.GetBills()), len(record.GetSequences()))
 	}
+	for _, d := range record.GetForgotten() {
+		if len(d) != digestBytes {
+			return dhcode.Errorf(dhcode.DiskCorrupt, "record of bills has a digest of %d bytes, expected %d", len(d), digestBytes)
+		}
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.apply(record)
 	return nil
 }
 
-// Size returns the number and the bytes of the records of a snapshot.
-func (s *Store) Size() (records, bytes int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return (len(s.order) + MaxBatch - 1) / MaxBatch, s.bytes
-}
-
-// Snapshot returns records that restore the current set.
-func (s *Store) Snapshot() iter.Seq[[]byte] {
-	s.mu.Lock()
-	rows := slices.Clone(s.order)
-	s.mu.Unlock()
-	return func(yield func([]byte) bool) {
-		for chunk := range slices.Chunk(rows, MaxBatch) {
-			record := &dhpb.BillRecord{Format: recordFormat}
-			for _, r := range chunk {
-				record.Bills = append(record.Bills, r.bill)
-				record.Sequences = append(record.Sequences, r.sequence)
-			}
-			data, err := proto.Marshal(record)
-			if err != nil {
-				panic(err) // every bill was encoded when it was appended
-			}
-			if !yield(data) {
-				return
-			}
-		}
-	}
-}
-
 // List returns up to limit bills after a cursor, and the next cursor. A bill
 // that replaced another one of the same request comes again under a new
 // number. A cursor of another voter starts at the beginning, so that the
