Score the expected times of a request and the delay of the others

The fixed cost of a running request hid that prefill delays everything that decodes beside it, and that a long answer suffers more from company.

The score is now waiting, prefill and decode time with the request's own length, plus the weighted delay that it causes to the requests beside it. Waiting begins gradually, since the load is an estimate.

--- a/dh/dhmeasure/simulation.go
+++ b/dh/dhmeasure/simulation.go
@@ -224,7 +224,7 @@
 func (s *simulation) send(vm *entryVM, req *dhpb.GenerateRequest, done func(ok bool)) {
 	v := versionOf(req.GetModel())
 	c := &call{s: s, vm: vm, req: req, began: s.timers.Now(), done: done, request: dhplacement.Request{
-		Pool: "llm", Version: v, PromptTokens: dhengine.PromptTokens(req.GetPrompt()),
+		Pool: "llm", Version: v, PromptTokens: dhengine.PromptTokens(req.GetPrompt()), MaxTokens: int(req.GetMaxTokens()),
 	}}
 	if s.run.Policy == Full {
 		c.request.Prefix = dhengine.PrefixHashes(nil, v, req.GetPrompt())
--- a/dh/dhplacement/dhplacement.go
+++ b/dh/dhplacement/dhplacement.go
@@ -22,6 +22,7 @@
 package dhplacement
 
 import (
+	"math"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -38,11 +39,16 @@
 	// Sample is how many candidates are scored in the own zone and as many in
 	// the other zones.
 	Sample int
-	// PerRunning is the cost of each request that runs beside, PerWaiting that
-	// of each request that waits for a slot before this one.
-	PerRunning, PerWaiting time.Duration
-	// PerPrefillToken is the cost of a prompt token outside the prefix cache.
-	PerPrefillToken time.Duration
+	// PerSequence is the time that a running request adds to each token of the
+	// others, PerPrefillToken that of a prompt token outside the prefix cache.
+	PerSequence, PerPrefillToken time.Duration
+	// PerWaiting is the time for which one more request waits for a slot.
+	PerWaiting time.Duration
+	// Spread is the uncertainty of an estimated load in requests; waiting is
+	// expected to begin so far before the slots are full.
+	Spread float64
+	// Others is the weight of the delay that the request causes to those that run beside it.
+	Others float64
 	// OtherZone is the penalty of a backend server in another zone.
 	OtherZone time.Duration
 	// ReportHalfLife is the age at which a load report counts half; the rest
@@ -61,8 +67,8 @@
 // Defaults returns the settings that docs/MEASUREMENTS.md reports on.
 func Defaults() Settings {
 	return Settings{
-		Sample: 5, PerRunning: 100 * time.Millisecond, PerWaiting: 500 * time.Millisecond,
-		PerPrefillToken: 120 * time.Microsecond, OtherZone: 50 * time.Millisecond,
+		Sample: 5, PerSequence: 500 * time.Microsecond, PerPrefillToken: 60 * time.Microsecond,
+		PerWaiting: 500 * time.Millisecond, Spread: 2, Others: 0.8, OtherZone: 50 * time.Millisecond,
 		ReportHalfLife: 300 * time.Millisecond, ColdFactor: 3, ColdBase: 200 * time.Millisecond,
 		PerFailure: time.Second, FailureHalfLife: 2 * time.Second, MaxBlocks: 1024,
 	}
@@ -72,6 +78,13 @@
 // beyond the hash before it.
 const BlockTokens = 64
 
+// DefaultMaxTokens applies to requests without a limit. Answers are expected
+// to have expectedPercent of their limit.
+const (
+	DefaultMaxTokens = 256
+	expectedPercent  = 60
+)
+
 // Request is what a choice depends on.
 type Request struct {
 	Pool    string
@@ -79,6 +92,8 @@
 	// Prefix holds the hashes of the prompt's prefixes, the shortest first.
 	Prefix       []uint64
 	PromptTokens int
+	// MaxTokens is the limit of the answer; DefaultMaxTokens when it is 0.
+	MaxTokens int
 	// ZoneWeights gives the share of requests that may use a zone: 0 for a
 	// zone that is out, less than 1 while it ramps up. Other zones have 1.
 	ZoneWeights map[string]float64
@@ -131,6 +146,11 @@
 	}
 	c := choice{p: p, r: r, pool: po, group: po.groups[r.Version], now: p.Timers.Now(), random: random(p.Seed + p.draws.Add(1)*golden)}
 	c.ramp = c.random.float()
+	c.tokens = r.MaxTokens
+	if c.tokens <= 0 {
+		c.tokens = DefaultMaxTokens
+	}
+	c.tokens = c.tokens * expectedPercent / 100
 	c.choose()
 	if c.best.Backend == nil && c.ramp > 0 {
 		// A zone that ramps up is better than none.
@@ -180,6 +200,7 @@
 	now         time.Time
 	random      random
 	ramp        float64
+	tokens      int // expected length of the answer
 	best        Placement
 	bestScore   time.Duration
 	refusedCold bool
@@ -268,9 +289,12 @@
 	load := cand.others + float64(cand.row.inFlight.Load())
 	slots := float64(max(b.Slots, 1))
 	cached := cand.row.match(c.r.Prefix) * BlockTokens
-	wait := scale(s.PerWaiting, max(load+1-slots, 0))
-	score := wait + scale(s.PerRunning, min(load, slots)) +
-		time.Duration(max(c.r.PromptTokens-cached, 0))*s.PerPrefillToken
+	wait := scale(s.PerWaiting, excess(load+1-slots, s.Spread))
+	running := min(load, slots)
+	uncached := max(c.r.PromptTokens-cached, 0)
+	prefill := scale(time.Duration(uncached)*s.PerPrefillToken, 1+s.Others*running)
+	decode := scale(time.Duration(c.tokens)*s.PerSequence, (1+s.Others)*running)
+	score := wait + prefill + decode
 	score += scale(s.PerFailure, cand.row.failures(c.now, s.FailureHalfLife))
 	if cold {
 		score = scale(score, s.ColdFactor) + s.ColdBase
@@ -284,6 +308,14 @@
 	}
 }
 
+// excess returns the expected part of x above 0 when x is uncertain by spread.
+func excess(x, spread float64) float64 {
+	if spread <= 0 || x > 10*spread {
+		return max(x, 0)
+	}
+	return spread * math.Log1p(math.Exp(x/spread))
+}
+
 func scale(d time.Duration, factor float64) time.Duration {
 	return time.Duration(float64(d) * factor)
 }
