Trust load reports longer and leave the zone less

The half-life of reports is 600 ms, the penalty of another zone 100 ms and the weight of the delay of others 1.5.

--- a/dh/dhplacement/dhplacement.go
+++ b/dh/dhplacement/dhplacement.go
@@ -68,8 +68,8 @@
 func Defaults() Settings {
 	return Settings{
 		Sample: 5, PerSequence: 500 * time.Microsecond, PerPrefillToken: 60 * time.Microsecond,
-		PerWaiting: 500 * time.Millisecond, Spread: 2, Others: 0.8, OtherZone: 50 * time.Millisecond,
-		ReportHalfLife: 300 * time.Millisecond, ColdFactor: 3, ColdBase: 200 * time.Millisecond,
+		PerWaiting: 500 * time.Millisecond, Spread: 2, Others: 1.5, OtherZone: 100 * time.Millisecond,
+		ReportHalfLife: 600 * time.Millisecond, ColdFactor: 3, ColdBase: 200 * time.Millisecond,
 		PerFailure: time.Second, FailureHalfLife: 2 * time.Second, MaxBlocks: 1024,
 	}
 }
