Send pages of all records every 30 s

Cause: pages were 300 of 480 bytes per member and second from 64 members on. Change: page period of 30 s instead of 15 s.

--- a/dh/dhmember/dhmember.go
+++ b/dh/dhmember/dhmember.go
@@ -86,7 +86,7 @@
 	SuspectAfter time.Duration // from suspect to dead at up to 16 members, 2 s; grows with the logarithm of their number
 	ForgetAfter  time.Duration // from dead or left to forgotten, 1 h
 	RejoinPeriod time.Duration // between attempts to reach a seed or a dead member, 5 s
-	PagePeriod   time.Duration // between pages of all records, 15 s
+	PagePeriod   time.Duration // between pages of all records, 30 s
 
 	IndirectProbes int // members asked to probe an unresponsive one, 3
 	MaxMembers     int // records kept, 4096
@@ -140,7 +140,7 @@
 		setDuration(&m.SuspectAfter, 2*time.Second)
 		setDuration(&m.ForgetAfter, time.Hour)
 		setDuration(&m.RejoinPeriod, 5*time.Second)
-		setDuration(&m.PagePeriod, 15*time.Second)
+		setDuration(&m.PagePeriod, 30*time.Second)
 		setInt(&m.IndirectProbes, 3)
 		setInt(&m.MaxMembers, 4096)
 		setInt(&m.MaxDeltas, 16)
