Measure the HTTP overhead of gossip

Cause: the figures of messages leave out headers. Change: TestHTTPOverhead counts bytes and CPU of twirp exchanges over loopback.

--- a/dh/dhmember/slopes_test.go
+++ b/dh/dhmember/slopes_test.go
@@ -4,10 +4,17 @@
 	"context"
 	"flag"
 	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
 	"dandelionhoist.example/dh/dhmember"
 	"dandelionhoist.example/dh/dhpb"
 )
@@ -119,3 +126,65 @@
 		return true
 	}, func() bool { return true })
 }
+
+// counted adds up the bytes of a connection.
+type counted struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c counted) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c counted) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// peer answers gossip; other methods are not called.
+type peer struct{ dhpb.PeerService }
+
+func (peer) Gossip(context.Context, *dhpb.GossipMessage) (*dhpb.GossipMessage, error) {
+	return &dhpb.GossipMessage{From: "vm-002", Revision: 9}, nil
+}
+
+// Guards against HTTP headers that are left out of the budget; prints bytes
+// and CPU of both sides of an exchange over loopback beyond those of the messages.
+func TestHTTPOverhead(t *testing.T) {
+	for _, version := range []string{"HTTP/1.1", "HTTP/2"} {
+		protocols := new(http.Protocols)
+		protocols.SetHTTP1(version == "HTTP/1.1")
+		protocols.SetUnencryptedHTTP2(version == "HTTP/2")
+		server := httptest.NewUnstartedServer(dhpb.NewPeerServiceServer(peer{}))
+		server.Config.Protocols = protocols
+		server.Start()
+		var bytes atomic.Int64
+		transport := &http.Transport{Protocols: protocols, DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := new(net.Dialer).DialContext(ctx, network, address)
+			return counted{conn, &bytes}, err
+		}}
+		client := dhpb.NewPeerServiceProtobufClient(server.URL, &http.Client{Transport: transport})
+		msg := &dhpb.GossipMessage{From: "vm-001", Revision: 9, Members: []*dhpb.MemberRecord{{Name: "vm-001", Address: "10.0.0.1:7000", State: "alive"}}}
+		const exchanges = 1000
+		var before int64
+		var spent time.Duration
+		for i := range exchanges + 100 {
+			if i == 100 { // connected, header tables filled
+				before, spent = bytes.Load(), cpu()
+			}
+			_, err := client.Gossip(context.Background(), msg)
+			assert.NilError(t, err)
+		}
+		spent = cpu() - spent
+		own := proto.Size(msg) + proto.Size(&dhpb.GossipMessage{From: "vm-002", Revision: 9})
+		overhead := float64(bytes.Load()-before)/exchanges - float64(own)
+		fmt.Printf("http version=%s overhead_bytes_per_exchange=%.0f cpu_us_per_exchange=%d\n", version, overhead, spent.Microseconds()/exchanges)
+		assert.Assert(t, overhead < 700)
+		transport.CloseIdleConnections()
+		server.Close()
+	}
+}
