--- a/cmd/dandelionhoist/client.go
+++ b/cmd/dandelionhoist/client.go
@@ -2,18 +2,13 @@
 
 import (
 	"context"
-	"crypto/tls"
-	"crypto/x509"
 	"errors"
 	"fmt"
 	"net/http"
-	"net/url"
 	"os"
 	"strings"
 	"time"
 
-	"connectrpc.com/connect"
-
 	"dandelionhoist.example/dh/dhcode"
 	"dandelionhoist.example/dh/dhpb/dhpbconnect"
 	"dandelionhoist.example/dh/dhtimer"
@@ -49,18 +44,17 @@
 	if err != nil {
 		return nil, err
 	}
-	transport, err := newTransport(p.flags.caFile)
+	transport, err := dhwire.NewTransport(p.flags.caFile)
 	if err != nil {
-		return nil, err
+		return nil, exitUsage(err)
 	}
 	c := &client{timers: p.Timers}
 	for _, text := range p.flags.servers {
-		u, err := url.Parse(text)
-		if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
-			return nil, usageError("server %q is not a URL such as http://10.0.0.1:7000", text)
+		if err := dhwire.CheckURL(text); err != nil {
+			return nil, exitUsage(err)
 		}
 		service := dhpbconnect.NewOperatorServiceClient(&http.Client{Transport: transport},
-			strings.TrimSuffix(text, "/"), connect.WithInterceptors(keyInterceptor(key)))
+			strings.TrimSuffix(text, "/"), dhwire.WithKey(key))
 		c.servers = append(c.servers, server{url: text, service: service})
 	}
 	p.client = c
@@ -82,50 +76,6 @@
 	return key, nil
 }
 
-func newTransport(caFile string) (*http.Transport, error) {
-	transport := &http.Transport{Protocols: new(http.Protocols), TLSHandshakeTimeout: callTimeout}
-	transport.Protocols.SetHTTP1(false)
-	transport.Protocols.SetHTTP2(true)
-	transport.Protocols.SetUnencryptedHTTP2(true)
-	// Pings end a watch whose server is gone without a word.
-	transport.HTTP2 = &http.HTTP2Config{SendPingTimeout: 3 * callTimeout, PingTimeout: callTimeout}
-	transport.TLSClientConfig = &tls.Config{MinVersion: tls.VersionTLS12}
-	if caFile == "" {
-		return transport, nil
-	}
-	data, err := os.ReadFile(caFile)
-	if err != nil {
-		return nil, exitUsage(err)
-	}
-	transport.TLSClientConfig.RootCAs = x509.NewCertPool()
-	if !transport.TLSClientConfig.RootCAs.AppendCertsFromPEM(data) {
-		return nil, usageError("%s holds no certificate in PEM", caFile)
-	}
-	return transport, nil
-}
-
-// keyInterceptor adds the operator's key to every call.
-type keyInterceptor string
-
-func (k keyInterceptor) WrapUnary(next connect.UnaryFunc) connect.UnaryFunc {
-	return func(ctx context.Context, request connect.AnyRequest) (connect.AnyResponse, error) {
-		dhwire.SetKey(request.Header(), string(k))
-		return next(ctx, request)
-	}
-}
-
-func (k keyInterceptor) WrapStreamingClient(next connect.StreamingClientFunc) connect.StreamingClientFunc {
-	return func(ctx context.Context, spec connect.Spec) connect.StreamingClientConn {
-		conn := next(ctx, spec)
-		dhwire.SetKey(conn.RequestHeader(), string(k))
-		return conn
-	}
-}
-
-func (k keyInterceptor) WrapStreamingHandler(next connect.StreamingHandlerFunc) connect.StreamingHandlerFunc {
-	return next
-}
-
 // once calls one server with the time limit of a call.
 func (c *client) once(ctx context.Context, s server, call func(context.Context, server) error) error {
 	ctx, cancel := dhtimer.WithTimeout(ctx, c.timers, callTimeout)
