--- a/cmd/dandelionhoist/program.go
+++ b/cmd/dandelionhoist/program.go
@@ -124,6 +124,7 @@
 	}
 	fmt.Fprintf(p.Err, "dandelionhoist: %s (%d, ran: %s%s)\n", code, int(code), dhcode.RanOf(err), hint)
 	printWrapped(p.Err, "  ", err.Error(), p.width())
+	printWrapped(p.Err, "  what to do: ", code.Action(), p.width())
 	return int(class)
 }
 
