--- a/cmd/dandelionhoist-load/load.go
+++ b/cmd/dandelionhoist-load/load.go
@@ -30,6 +30,8 @@
 	Break float64
 	// Routers are the servers, with the key of each account.
 	Routers map[string][]dhpbconnect.RouterServiceClient
+	// Operators are the servers with an operator's key; without it there are none.
+	Operators []dhpbconnect.OperatorServiceClient
 	// CheckText checks the text of a complete answer; nil checks nothing.
 	CheckText textCheck
 
--- a/cmd/dandelionhoist-load/load_test.go
+++ b/cmd/dandelionhoist-load/load_test.go
@@ -43,10 +43,9 @@
 			return nil
 		},
 	}
-	operator, err := l.configure(flags{workload: workload, keys: file, operatorKeyFile: file, servers: s.serve(t)})
-	assert.NilError(t, err)
+	assert.NilError(t, l.configure(flags{workload: workload, keys: file, operatorKeyFile: file, servers: s.serve(t)}))
 	report := l.run(t.Context())
-	l.settle(t.Context(), operator, report)
+	l.settle(t.Context(), report)
 	return report
 }
 
--- a/cmd/dandelionhoist-load/main.go
+++ b/cmd/dandelionhoist-load/main.go
@@ -77,16 +77,14 @@
 		fmt.Fprintf(errs, "dandelionhoist-load: %v; see --help\n", err)
 		return dhcode.ClassUsage
 	}
-	operator, err := l.configure(f)
+	err := l.configure(f)
 	if err != nil {
 		fmt.Fprintf(errs, "dandelionhoist-load: %v\n", err)
 		return dhcode.ClassUsage
 	}
 	fmt.Fprintf(errs, "run %s, seed %d, %g requests/s for %s\n", l.Options.Run, l.Options.Seed, l.Options.Rate, l.Duration)
 	report := l.run(ctx)
-	if operator != nil {
-		l.settle(context.WithoutCancel(ctx), operator, report)
-	}
+	l.settle(context.WithoutCancel(ctx), report)
 	if err := report.print(out, f.json); err != nil {
 		fmt.Fprintf(errs, "dandelionhoist-load: %v\n", err)
 		return dhcode.ClassInternal
@@ -98,35 +96,35 @@
 }
 
 // configure reads the files that flags name and connects the callers.
-func (l *load) configure(f flags) (dhpbconnect.OperatorServiceClient, error) {
+func (l *load) configure(f flags) error {
 	l.Workload, _ = dhworkload.ByName(f.workload)
 	if l.Options.Rate <= 0 || l.Duration <= 0 || l.Timeout <= 0 || l.InFlight <= 0 || l.Break < 0 || l.Break > 1 {
-		return nil, fmt.Errorf("rate, duration, timeout and in-flight must be positive, and break must be between 0 and 1")
+		return fmt.Errorf("rate, duration, timeout and in-flight must be positive, and break must be between 0 and 1")
 	}
 	if l.Options.Run == "" {
 		l.Options.Run = strings.ToLower(rand.Text()[:10])
 	}
 	data, err := os.ReadFile(f.keys)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	keys, err := dhworkload.ParseKeys(f.keys, data)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	transport, err := dhwire.NewTransport(f.caFile)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	client := &http.Client{Transport: transport}
 	l.Routers = make(map[string][]dhpbconnect.RouterServiceClient)
 	for _, account := range l.Workload.Accounts {
 		if keys[account.Name] == "" {
-			return nil, fmt.Errorf("%s has no key for account %q", f.keys, account.Name)
+			return fmt.Errorf("%s has no key for account %q", f.keys, account.Name)
 		}
 		for _, server := range f.servers {
 			if err := dhwire.CheckURL(server); err != nil {
-				return nil, err
+				return err
 			}
 			router := dhpbconnect.NewRouterServiceClient(client, strings.TrimSuffix(server, "/"),
 				dhwire.WithKey(keys[account.Name]), dhwire.WithoutCompression())
@@ -134,11 +132,14 @@
 		}
 	}
 	if f.operatorKeyFile == "" {
-		return nil, nil
+		return nil
 	}
 	key, err := os.ReadFile(f.operatorKeyFile)
 	if err != nil {
-		return nil, err
+		return err
+	}
+	for _, server := range f.servers {
+		l.Operators = append(l.Operators, dhpbconnect.NewOperatorServiceClient(client, strings.TrimSuffix(server, "/"), dhwire.WithKey(strings.TrimSpace(string(key)))))
 	}
-	return dhpbconnect.NewOperatorServiceClient(client, strings.TrimSuffix(f.servers[0], "/"), dhwire.WithKey(strings.TrimSpace(string(key)))), nil
+	return nil
 }
--- a/cmd/dandelionhoist-load/settle.go
+++ b/cmd/dandelionhoist-load/settle.go
@@ -57,28 +57,37 @@
 	}
 }
 
-// settle reads bills and quality and checks the bills.
-func (l *load) settle(ctx context.Context, operator dhpbconnect.OperatorServiceClient, report *report) {
-	var bills []*dhpb.Bill
-	for range billsTries {
-		bills, report.billing.complete, report.billing.err = l.readBills(ctx, operator)
-		if report.billing.err != nil || report.billing.complete {
-			break
-		}
-		if err := dhtimer.Sleep(ctx, l.Timers, billsPause); err != nil {
-			report.billing.err = err
-			break
+// settle reads bills and quality from the first server that answers, and
+// checks the bills.
+func (l *load) settle(ctx context.Context, report *report) {
+	for _, operator := range l.Operators {
+		bills, err := l.waitForBills(ctx, operator, report)
+		if report.billing.err = err; err != nil {
+			continue
 		}
-	}
-	if report.billing.err == nil {
 		report.checkBills(bills)
-	}
-	status, err := operator.Status(ctx, &dhpb.StatusRequest{})
-	if err != nil {
+		status, err := operator.Status(ctx, &dhpb.StatusRequest{})
+		if err != nil {
+			return
+		}
+		for _, v := range status.GetVersions() {
+			report.quality = append(report.quality, qualityRow{v.GetModel() + "/" + v.GetVersion(), v.GetQuality(), v.GetAnswers()})
+		}
 		return
 	}
-	for _, v := range status.GetVersions() {
-		report.quality = append(report.quality, qualityRow{v.GetModel() + "/" + v.GetVersion(), v.GetQuality(), v.GetAnswers()})
+}
+
+// waitForBills reads the run's bills until the ledger is complete or has not
+// become so in time.
+func (l *load) waitForBills(ctx context.Context, operator dhpbconnect.OperatorServiceClient, report *report) (bills []*dhpb.Bill, err error) {
+	for try := 1; ; try++ {
+		bills, report.billing.complete, err = l.readBills(ctx, operator)
+		if err != nil || report.billing.complete || try == billsTries {
+			return bills, err
+		}
+		if err := dhtimer.Sleep(ctx, l.Timers, billsPause); err != nil {
+			return nil, err
+		}
 	}
 }
 
--- a/cmd/dandelionhoist/apply_test.go
+++ b/cmd/dandelionhoist/apply_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"dandelionhoist.example/dh/dhcode"
+	"dandelionhoist.example/dh/dhtimer"
 )
 
 // editedTables writes a file whose tables differ from the fake deployment's.
@@ -44,6 +45,30 @@
 	assert.Assert(t, !strings.Contains(string(d.revisions[1].GetTables()), "dandelionhoist revision"))
 }
 
+// Guards against an edit that waits for a server without an answer while
+// another could take it.
+func TestHungServer(t *testing.T) {
+	d, vms, servers := twoVMs(t)
+	vms[0].clock = dhtimer.NewStepped()
+	r := runAt(t, vms[0].clock, servers, "apply", editedTables(t, d))
+	assert.Equal(t, r.status, 0, r.err)
+	assert.Equal(t, len(vms[1].seen), 1)
+	assert.Equal(t, len(d.revisions), 2)
+}
+
+// Guards against a watch that ends with the server it began at, or that
+// prints a status twice.
+func TestWatchStartsAgain(t *testing.T) {
+	d, vms, servers := twoVMs(t)
+	assert.Equal(t, runFor(t, servers, "apply", editedTables(t, d)).status, 0)
+	vms[0].watchBreaks, vms[1].watchBreaks = true, true
+	d.behind = 2
+	r := runFor(t, servers, "watch", "--count=2")
+	assert.Equal(t, r.status, 0, r.err)
+	assert.Equal(t, strings.Count(r.out, "ENTRY-VM"), 2, r.out)
+	assert.Equal(t, strings.Count(r.err, "watch is started again"), 2, r.err)
+}
+
 // Guards against a wrong statement about an edit that was not settled in time.
 func TestUnsettledEdit(t *testing.T) {
 	refusals := func(code dhcode.Code) []error {
--- a/cmd/dandelionhoist/fake_test.go
+++ b/cmd/dandelionhoist/fake_test.go
@@ -48,7 +48,11 @@
 	refuse []error
 	// lose drops the answers to the next edits.
 	lose int
-	seen []string
+	// clock is set where edits get no answer: it is moved past the limit of a call.
+	clock *dhtimer.Stepped
+	// watchBreaks ends watches after one status.
+	watchBreaks bool
+	seen        []string
 }
 
 func newDeployment(t *testing.T) *fakeDeployment {
@@ -111,7 +115,12 @@
 	return &dhpb.GetTablesResponse{Revision: revision, Tables: d.revisions[revision-firstRevision].GetTables()}, nil
 }
 
-func (f *fakeVM) EditTables(_ context.Context, r *dhpb.EditTablesRequest) (*dhpb.EditTablesResponse, error) {
+func (f *fakeVM) EditTables(ctx context.Context, r *dhpb.EditTablesRequest) (*dhpb.EditTablesResponse, error) {
+	if f.clock != nil {
+		f.clock.Step(callTimeout)
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	d := f.deployment
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -190,7 +199,7 @@
 		if err != nil {
 			return err
 		}
-		if err := stream.Send(status); err != nil {
+		if err := stream.Send(status); err != nil || f.watchBreaks {
 			return err
 		}
 	}
@@ -233,12 +242,17 @@
 }
 
 func runFor(t *testing.T, servers []*httptest.Server, args ...string) result {
+	t.Helper()
+	return runAt(t, dhtimer.NewStepped(), servers, args...)
+}
+
+func runAt(t *testing.T, clock *dhtimer.Stepped, servers []*httptest.Server, args ...string) result {
 	t.Helper()
 	key := t.TempDir() + "/operator.key"
 	assert.NilError(t, os.WriteFile(key, []byte(operatorKey+"\n"), 0o600))
 	var out, errs bytes.Buffer
 	p := &program{
-		In: strings.NewReader(""), Out: &out, Err: &errs, Timers: pollClock{dhtimer.NewStepped()}, Exit: os.Exit,
+		In: strings.NewReader(""), Out: &out, Err: &errs, Timers: pollClock{clock}, Exit: os.Exit,
 		Getenv: func(string) string { return "" },
 	}
 	args = append([]string{"--key-file=" + key}, args...)
--- a/dh/dhwire/dhwire.go
+++ b/dh/dhwire/dhwire.go
@@ -94,7 +94,12 @@
 	if name == "" {
 		return withoutMetadata(wire)
 	}
-	coded := dhcode.Errorf(dhcode.Parse(name), "%s", wire.Message())
+	code, message := dhcode.Parse(name), wire.Message()
+	if code.String() != name {
+		// The server is of a newer release.
+		message = "unknown result code " + name + ": " + message
+	}
+	coded := dhcode.Errorf(code, "%s", message)
 	if ran, ok := parseRan(meta.Get(HeaderRan)); ok {
 		coded = dhcode.WithRan(coded, ran)
 	}
--- a/dh/dhwire/dhwire_test.go
+++ b/dh/dhwire/dhwire_test.go
@@ -88,6 +88,17 @@
 	assert.Equal(t, dhcode.RanOf(err), dhcode.RanUnknown)
 }
 
+// Guards against a code of a newer release that hides whether the request ran.
+func TestNewerCode(t *testing.T) {
+	wire := connect.NewError(connect.CodeUnavailable, errors.New("moon"))
+	wire.Meta().Set(dhwire.HeaderCode, "moon-too-far")
+	wire.Meta().Set(dhwire.HeaderRan, "not-run")
+	err := dhwire.FromConnect(wire)
+	assert.Equal(t, dhcode.Of(err), dhcode.Internal)
+	assert.Equal(t, dhcode.RanOf(err), dhcode.NotRun)
+	assert.Error(t, err, "unknown result code moon-too-far: moon")
+}
+
 // Guards against plain errors that lose their meaning, and against a typed nil.
 func TestPlainErrors(t *testing.T) {
 	assert.Assert(t, dhwire.ToConnect(nil) == nil)
@@ -110,3 +121,45 @@
 	header.Set("Authorization", "Basic secret")
 	assert.Equal(t, dhwire.KeyOf(header), "")
 }
+
+type streaming struct {
+	dhpbconnect.UnimplementedRouterServiceHandler
+}
+
+func (streaming) Stream(_ context.Context, r *dhpb.AskRequest, s *connect.ServerStream[dhpb.Chunk]) error {
+	for i := range r.GetMaxTokens() {
+		if err := s.Send(&dhpb.Chunk{RequestId: "request-17", Offset: int64(i) * 4, Text: "oak ", Model: "oak", Version: "v1"}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// BenchmarkStream shows what connect's compression costs a stream of tokens.
+func BenchmarkStream(b *testing.B) {
+	mux := http.NewServeMux()
+	mux.Handle(dhpbconnect.NewRouterServiceHandler(streaming{}))
+	server := httptest.NewUnstartedServer(mux)
+	server.Config.Protocols = new(http.Protocols)
+	server.Config.Protocols.SetUnencryptedHTTP2(true)
+	server.Start()
+	defer server.Close()
+	transport, err := dhwire.NewTransport("")
+	assert.NilError(b, err)
+	for _, c := range []struct {
+		name    string
+		options []connect.ClientOption
+	}{{"compressed", nil}, {"plain", []connect.ClientOption{dhwire.WithoutCompression()}}} {
+		b.Run(c.name, func(b *testing.B) {
+			client := dhpbconnect.NewRouterServiceClient(&http.Client{Transport: transport}, server.URL, c.options...)
+			stream, err := client.Stream(b.Context(), &dhpb.AskRequest{MaxTokens: int32(b.N)})
+			assert.NilError(b, err)
+			chunks := 0
+			for stream.Receive() {
+				chunks++
+			}
+			assert.NilError(b, stream.Err())
+			assert.Equal(b, chunks, b.N)
+		})
+	}
+}
