--- a/dh/dhsession/caller.go
+++ b/dh/dhsession/caller.go
@@ -75,8 +75,8 @@
 		c.text = ""
 	}
 	token := w.tokens[q.Session]
+	reply := &Reply{Request: q, VM: vm, Start: w.Timers.Now(), Resumed: resume, From: len(c.text), Text: c.text}
 	w.mu.Unlock()
-	reply := &Reply{Request: q, VM: vm, Start: w.Timers.Now(), Resumed: resume, From: len(c.text)}
 	w.Facts.asked(reply)
 	r := w.vms[vm].up()
 	w.group.Go(func(ctx context.Context) error {
@@ -154,7 +154,6 @@
 
 // follow reads a stream to its end.
 func (w *World) follow(reply *Reply, c *caller, stream *connect.ServerStreamForClient[dhpb.Chunk], err error) error {
-	reply.Text = c.text
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/dh/dhsession/check_answers.go
@@ -0,0 +1,186 @@
+package dhsession
+
+import (
+	"strings"
+	"time"
+
+	"dandelionhoist.example/dh/dhcode"
+	"dandelionhoist.example/dh/dhengine"
+	"dandelionhoist.example/dh/dhpb"
+	"dandelionhoist.example/dh/dhtable"
+)
+
+// name identifies what must be billed and, with a key, run once: a request id,
+// or the idempotency key of an account.
+func (q Request) name() string {
+	if q.Key == "" {
+		return "request " + q.ID
+	}
+	return "key " + q.Account + " " + q.Key
+}
+
+// checkBills is R4.
+func (c *checker) checkBills() {
+	latest := make(map[string]*dhpb.Bill)
+	for _, b := range c.Bills {
+		// A bill that the merge replaced is listed again; the later one counts.
+		latest[b.GetRequestId()] = b
+	}
+	bills := make(map[string][]*dhpb.Bill)
+	for id, b := range latest {
+		// Request ids are unique in an account; bills carry both.
+		_, id, _ = strings.Cut(id, "/")
+		q, ok := c.asked[id]
+		if !ok {
+			c.fault("R4", "there is a bill for request %s that nobody sent", id)
+			continue
+		}
+		if b.GetAccount() != q.Account || b.GetRoute() != q.Route {
+			c.fault("R4", "the bill of %s names account %s and route %s", id, b.GetAccount(), b.GetRoute())
+		}
+		bills[q.name()] = append(bills[q.name()], b)
+	}
+	for name, list := range bills {
+		if len(list) > 1 {
+			c.fault("R4", "%s has %d bills", name, len(list))
+		}
+	}
+	for _, r := range c.Replies {
+		if !r.Complete || len(bills[r.name()]) == 1 && c.paid(r, bills[r.name()][0]) {
+			continue
+		}
+		if len(bills[r.name()]) == 0 {
+			c.fault("R4", "%s was answered and has no bill", r.ID)
+		} else {
+			c.fault("R4", "the bill of %s does not fit its answer", r.ID)
+		}
+	}
+}
+
+// paid reports whether a bill is for the answer, or for another whole answer
+// to the same request, which the caller got or could have got.
+func (c *checker) paid(r *Reply, b *dhpb.Bill) bool {
+	version := b.GetModel() + "/" + b.GetVersion()
+	if r.Version == version && len(r.Text) == int(b.GetTokens())*dhengine.TokenBytes {
+		return true
+	}
+	for _, x := range c.Executions {
+		if b.GetRequestId() == b.GetAccount()+"/"+x.RequestID && x.Whole && x.Version.String() == version && x.Length == int64(b.GetTokens())*dhengine.TokenBytes {
+			return true
+		}
+	}
+	return false
+}
+
+// checkAnswers is R7.
+func (c *checker) checkAnswers() {
+	for _, r := range c.Replies {
+		if r.Gap {
+			c.fault("R7", "%s got a chunk that does not continue its answer", r.ID)
+		}
+		if !c.isAnswer(r) {
+			c.fault("R7", "%s got a text that is not its answer: version %q, %d bytes, complete=%t", r.ID, r.Version, len(r.Text), r.Complete)
+		}
+	}
+	for _, r := range c.Asked {
+		if r.End.IsZero() {
+			c.fault("R7", "%s at %s, sent at %s, was never answered", r.ID, r.VM, c.offset(r.Start))
+		}
+	}
+}
+
+// isAnswer reports whether the text of a call is what backend servers sent for
+// the request: all of it when it is complete, else a beginning.
+func (c *checker) isAnswer(r *Reply) bool {
+	if r.Text == "" && !r.Complete {
+		return true
+	}
+	for _, x := range c.Executions {
+		q, ok := c.asked[x.RequestID]
+		if !ok || q.name() != r.name() || x.Arrived.IsZero() {
+			continue
+		}
+		text := expected(x.Prompt, x.Version, x.MaxTokens)
+		if x.Prompt != r.Prompt || !strings.HasPrefix(text, r.Text) {
+			continue
+		}
+		if !r.Complete || x.Whole && x.Length == int64(len(r.Text)) && x.Version.String() == r.Version {
+			return true
+		}
+	}
+	return false
+}
+
+// expected returns the answer of a version.
+func expected(prompt string, v dhtable.Version, maxTokens int) string {
+	return dhengine.Answer(prompt, v.Model, v.Name, maxTokens)
+}
+
+// checkOutcomes is R8 and R9, and the hint that belongs to a refusal.
+func (c *checker) checkOutcomes() {
+	for _, r := range c.Replies {
+		switch {
+		case r.Complete:
+		case r.Ran == dhcode.NotRun:
+			if x := c.ranAfter(r); x != nil {
+				c.fault("R8", "%s was told %s not-run by %s and ran on %s at %s", r.ID, r.Code, r.VM, x.Engine, c.offset(x.Sent))
+			}
+		}
+		if givenUp(r.Code) && !r.Lost && r.RetryAfter <= 0 {
+			c.fault("final answer", "%s got %s from %s without a retry-after hint", r.ID, r.Code, r.VM)
+		}
+	}
+	runs := make(map[string]int)
+	ran := make(map[string]map[string]int)
+	for id, b := range c.engines {
+		ran[id] = b.AllExecutions()
+	}
+	for id, q := range c.asked {
+		if q.Key == "" {
+			continue
+		}
+		for _, all := range ran {
+			runs[q.name()] += all[id]
+		}
+	}
+	for name, n := range runs {
+		if n > 1 {
+			c.fault("R9", "%s ran %d times", name, n)
+		}
+	}
+}
+
+// ranAfter returns an execution that contradicts a "not run". With a key no
+// call may ever have run. Without one, the answer covers the call itself.
+func (c *checker) ranAfter(r *Reply) *Execution {
+	next := time.Time{}
+	for _, other := range c.Asked {
+		if other.ID == r.ID && other.VM == r.VM && other.Start.After(r.Start) && (next.IsZero() || other.Start.Before(next)) {
+			next = other.Start
+		}
+	}
+	for _, x := range c.Executions {
+		q, ok := c.asked[x.RequestID]
+		if !ok || q.name() != r.name() || x.Arrived.IsZero() || x.Refused {
+			continue
+		}
+		if r.Key != "" {
+			return x
+		}
+		if x.VM == r.VM && !x.Sent.Before(r.Start) && (next.IsZero() || x.Sent.Before(next)) {
+			return x
+		}
+	}
+	return nil
+}
+
+// givenUp reports whether another try may go better.
+func givenUp(code dhcode.Code) bool {
+	switch code {
+	case dhcode.Leaving, dhcode.RateLimited, dhcode.ConcurrencyLimited, dhcode.QueueFull, dhcode.WaitTooLong,
+		dhcode.NoBackend, dhcode.PoolFull, dhcode.TablesLeaseLapsed, dhcode.RetryBudgetSpent, dhcode.BackendFailed,
+		dhcode.StreamBroken, dhcode.OutcomeUnknown, dhcode.InProgress, dhcode.NoTables, dhcode.BillNotSafe:
+		return true
+	}
+	return false
+}
--- a/dh/dhsession/dhsession.go
+++ b/dh/dhsession/dhsession.go
@@ -178,6 +178,7 @@
 	vm := &VM{Name: name, Zone: zone}
 	if disk {
 		vm.Disk = &dhdisk.Memory{}
+		w.Facts.voters = append(w.Facts.voters, name)
 	}
 	w.vms[name] = vm
 	w.names = append(w.names, name)
@@ -287,6 +288,7 @@
 	w.Facts.vm(name, vmCrashed)
 	r.node.Crash()
 	r.close()
+	synctest.Wait() // callers have lost their connections before anything else reacts
 	if vm.Disk != nil {
 		vm.Disk.Crash()
 	}
@@ -349,6 +351,7 @@
 	w.Timers.After(silentTime, func(time.Time) {
 		for _, s := range cut {
 			s.end(errBroken(s.backend.ID))
+			synctest.Wait()
 		}
 	})
 	for _, s := range cut {
--- a/dh/dhsession/engine.go
+++ b/dh/dhsession/engine.go
@@ -4,7 +4,10 @@
 	"context"
 	"fmt"
 	"io"
+	"slices"
+	"strings"
 	"sync"
+	"testing/synctest"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -35,6 +38,7 @@
 	b := &Backend{Model: m}
 	w.engines[m.ID] = b
 	w.order = append(w.order, m.ID)
+	w.Facts.engines[m.ID] = b
 	m.Start()
 	phase := time.Duration(w.hash("phase", m.ID) % uint64(announcePeriod))
 	w.Timers.After(phase, func(time.Time) {
@@ -60,7 +64,6 @@
 		if vm.Zone != b.Zone || vm.up() == nil || !w.Network.Connected(name, b.ID) {
 			continue
 		}
-		w.Facts.announced(b.ID, record.GetState())
 		w.Timers.After(w.delay("announce", b.ID, name), func(time.Time) {
 			if r := vm.up(); r != nil && w.Network.Connected(name, b.ID) {
 				_ = r.peers.Node.Announce(proto.Clone(record).(*dhpb.BackendRecord))
@@ -90,12 +93,16 @@
 	b := w.engines[id]
 	b.Mute = false
 	b.Stall(0)
-	b.Crash()
-	w.Facts.silent(id, "")
+	w.CrashEngine(id)
 }
 
 // CrashEngine crashes a backend server; it restarts cold.
-func (w *World) CrashEngine(id string) { w.engines[id].Crash() }
+func (w *World) CrashEngine(id string) {
+	b := w.engines[id]
+	b.Crash()
+	w.Facts.silent(id, "down")
+	w.Timers.After(b.ColdStart.Restart, func(time.Time) { w.Facts.silent(id, "") })
+}
 
 // BreakStreams breaks the connections between VMs and a backend server, which
 // cancels the requests on them.
@@ -112,12 +119,14 @@
 			found = append(found, s)
 		}
 	}
+	slices.SortFunc(found, func(a, b *stream) int { return strings.Compare(a.name(), b.name()) })
 	return found
 }
 
 func (w *World) dropStreams(match func(*stream) bool, cancel bool) {
 	for _, s := range w.findStreams(match) {
 		s.end(errBroken(s.backend.ID))
+		synctest.Wait() // the reaction to each broken stream is a step of its own
 		if cancel {
 			s.cancelAtEngine()
 		}
@@ -186,6 +195,10 @@
 	gone   bool
 }
 
+func (s *stream) name() string {
+	return fmt.Sprintf("%s %s %s %d", s.link.vm, s.backend.ID, s.request.GetRequestId(), s.request.GetAttempt())
+}
+
 func (s *stream) arrive() {
 	if !s.link.world.Network.Connected(s.link.vm, s.backend.ID) {
 		s.cutOff()
@@ -221,6 +234,7 @@
 
 // Done implements dhengine.Sink.
 func (s *stream) Done(err error) {
+	s.link.world.Facts.finished(s.execution, err)
 	if err == nil {
 		err = io.EOF
 	}
--- a/dh/dhsession/facts.go
+++ b/dh/dhsession/facts.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"dandelionhoist.example/dh/dhcode"
-	"dandelionhoist.example/dh/dhengine"
 	"dandelionhoist.example/dh/dhpb"
 	"dandelionhoist.example/dh/dhtable"
 	"dandelionhoist.example/dh/dhtimer"
@@ -33,7 +32,7 @@
 	partitions []partition
 	seen       []seen
 	engines    map[string]*Backend
-	ready      map[string]string
+	voters     []string
 }
 
 // Execution is a request that a VM sent to a backend server.
@@ -53,6 +52,9 @@
 	// Whole is set when it was marked as the last chunk.
 	Length int64
 	Whole  bool
+	// Refused is set when the backend server stated that it did not run the request.
+	Refused bool
+	Code    dhcode.Code
 }
 
 // Edit is an operator's edit and its answer.
@@ -106,7 +108,7 @@
 func newFacts(timers dhtimer.Service) *Facts {
 	return &Facts{
 		timers: timers, start: timers.Now(), tables: make(map[uint64]*dhtable.Tables),
-		engines: make(map[string]*Backend), ready: make(map[string]string),
+		engines: make(map[string]*Backend),
 	}
 }
 
@@ -157,16 +159,17 @@
 	f.silences = append(f.silences, silence{engine, why, f.timers.Now()})
 }
 
-func (f *Facts) announced(engine, state string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.ready[engine] = state
-}
-
-func (f *Facts) revision(vm string, revision uint64) {
+func (f *Facts) revision(vm string, revision uint64, text []byte) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.seen = append(f.seen, seen{vm, f.timers.Now(), revision})
+	if f.tables[revision] != nil {
+		return
+	}
+	// The operator did not get the answer to this edit.
+	if t, err := dhtable.Parse("revision", text); err == nil {
+		f.tables[revision] = t.WithRevision(revision)
+	}
 }
 
 func (f *Facts) asked(r *Reply) {
@@ -226,7 +229,6 @@
 	}
 	f.mu.Lock()
 	f.Executions = append(f.Executions, x)
-	f.engines[b.ID] = b
 	f.mu.Unlock()
 	return x
 }
@@ -245,6 +247,13 @@
 	x.Whole = x.Whole || c.GetLast()
 }
 
+func (f *Facts) finished(x *Execution, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	x.Code = dhcode.Of(err)
+	x.Refused = err != nil && dhcode.RanOf(err) == dhcode.NotRun
+}
+
 func (f *Facts) edited(e *Edit) {
 	f.mu.Lock()
 	f.Edits = append(f.Edits, e)
@@ -297,9 +306,3 @@
 	}
 	return len(p), nil
 }
-
-// expected returns the answer of a version, cut to a length.
-func expected(prompt string, v dhtable.Version, maxTokens int, length int64) string {
-	text := dhengine.Answer(prompt, v.Model, v.Name, maxTokens)
-	return text[:min(int64(len(text)), length)]
-}
--- a/dh/dhsession/operator.go
+++ b/dh/dhsession/operator.go
@@ -22,7 +22,7 @@
 	w.group.Go(func(ctx context.Context) error {
 		out, err := r.operators.EditTables(ctx, &dhpb.EditTablesRequest{EditId: id, BaseRevision: base, Author: "operator", Tables: []byte(text)})
 		if lost || w.vms[vm].up() != r {
-			w.Facts.note("operator %s@%s lost", id, vm)
+			w.Facts.edited(e)
 			return nil
 		}
 		e.At, e.Revision, e.Code = w.Timers.Now(), out.GetRevision(), dhcode.Of(dhwire.FromConnect(err))
@@ -42,7 +42,7 @@
 		}
 		out, err := r.operators.GetTables(context.Background(), &dhpb.GetTablesRequest{})
 		if err == nil && out.GetRevision() > 0 {
-			w.Facts.revision(name, out.GetRevision())
+			w.Facts.revision(name, out.GetRevision(), out.GetTables())
 		}
 	}
 }
--- a/dh/dhsession/script.go
+++ b/dh/dhsession/script.go
@@ -27,6 +27,7 @@
 //	replace OLD -> NEW                  changes that document
 //	edit ID VM BASE [lost]              sends it; a lost answer is not seen
 //	stream|ask|resume VM ID [account=] [route=] [key=] [session=] [prompt=] [tokens=] [deadline=]
+//	warm VM N                           asks N times, to earn retries
 //	step TIME
 //	partition ZONE,... ... | isolate NAME,... ... | heal | loss SHARE
 //	crash|restart|stop|wipe VM
@@ -45,11 +46,13 @@
 
 	text     string
 	requests map[string]Request
+	// edits holds the documents by edit id; an edit that is sent again is the same.
+	edits map[string]string
 }
 
 // Run performs the commands of the archive's file "script".
 func (s *Script) Run() error {
-	s.requests = make(map[string]Request)
+	s.requests, s.edits = make(map[string]Request), make(map[string]string)
 	return s.include("script")
 }
 
@@ -134,10 +137,15 @@
 		s.text = strings.Replace(s.text, from, strings.TrimSpace(to), 1)
 	case "edit":
 		base, err := strconv.ParseUint(arg(2), 10, 64)
-		w.Edit(arg(1), arg(0), base, s.text, arg(3) == "lost")
+		if _, sent := s.edits[arg(0)]; !sent {
+			s.edits[arg(0)] = s.text
+		}
+		w.Edit(arg(1), arg(0), base, s.edits[arg(0)], arg(3) == "lost")
 		return err
 	case "stream", "ask", "resume":
 		return s.ask(name, arg(0), arg(1), values)
+	case "warm":
+		return s.warm(arg(0), arg(1))
 	case "skip":
 		_, text, _ := strings.Cut(whole, "skip ")
 		s.Skip = append(s.Skip, strings.TrimSpace(text))
@@ -202,6 +210,19 @@
 	return nil
 }
 
+// warm asks n times, so that the retry budget of a VM permits retries.
+func (s *Script) warm(vm, number string) error {
+	n, err := strconv.Atoi(number)
+	for i := range n {
+		s.World.Ask(vm, Request{
+			ID: fmt.Sprintf("warm-%s-%d", vm, i), Account: "crew", Route: "cut-lists", Prompt: fmt.Sprint("warm ", i),
+			MaxTokens: 1, Unary: true,
+		}, false, nil)
+		s.World.Step(50 * time.Millisecond)
+	}
+	return err
+}
+
 func (s *Script) fault(name string, args []string, values map[string]string) error {
 	w := s.World
 	groups := make([][]string, len(args))
--- a/dh/dhsession/session_test.go
+++ b/dh/dhsession/session_test.go
@@ -40,15 +40,17 @@
 
 func run(t *testing.T, archive *txtar.Archive) (text string) {
 	cryptotest.SetGlobalRandom(t, 1)
+	var faults []string
 	synctest.Test(t, func(t *testing.T) {
 		w := dhsession.NewWorld(1)
 		defer w.Close()
 		script := &dhsession.Script{World: w, Folder: "testdata", Archive: archive}
 		assert.NilError(t, script.Run())
-		for _, fault := range w.Facts.Check() {
-			t.Error(fault)
-		}
+		faults = w.Facts.Check()
 		text = strings.Join(w.Facts.Lines(script.Skip), "\n") + "\n"
 	})
+	for _, fault := range faults {
+		t.Error(fault)
+	}
 	return text
 }
