--- a/dh/dhrouter/attempt.go
+++ b/dh/dhrouter/attempt.go
@@ -111,12 +111,21 @@
 	return err
 }
 
+// withRan keeps the refusal of a later attempt from saying "not run" of a
+// request whose earlier attempt may have run.
+func (t *attempts) withRan(err error) error {
+	if t.mayHaveRun && dhcode.RanOf(err) == dhcode.NotRun {
+		return dhcode.WithRan(err, dhcode.RanUnknown)
+	}
+	return err
+}
+
 // ended records the end of an attempt that was sent.
 func (r *Router) ended(ctx context.Context, t *attempts, b *dhbackend.Backend, a *dhanswer.Answer, first time.Duration, err error) {
 	if err != nil {
 		t.failed = append(t.failed, b.ID)
-		t.mayHaveRun = t.mayHaveRun || dhcode.RanOf(err) != dhcode.NotRun
 	}
+	t.mayHaveRun = t.mayHaveRun || err == nil || dhcode.RanOf(err) != dhcode.NotRun
 	if err != nil && ctx.Err() != nil {
 		r.Breakers.Cancel(b.ID)
 		return
--- a/dh/dhrouter/request.go
+++ b/dh/dhrouter/request.go
@@ -40,7 +40,7 @@
 		if req.GetIdempotencyKey() != "" {
 			err = dhcode.WithRan(err, dhcode.RanUnknown)
 		}
-		return nil, err
+		return nil, withHint(err)
 	}
 	answer, existing, err := r.Answers.Create(account.Name, q.GetRequestId(), q.hash)
 	if err != nil {
@@ -48,7 +48,7 @@
 		if q.keyed() {
 			err = dhcode.WithRan(err, dhcode.RanUnknown)
 		}
-		return nil, err
+		return nil, withHint(err)
 	}
 	if existing {
 		return answer, nil
--- a/dh/dhrouter/run.go
+++ b/dh/dhrouter/run.go
@@ -26,7 +26,7 @@
 	} else {
 		result, err = r.answerOnce(ctx, &attempts{request: q}, a)
 	}
-	err = withCause(ctx, err)
+	err = withHint(withCause(ctx, err))
 	now := r.Timers.Now()
 	if err != nil {
 		r.refused(q.account.Name, q.AskRequest, err)
@@ -56,6 +56,26 @@
 	return dhcode.WithRan(dhcode.Wrap(code, err), ran)
 }
 
+// retryHint is the hint of a refusal whose cause gives none. Within it
+// announcements change what this VM can use.
+const retryHint = time.Second
+
+// withHint adds a retry-after hint to an error that another try may avoid.
+func withHint(err error) error {
+	if err == nil || dhcode.RetryAfterOf(err) > 0 {
+		return err
+	}
+	code := dhcode.Of(err)
+	switch code {
+	case dhcode.ClosedNotRun, dhcode.DeadlinePast, dhcode.DeadlineExceeded, dhcode.Cancelled:
+		return err
+	}
+	if class := code.Class(); class != dhcode.ClassUnavailable && class != dhcode.ClassUnknown {
+		return err
+	}
+	return dhcode.WithRetryAfter(err, retryHint)
+}
+
 // answerKeyed answers a request that must run at most once.
 func (r *Router) answerKeyed(ctx context.Context, q *request, a *dhanswer.Answer) (*dhpb.AskResponse, error) {
 	if r.Snapshot().LeaseExpired {
@@ -128,7 +148,7 @@
 	r.Metrics.Observe(dhmetric.QueueTime, t.account.Name, t.route.Class, r.Timers.Now().Sub(t.received))
 	result, err := r.cascade(ctx, t, a)
 	if err != nil {
-		return nil, err
+		return nil, t.withRan(err)
 	}
 	bill := r.bill(t.request, result)
 	if err := r.Ledger.Put(context.WithoutCancel(ctx), bill); err != nil {
