--- a/dh/dhclaim/value.go
+++ b/dh/dhclaim/value.go
@@ -93,5 +93,7 @@
 // errUnknown replaces the error of a register: the request may have run in an
 // earlier attempt, and this attempt may still take effect.
 func errUnknown(err error) error {
-	return dhcode.Wrap(dhcode.OutcomeUnknown, fmt.Errorf("claim could not be settled: %w", err))
+	// The register's error may say "not run" of its own write.
+	err = dhcode.WithRan(fmt.Errorf("claim could not be settled: %w", err), dhcode.RanUnknown)
+	return dhcode.Wrap(dhcode.OutcomeUnknown, err)
 }
