--- a/dh/dhdaemon/dhdaemon.go
+++ b/dh/dhdaemon/dhdaemon.go
@@ -13,10 +13,12 @@
 	"expvar"
 	"log/slog"
 	"net/http"
+	"net/http/pprof"
 	"strings"
 	"time"
 
 	"dandelionhoist.example/dh/dhanswer"
+	"dandelionhoist.example/dh/dhbackend"
 	"dandelionhoist.example/dh/dhclaim"
 	"dandelionhoist.example/dh/dhdisk"
 	"dandelionhoist.example/dh/dhedit"
@@ -30,6 +32,7 @@
 	"dandelionhoist.example/dh/dhpb"
 	"dandelionhoist.example/dh/dhpeer"
 	"dandelionhoist.example/dh/dhplacement"
+	"dandelionhoist.example/dh/dhpool"
 	"dandelionhoist.example/dh/dhquorum"
 	"dandelionhoist.example/dh/dhrouter"
 	"dandelionhoist.example/dh/dhserver"
@@ -82,7 +85,9 @@
 	ledger   *dhledger.Ledger
 	router   *dhrouter.Router
 	node     *dhnode.Node
+	digest   *dhbackend.Digest
 	claimed  *dhclaim.Claims
+	pools    *pools
 	drained  chan struct{}
 }
 
@@ -170,12 +175,16 @@
 		Answers: answers, Evidence: &dhversion.Evidence{VM: s.Name, Incarnation: d.incarnation()},
 		VoterStatus: d.voterStatus,
 	}
+	d.digest = &dhbackend.Digest{
+		Timers: d.Timers, Name: s.Name, Zone: s.Zone, Received: d.node.Learn,
+		Lease: s.Timing.BackendLease.Std(), MaxBackends: s.Limits.Backends,
+	}
 	d.members = &dhmember.Members{
 		Timers: d.Timers, Transport: d.Peers, Group: d.group, Seeds: s.Peers.Seeds, Seed: d.Seed, Logger: d.Log,
 		Self: &dhpb.MemberRecord{
 			Name: s.Name, Address: s.Listen.Peers, Zone: s.Zone, Region: s.Region, HasDisk: s.State.Folder != "",
 		},
-		Payloads: []dhmember.Payload{dhnode.Gossip{Node: d.node}},
+		Payloads: []dhmember.Payload{dhnode.Gossip{Node: d.node}, d.digest},
 		Period:   s.Timing.GossipPeriod.Std(),
 	}
 	d.node.Members = d.members
@@ -184,6 +193,9 @@
 		feed := &cacheFeed{daemon: d, source: source, placer: placer}
 		d.node.TickHooks = append(d.node.TickHooks, feed.tick)
 	}
+	if orders, ok := d.Engine.(dhpool.Orders); ok && d.voter != nil {
+		d.pools = newPools(d, orders)
+	}
 	d.router.Report = d.node.Report
 	d.node.Init()
 	return nil
@@ -192,7 +204,11 @@
 // ownerGone reports whether the VM of a claim's owner is dead or has left. An
 // owner that has restarted under the same VM name is found by the claim's age.
 func (d *Daemon) ownerGone(owner string) bool {
-	m, ok := d.members.View().Get(owner[:max(strings.LastIndexByte(owner, '.'), 0)])
+	return d.nameGone(owner[:max(strings.LastIndexByte(owner, '.'), 0)])
+}
+
+func (d *Daemon) nameGone(name string) bool {
+	m, ok := d.members.View().Get(name)
 	return ok && m.State >= dhmember.Dead
 }
 
@@ -214,6 +230,9 @@
 	d.group.Go(d.node.WaitStarted)
 	d.group.Go(d.keepBills)
 	d.group.Go(d.maintain)
+	if d.pools != nil {
+		d.group.Go(d.pools.run)
+	}
 	d.startState()
 	if d.NoListen {
 		return
@@ -236,7 +255,7 @@
 
 // PeerService returns the service for other entry VMs and backend servers.
 func (d *Daemon) PeerService() *dhserver.Peers {
-	peers := &dhserver.Peers{Node: d.node, Router: d.router, Gossiper: d.members, Bills: d.ledger}
+	peers := &dhserver.Peers{Node: d.node, Announced: d.digest.Announced, Router: d.router, Gossiper: d.members, Bills: d.ledger}
 	if d.voter != nil {
 		peers.Voter = d.voter.Voter
 	}
@@ -247,6 +266,10 @@
 	listen := d.Settings.Listen
 	operatorMux := http.NewServeMux()
 	operatorMux.Handle("/debug/vars", dhserver.GuardOperators(d.vars(), d.Keys))
+	profiles := http.NewServeMux()
+	profiles.HandleFunc("/debug/pprof/", pprof.Index)
+	profiles.HandleFunc("/debug/pprof/profile", pprof.Profile)
+	operatorMux.Handle("/debug/pprof/", dhserver.GuardOperators(profiles, d.Keys))
 	operatorMux.Handle("/", dhserver.OperatorHandler(d.Operators(), d.Keys))
 	callerMux := http.NewServeMux()
 	callerMux.HandleFunc("/health", d.health)
--- a/dh/dhsession/facts.go
+++ b/dh/dhsession/facts.go
@@ -129,7 +129,7 @@
 		if slices.ContainsFunc(skip, func(s string) bool { return strings.Contains(l.text, s) }) {
 			continue
 		}
-		out = append(out, fmt.Sprintf("%8.3f %s", l.at.Sub(f.start).Seconds(), l.text))
+		out = append(out, fmt.Sprintf("%7.2f %s", l.at.Sub(f.start).Seconds(), l.text))
 	}
 	slices.Sort(out)
 	return out
@@ -283,7 +283,7 @@
 func (f *Facts) logger(vm string, down <-chan struct{}) *slog.Logger {
 	return slog.New(slog.NewTextHandler(&logWriter{f, vm, down}, &slog.HandlerOptions{
 		ReplaceAttr: func(_ []string, a slog.Attr) slog.Attr {
-			if a.Key == slog.TimeKey || a.Key == slog.LevelKey {
+			if a.Key == slog.TimeKey || a.Key == slog.LevelKey || a.Key == "took" {
 				return slog.Attr{}
 			}
 			return a
