Let operators forget exported bills; bind test daemons to their own IP

Cause: a voter keeps a bounded number of bills and nothing removed exported ones. A test hung for 10 min because another process had taken the port of a daemon, which then ended while the test waited for it to serve.

--- a/cmd/dandelionhoist-load/main.go
+++ b/cmd/dandelionhoist-load/main.go
@@ -34,6 +34,8 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"dandelionhoist.example/dh/dhcode"
+	"dandelionhoist.example/dh/dhengine"
+	"dandelionhoist.example/dh/dhpb"
 	"dandelionhoist.example/dh/dhpb/dhpbconnect"
 	"dandelionhoist.example/dh/dhtimer"
 	"dandelionhoist.example/dh/dhwire"
@@ -48,6 +50,15 @@
 	os.Exit(int(status))
 }
 
+// checkText compares an answer with what a simulated engine answers.
+func checkText(ask *dhpb.AskRequest, a answer) error {
+	want := dhengine.Answer(ask.GetPrompt(), a.Model, a.Version, int(ask.GetMaxTokens()))
+	if a.Text != want {
+		return fmt.Errorf("the text has %d bytes and differs from the expected %d bytes", len(a.Text), len(want))
+	}
+	return nil
+}
+
 type flags struct {
 	workload, keys, caFile, operatorKeyFile string
 	servers                                 []string
@@ -56,7 +67,7 @@
 
 // run runs one load and prints its report.
 func run(ctx context.Context, args []string, out, errs io.Writer, timers dhtimer.Service) dhcode.Class {
-	l := &load{Timers: timers}
+	l := &load{Timers: timers, CheckText: checkText}
 	var f flags
 	app := kingpin.New("dandelionhoist-load", "Sends a workload to running daemons and checks the answers.")
 	app.UsageWriter(out).ErrorWriter(errs)
--- a/cmd/dandelionhoist/bills.go
+++ b/cmd/dandelionhoist/bills.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"strconv"
 
@@ -16,17 +17,28 @@
 func (p *program) billsCommand(clause *kingpin.CmdClause) command {
 	after := clause.Flag("after", "Sequence number of the last bill already read.").Uint64()
 	limit := clause.Flag("limit", "Largest number of bills; 0 is no limit.").Short('n').Int()
+	forget := clause.Flag("forget", "Remove the printed bills from the voters, which keep a bounded number; needs --output json.").Bool()
 	return func(ctx context.Context) error {
 		c, err := p.connect()
 		if err != nil {
 			return err
 		}
-		return p.printBills(ctx, c, *after, *limit)
+		if *forget && !p.json() {
+			return exitUsage(errors.New("--forget needs --output json, which prints every field of a bill"))
+		}
+		return p.printBills(ctx, c, billsQuery{after: *after, limit: *limit, forget: *forget})
 	}
 }
 
+type billsQuery struct {
+	after  uint64
+	limit  int
+	forget bool
+}
+
 // printBills prints page by page, so that an export needs little memory.
-func (p *program) printBills(ctx context.Context, c *client, after uint64, limit int) error {
+func (p *program) printBills(ctx context.Context, c *client, q billsQuery) error {
+	after, limit := q.after, q.limit
 	printed, complete := 0, false
 	for {
 		page := billsPage
@@ -45,6 +57,11 @@
 		if err := p.printBillPage(response.GetBills(), printed == 0); err != nil {
 			return err
 		}
+		if q.forget && len(response.GetBills()) > 0 {
+			if err := forgetBills(ctx, c, response.GetBills()); err != nil {
+				return err
+			}
+		}
 		printed += len(response.GetBills())
 		complete = response.GetComplete()
 		end := response.GetNext() == after || len(response.GetBills()) == 0
@@ -55,6 +72,14 @@
 	}
 }
 
+// forgetBills removes bills that have been printed.
+func forgetBills(ctx context.Context, c *client, bills []*dhpb.Bill) error {
+	return c.read(ctx, func(ctx context.Context, s server) error {
+		_, err := s.service.ForgetBills(ctx, &dhpb.ForgetBillsRequest{Bills: bills})
+		return err
+	})
+}
+
 func (p *program) printBillPage(bills []*dhpb.Bill, first bool) error {
 	if p.json() {
 		for _, b := range bills {
--- a/cmd/dandelionhoistd/process_test.go
+++ b/cmd/dandelionhoistd/process_test.go
@@ -104,9 +104,12 @@
 	return path
 }
 
+// freeAddress returns an unused address on a loopback IP of this process only,
+// so that no other process takes it before the daemon listens.
 func freeAddress(t testing.TB) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	pid := os.Getpid()
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+pid>>16&0x7f, pid>>8&0xff, pid&0xff))
 	assert.NilError(t, err)
 	defer func() { _ = l.Close() }()
 	return l.Addr().String()
@@ -179,7 +182,11 @@
 		c.start(i)
 	}
 	for _, d := range c.daemons {
-		wait(c.t, d.serving)
+		select {
+		case <-d.serving:
+		case <-d.exited:
+			c.t.Fatalf("daemon ended before it served: %v", d.exit)
+		}
 	}
 }
 
--- a/dh/dhclaim/dhclaim_test.go
+++ b/dh/dhclaim/dhclaim_test.go
@@ -240,7 +240,7 @@
 }
 
 func (p *pausedRegister) Update(ctx context.Context, key string, f func([]byte) ([]byte, error)) ([]byte, error) {
-	if pause := p.pause; pause != nil && key != clockKey {
+	if pause := p.pause; pause != nil && key != ClockKey {
 		p.pause = nil
 		pause()
 	}
@@ -269,7 +269,7 @@
 				w.timers.Step(10 * time.Minute)
 				assert.NilError(t, b.Maintain(t.Context()))
 			}
-			clock, err := w.store.Read(t.Context(), clockKey)
+			clock, err := w.store.Read(t.Context(), ClockKey)
 			assert.NilError(t, err)
 			_, err = w.store.Update(t.Context(), second.key, func(old []byte) ([]byte, error) {
 				kept, _ := Compact(second.key, old, clock, 0)
--- a/dh/dhdaemon/state.go
+++ b/dh/dhdaemon/state.go
@@ -7,9 +7,12 @@
 	"log/slog"
 	mathrand "math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"dandelionhoist.example/dh/dhbackend"
 	"dandelionhoist.example/dh/dhcode"
 	"dandelionhoist.example/dh/dhdisk"
@@ -252,13 +255,29 @@
 // exporter lists bills for operators.
 type exporter struct{ ledger *dhledger.Ledger }
 
-// Export implements dhserver.BillExporter.
+// Export implements dhserver.BillExporter. The ledger merges bills by account
+// and request id; operators see the caller's request id.
 func (e exporter) Export(ctx context.Context, req *dhpb.ExportBillsRequest) (*dhpb.ExportBillsResponse, error) {
 	out, err := e.ledger.Export(ctx, req.GetAfter(), int(req.GetLimit()))
 	if err != nil {
 		return nil, err
 	}
-	return &dhpb.ExportBillsResponse{Bills: out.Bills, Next: out.Next, Complete: out.Complete}, nil
+	response := &dhpb.ExportBillsResponse{Next: out.Next, Complete: out.Complete}
+	for _, b := range out.Bills {
+		b = proto.CloneOf(b)
+		b.RequestId = strings.TrimPrefix(b.RequestId, dhrouter.BillID(b.Account, ""))
+		response.Bills = append(response.Bills, b)
+	}
+	return response, nil
+}
+
+// Forget implements dhserver.BillExporter.
+func (e exporter) Forget(ctx context.Context, bills []*dhpb.Bill) (voters int, err error) {
+	ids := make([]string, 0, len(bills))
+	for _, b := range bills {
+		ids = append(ids, dhrouter.BillID(b.GetAccount(), b.GetRequestId()))
+	}
+	return e.ledger.Forget(ctx, ids)
 }
 
 // otherVMs finds answers that other entry VMs hold.
--- a/dh/dhledger/dhledger_test.go
+++ b/dh/dhledger/dhledger_test.go
@@ -210,11 +210,7 @@
 	}
 	_, end := store.List(0, 10)
 	assert.NilError(t, store.Forget(ids))
-	var snapshot [][]byte
-	assert.NilError(t, store.Snapshot(func(record []byte) error {
-		snapshot = append(snapshot, record)
-		return nil
-	}))
+	snapshot := slices.Collect(store.Snapshot())
 	records := j.records
 	for _, restored := range [][][]byte{nil, records, snapshot} {
 		s := store
--- a/dh/dhledger/export.go
+++ b/dh/dhledger/export.go
@@ -69,6 +69,23 @@
 	return export, nil
 }
 
+// Forget removes bills that have been exported and stored elsewhere, and
+// returns how many voters have done so. One that has not lists them again.
+func (l *Ledger) Forget(ctx context.Context, requestIDs []string) (voters int, err error) {
+	if len(requestIDs) > MaxList {
+		return 0, dhcode.Errorf(dhcode.RequestTooLarge, "%d bills to forget, at most %d are accepted", len(requestIDs), MaxList)
+	}
+	for _, v := range distinct(l.Voters()) {
+		if l.deliver(ctx, v.Client, &dhpb.PutBillsRequest{Forget: requestIDs}) == nil {
+			voters++
+		}
+	}
+	if voters == 0 {
+		return 0, dhcode.Errorf(dhcode.QuorumUnreachable, "no voter has forgotten the bills")
+	}
+	return voters, nil
+}
+
 // holders names the VMs that hold bills or do not say.
 func (l *Ledger) holders(ctx context.Context) []string {
 	var names []string
--- a/dh/dhledger/forget.go
+++ b/dh/dhledger/forget.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"iter"
 	"slices"
 
 	"google.golang.org/protobuf/proto"
@@ -79,6 +80,7 @@
 		if r, ok := s.rows[d]; ok {
 			r.replaced = true
 			s.replaced++
+			s.bytes -= proto.Size(r.bill)
 			delete(s.rows, d)
 		}
 	}
@@ -90,42 +92,56 @@
 	}
 }
 
-// Snapshot calls f with records that restore the current set.
-func (s *Store) Snapshot(f func(record []byte) error) error {
+// Size returns the number and the bytes of the records of a snapshot.
+func (s *Store) Size() (records, size int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	records = 1 + (len(s.rows)+MaxBatch-1)/MaxBatch + (len(s.queue)+MaxList-1)/MaxList
+	return records, s.bytes + len(s.queue)*(digestBytes+2)
+}
+
+// Snapshot returns records that restore the set as it is now.
+func (s *Store) Snapshot() iter.Seq[[]byte] {
 	s.mu.Lock()
 	rows := slices.DeleteFunc(slices.Clone(s.order), func(r *row) bool { return r.replaced })
 	queue, last := slices.Clone(s.queue), s.sequence
 	s.mu.Unlock()
-	emit := func(record *dhpb.BillRecord) error {
-		record.Format = recordFormat
-		data, err := proto.Marshal(record)
-		if err != nil {
-			return dhcode.Wrap(dhcode.Internal, err)
+	return func(yield func([]byte) bool) {
+		// The highest number may belong to a forgotten bill; cursors must not go back.
+		if !yield(encodeRecord(&dhpb.BillRecord{LastSequence: last})) {
+			return
 		}
-		return f(data)
-	}
-	// The highest number may belong to a forgotten bill; cursors must not go back.
-	if err := emit(&dhpb.BillRecord{LastSequence: last}); err != nil {
-		return err
-	}
-	for chunk := range slices.Chunk(rows, MaxBatch) {
-		record := &dhpb.BillRecord{}
-		for _, r := range chunk {
-			record.Bills = append(record.Bills, r.bill)
-			record.Sequences = append(record.Sequences, r.sequence)
+		for chunk := range slices.Chunk(rows, MaxBatch) {
+			if !yield(encodeRecord(billRecord(chunk))) {
+				return
+			}
 		}
-		if err := emit(record); err != nil {
-			return err
+		for chunk := range slices.Chunk(queue, MaxList) {
+			record := &dhpb.BillRecord{}
+			for _, d := range chunk {
+				record.Forgotten = append(record.Forgotten, d[:])
+			}
+			if !yield(encodeRecord(record)) {
+				return
+			}
 		}
 	}
-	for chunk := range slices.Chunk(queue, MaxList) {
-		record := &dhpb.BillRecord{}
-		for _, d := range chunk {
-			record.Forgotten = append(record.Forgotten, d[:])
-		}
-		if err := emit(record); err != nil {
-			return err
-		}
+}
+
+func billRecord(rows []*row) *dhpb.BillRecord {
+	record := &dhpb.BillRecord{}
+	for _, r := range rows {
+		record.Bills = append(record.Bills, r.bill)
+		record.Sequences = append(record.Sequences, r.sequence)
+	}
+	return record
+}
+
+func encodeRecord(record *dhpb.BillRecord) []byte {
+	record.Format = recordFormat
+	data, err := proto.Marshal(record)
+	if err != nil {
+		panic(err) // every bill was encoded when it was appended
 	}
-	return nil
+	return data
 }
--- a/dh/dhledger/format_test.go
+++ b/dh/dhledger/format_test.go
@@ -78,4 +78,4 @@
 
 type discard struct{}
 
-func (discard) Append([]byte) error { return nil }
+func (discard) Append(_ []byte, apply func()) error { return nil }
--- a/dh/dhledger/held.go
+++ b/dh/dhledger/held.go
@@ -32,6 +32,9 @@
 	if l.Store == nil {
 		return nil, dhcode.Errorf(dhcode.BillNotSafe, "VM %q has no voter", l.Name)
 	}
+	if len(r.GetForget()) > 0 {
+		return &dhpb.PutBillsResponse{Synced: true}, l.Store.Forget(r.GetForget())
+	}
 	if err := l.Store.Put(r.GetBills()); err != nil {
 		return nil, err
 	}
--- a/dh/dhledger/store.go
+++ b/dh/dhledger/store.go
@@ -32,8 +32,9 @@
 
 // Journal keeps records.
 type Journal interface {
-	// Append returns nil once the record is synced.
-	Append(record []byte) error
+	// Append returns nil once the record is synced. It calls apply before it
+	// may take a snapshot that has to contain the record.
+	Append(record []byte, apply func()) error
 }
 
 // Store is a voter's merged set of bills. Its fields are set before use.
@@ -49,9 +50,11 @@
 	// order holds rows by sequence; a replaced row stays until it is compacted.
 	order    []*row
 	replaced int
-	busy     bool
-	waiting  []*write
-	failed   error
+	// bytes is the encoded size of the bills in rows.
+	bytes   int
+	busy    bool
+	waiting []*write
+	failed  error
 	forgotten
 }
 
@@ -144,9 +147,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if err == nil {
-		s.apply(record)
-	} else if dhcode.Of(err) == dhcode.DiskFailed {
+	if dhcode.Of(err) == dhcode.DiskFailed {
 		s.failed = err
 	}
 	for _, w := range batch {
@@ -212,13 +213,19 @@
 	if err != nil {
 		return dhcode.Wrap(dhcode.Internal, err)
 	}
-	if err := s.Journal.Append(data); err != nil {
+	apply := func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.apply(record)
+	}
+	if err := s.Journal.Append(data, apply); err != nil {
 		return dhcode.Wrap(dhcode.DiskFailed, fmt.Errorf("journal of bills: %w", err))
 	}
 	return nil
 }
 
-// apply makes the bills of a synced record visible.
+// apply makes the bills of a record visible. Until the record is synced, no
+// other call of Put is answered, since calls write one after the other.
 func (s *Store) apply(record *dhpb.BillRecord) {
 	if s.rows == nil {
 		s.rows = make(map[digest]*row)
@@ -228,10 +235,12 @@
 		if old, ok := s.rows[id]; ok {
 			old.replaced = true
 			s.replaced++
+			s.bytes -= proto.Size(old.bill)
 		}
 		r := &row{bill: bill, sequence: record.GetSequences()[i]}
 		s.rows[id] = r
 		s.order = append(s.order, r)
+		s.bytes += proto.Size(bill)
 		s.sequence = max(s.sequence, r.sequence)
 	}
 	s.sequence = max(s.sequence, record.GetLastSequence())
--- a/dh/dhpb/dhpbconnect/dandelionhoist.connect.go
+++ b/dh/dhpb/dhpbconnect/dandelionhoist.connect.go
@@ -70,6 +70,9 @@
 	// OperatorServiceExportBillsProcedure is the fully-qualified name of the OperatorService's
 	// ExportBills RPC.
 	OperatorServiceExportBillsProcedure = "/dandelionhoist.v1.OperatorService/ExportBills"
+	// OperatorServiceForgetBillsProcedure is the fully-qualified name of the OperatorService's
+	// ForgetBills RPC.
+	OperatorServiceForgetBillsProcedure = "/dandelionhoist.v1.OperatorService/ForgetBills"
 	// EngineServiceGenerateProcedure is the fully-qualified name of the EngineService's Generate RPC.
 	EngineServiceGenerateProcedure = "/dandelionhoist.v1.EngineService/Generate"
 	// EngineServiceCancelGenerateProcedure is the fully-qualified name of the EngineService's
@@ -312,6 +315,8 @@
 	Watch(context.Context, *dhpb.WatchRequest) (*connect.ServerStreamForClient[dhpb.StatusResponse], error)
 	Explain(context.Context, *dhpb.ExplainRequest) (*dhpb.ExplainResponse, error)
 	ExportBills(context.Context, *dhpb.ExportBillsRequest) (*dhpb.ExportBillsResponse, error)
+	// ForgetBills removes bills that the operator has stored elsewhere.
+	ForgetBills(context.Context, *dhpb.ForgetBillsRequest) (*dhpb.ForgetBillsResponse, error)
 }
 
 // NewOperatorServiceClient constructs a client for the dandelionhoist.v1.OperatorService service.
@@ -367,6 +372,12 @@
 			connect.WithSchema(operatorServiceMethods.ByName("ExportBills")),
 			connect.WithClientOptions(opts...),
 		),
+		forgetBills: connect.NewClient[dhpb.ForgetBillsRequest, dhpb.ForgetBillsResponse](
+			httpClient,
+			baseURL+OperatorServiceForgetBillsProcedure,
+			connect.WithSchema(operatorServiceMethods.ByName("ForgetBills")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -379,6 +390,7 @@
 	watch       *connect.Client[dhpb.WatchRequest, dhpb.StatusResponse]
 	explain     *connect.Client[dhpb.ExplainRequest, dhpb.ExplainResponse]
 	exportBills *connect.Client[dhpb.ExportBillsRequest, dhpb.ExportBillsResponse]
+	forgetBills *connect.Client[dhpb.ForgetBillsRequest, dhpb.ForgetBillsResponse]
 }
 
 // GetTables calls dandelionhoist.v1.OperatorService.GetTables.
@@ -440,6 +452,15 @@
 	return nil, err
 }
 
+// ForgetBills calls dandelionhoist.v1.OperatorService.ForgetBills.
+func (c *operatorServiceClient) ForgetBills(ctx context.Context, req *dhpb.ForgetBillsRequest) (*dhpb.ForgetBillsResponse, error) {
+	response, err := c.forgetBills.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
 // OperatorServiceHandler is an implementation of the dandelionhoist.v1.OperatorService service.
 type OperatorServiceHandler interface {
 	GetTables(context.Context, *dhpb.GetTablesRequest) (*dhpb.GetTablesResponse, error)
@@ -449,6 +470,8 @@
 	Watch(context.Context, *dhpb.WatchRequest, *connect.ServerStream[dhpb.StatusResponse]) error
 	Explain(context.Context, *dhpb.ExplainRequest) (*dhpb.ExplainResponse, error)
 	ExportBills(context.Context, *dhpb.ExportBillsRequest) (*dhpb.ExportBillsResponse, error)
+	// ForgetBills removes bills that the operator has stored elsewhere.
+	ForgetBills(context.Context, *dhpb.ForgetBillsRequest) (*dhpb.ForgetBillsResponse, error)
 }
 
 // NewOperatorServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -500,6 +523,12 @@
 		connect.WithSchema(operatorServiceMethods.ByName("ExportBills")),
 		connect.WithHandlerOptions(opts...),
 	)
+	operatorServiceForgetBillsHandler := connect.NewUnaryHandlerSimple(
+		OperatorServiceForgetBillsProcedure,
+		svc.ForgetBills,
+		connect.WithSchema(operatorServiceMethods.ByName("ForgetBills")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/dandelionhoist.v1.OperatorService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case OperatorServiceGetTablesProcedure:
@@ -516,6 +545,8 @@
 			operatorServiceExplainHandler.ServeHTTP(w, r)
 		case OperatorServiceExportBillsProcedure:
 			operatorServiceExportBillsHandler.ServeHTTP(w, r)
+		case OperatorServiceForgetBillsProcedure:
+			operatorServiceForgetBillsHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -553,6 +584,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("dandelionhoist.v1.OperatorService.ExportBills is not implemented"))
 }
 
+func (UnimplementedOperatorServiceHandler) ForgetBills(context.Context, *dhpb.ForgetBillsRequest) (*dhpb.ForgetBillsResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("dandelionhoist.v1.OperatorService.ForgetBills is not implemented"))
+}
+
 // EngineServiceClient is a client for the dandelionhoist.v1.EngineService service.
 type EngineServiceClient interface {
 	Generate(context.Context, *dhpb.GenerateRequest) (*connect.ServerStreamForClient[dhpb.Chunk], error)
--- a/dh/dhrouter/run.go
+++ b/dh/dhrouter/run.go
@@ -165,12 +165,15 @@
 	})
 }
 
+// BillID identifies a bill. Request ids are chosen by callers, so they are
+// unique only per account.
+func BillID(account, requestID string) string { return account + "/" + requestID }
+
 func (r *Router) bill(q *request, result *dhpb.AskResponse) *dhpb.Bill {
 	tables := r.Snapshot().Tables
 	cost := tables.Pools[q.route.Pool].Models[result.GetModel()].CostPer1000Tokens
 	return &dhpb.Bill{
-		// Request ids are chosen by callers, so they are unique only per account.
-		RequestId: q.account.Name + "/" + result.GetRequestId(), Account: q.account.Name, Route: q.route.Name,
+		RequestId: BillID(q.account.Name, result.GetRequestId()), Account: q.account.Name, Route: q.route.Name,
 		Model: result.GetModel(), Version: result.GetVersion(), Tokens: result.GetTokens(),
 		Cost: cost * float64(result.GetTokens()) / 1000, Revision: tables.Revision, IdempotencyKey: q.GetIdempotencyKey(),
 	}
--- a/dh/dhserver/operators.go
+++ b/dh/dhserver/operators.go
@@ -29,6 +29,7 @@
 // BillExporter lists bills.
 type BillExporter interface {
 	Export(ctx context.Context, req *dhpb.ExportBillsRequest) (*dhpb.ExportBillsResponse, error)
+	Forget(ctx context.Context, bills []*dhpb.Bill) (voters int, err error)
 }
 
 // Operators is the service that operators use.
@@ -124,3 +125,12 @@
 	out, err := o.Bills.Export(ctx, req)
 	return out, dhwire.ToConnect(err)
 }
+
+// ForgetBills implements the operators' service.
+func (o *Operators) ForgetBills(ctx context.Context, req *dhpb.ForgetBillsRequest) (*dhpb.ForgetBillsResponse, error) {
+	voters, err := o.Bills.Forget(ctx, req.GetBills())
+	if err != nil {
+		return nil, dhwire.ToConnect(err)
+	}
+	return &dhpb.ForgetBillsResponse{Voters: int32(voters)}, nil
+}
--- a/dh/dhsession/check_answers.go
+++ b/dh/dhsession/check_answers.go
@@ -24,12 +24,11 @@
 	latest := make(map[string]*dhpb.Bill)
 	for _, b := range c.Bills {
 		// A bill that the merge replaced is listed again; the later one counts.
-		latest[b.GetRequestId()] = b
+		latest[b.GetAccount()+"/"+b.GetRequestId()] = b
 	}
 	bills := make(map[string][]*dhpb.Bill)
-	for id, b := range latest {
-		// Request ids are unique in an account; bills carry both.
-		_, id, _ = strings.Cut(id, "/")
+	for _, b := range latest {
+		id := b.GetRequestId()
 		q, ok := c.asked[id]
 		if !ok {
 			c.fault("R4", "there is a bill for request %s that nobody sent", id)
@@ -65,7 +64,7 @@
 		return true
 	}
 	for _, x := range c.Executions {
-		if b.GetRequestId() == b.GetAccount()+"/"+x.RequestID && x.Whole && x.Version.String() == version && x.Length == int64(b.GetTokens())*dhengine.TokenBytes {
+		if b.GetRequestId() == x.RequestID && x.Whole && x.Version.String() == version && x.Length == int64(b.GetTokens())*dhengine.TokenBytes {
 			return true
 		}
 	}
