--- a/dh/dhquorum/dhquorum.go
+++ b/dh/dhquorum/dhquorum.go
@@ -44,3 +44,6 @@
 
 // MaxValueBytes bounds a value. Tables are at most 1 MiB.
 const MaxValueBytes = 2 << 20
+
+// MaxKeyBytes bounds a key.
+const MaxKeyBytes = 1 << 10
--- a/dh/dhquorum/quorum_test.go
+++ b/dh/dhquorum/quorum_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -16,7 +17,7 @@
 
 // Guards against a value that is lost with a minority of voters or by a
 // restart, against reads that write, and against an unbounded wait or a wrong
-// statement when a majority is lost.
+// statement when a majority is lost. Also against input without a bound.
 func TestUpdateAndRead(t *testing.T) {
 	run(t, 1, 3, 3, func(ctx context.Context, c *cluster, p *dhquorum.Proposer) {
 		value, err := p.Update(ctx, "edit/1", set("one"))
@@ -36,6 +37,14 @@
 		}
 		assert.Equal(t, c.disks[1].Syncs()+c.disks[2].Syncs(), before)
 
+		_, err = p.Update(ctx, strings.Repeat("k", dhquorum.MaxKeyBytes+1), set("x"))
+		assert.Equal(t, dhcode.Of(err), dhcode.RequestMalformed)
+		_, err = p.Update(ctx, "edit/2", set(strings.Repeat("v", dhquorum.MaxValueBytes)))
+		assert.Equal(t, dhcode.Of(err), dhcode.RequestTooLarge)
+		c.voters[1].MaxRegisters = 1
+		_, err = p.Update(ctx, "edit/3", set("x"))
+		assert.Equal(t, dhcode.Of(err), dhcode.TableFull)
+
 		c.crash(1)
 		_, err = p.Update(ctx, "edit/1", set("two"))
 		assert.Equal(t, dhcode.Of(err), dhcode.QuorumUnreachable, "%v", err)
--- a/dh/dhquorum/voter.go
+++ b/dh/dhquorum/voter.go
@@ -151,8 +151,8 @@
 	case !v.confirmed:
 		return dhcode.Errorf(dhcode.QuorumUnreachable,
 			"voter %s does not know yet whether its disk was rolled back", v.state.id)
-	case key == "" || key[0] == 0 || !utf8.ValidString(key):
-		return dhcode.Errorf(dhcode.RequestMalformed, "register key %q is malformed", key)
+	case key == "" || len(key) > MaxKeyBytes || key[0] == 0 || !utf8.ValidString(key):
+		return dhcode.Errorf(dhcode.RequestMalformed, "register key of %d bytes is malformed or too long", len(key))
 	case v.state.expired(key):
 		return dhcode.Errorf(dhcode.KeyExpired, "register key has expired")
 	case !known && len(v.state.registers) >= limit:
