--- a/dh/dhquorum/cluster_test.go
+++ b/dh/dhquorum/cluster_test.go
@@ -27,8 +27,10 @@
 	nodes     []*dhfake.Node
 	proposers []*dhquorum.Proposer
 	failures  []error
-	breakRule func(v *dhquorum.Voter)
+	prepare   func(v *dhquorum.Voter)
 	hide      bool
+	// forgetTries breaks the proposers' rule that an update applies once.
+	forgetTries bool
 }
 
 // transport sends through a node. With hide it keeps record numbers from the
@@ -89,8 +91,8 @@
 		return
 	}
 	c.voters[i] = v
-	if c.breakRule != nil {
-		c.breakRule(v)
+	if c.prepare != nil {
+		c.prepare(v)
 	}
 	c.nodes[i] = c.network.Start(fmt.Sprintf("v%d", i), func(ctx context.Context, _ string, message any) (any, error) {
 		switch m := message.(type) {
@@ -136,6 +138,9 @@
 		Name: name, Transport: transport{c.network.Start(name, nil), c.hide},
 		Timers: dhfake.NewClock(c.timers, rate), TryTimeout: 50 * time.Millisecond, Random: random.Uint64,
 	}
+	if c.forgetTries {
+		p.Break()
+	}
 	c.proposers = append(c.proposers, p)
 	return p
 }
