Measure the bound of affinity and long prompts

The measurement adds a run with free prefill, as if every cache held every prompt, and a variant of the workloads with long prompts.

--- a/dh/dhmeasure/compare.go
+++ b/dh/dhmeasure/compare.go
@@ -35,22 +35,29 @@
 	fmt.Fprintf(&text, "%s: %d entry VMs, %d replicas, capacity %.1f requests/s, seeds %v\n", d.Name, d.EntryVMs, d.Replicas, capacity, seeds)
 	fmt.Fprintf(&text, "%-5s %-22s %9s %9s %9s %9s %7s %7s %7s\n", "load", "policy", "first p50", "first p95", "whole p50", "whole p95", "cached", "remote", "failed")
 	for _, load := range loads {
-		rows := measureLoad(d, s, load*capacity, seeds)
+		rows := measureLoad(Run{Deployment: d, Settings: s, Rate: load * capacity}, Policies(), seeds)
 		first, whole := math.Inf(1), math.Inf(1)
 		for _, r := range rows {
-			fmt.Fprintf(&text, "%-5.2f %-22s %9.3f %9.3f %9.2f %9.2f %6.1f%% %6.1f%% %7d\n", load, r.Policy, r.First50, r.First95, r.Whole50, r.Whole95, 100*r.CachedShare, 100*r.OtherZone, r.Failed)
+			r.print(&text, load, r.Policy.String())
 			if r.Policy != Full {
 				first, whole = min(first, r.First95), min(whole, r.Whole95)
 			}
 		}
 		full := rows[len(rows)-1]
+		bound := measureLoad(Run{Deployment: d, Settings: s, Rate: load * capacity, FreePrefill: true}, []Policy{LeastConnections}, seeds)[0]
+		bound.print(&text, load, "bound: free prefill")
 		fmt.Fprintf(&text, "%-5.2f against the best baseline: first p95 %+.1f%%, whole p95 %+.1f%%\n", load, 100*(full.First95/first-1), 100*(full.Whole95/whole-1))
 	}
 	return text.String()
 }
 
-func measureLoad(d Deployment, s dhplacement.Settings, rate float64, seeds []uint64) []Row {
-	policies := Policies()
+func (r Row) print(text *strings.Builder, load float64, name string) {
+	fmt.Fprintf(text, "%-5.2f %-22s %9.3f %9.3f %9.2f %9.2f %6.1f%% %6.1f%% %7d\n", load, name,
+		r.First50, r.First95, r.Whole50, r.Whole95, 100*r.CachedShare, 100*r.OtherZone, r.Failed)
+}
+
+// measureLoad runs each policy with each seed and merges the results by policy.
+func measureLoad(run Run, policies []Policy, seeds []uint64) []Row {
 	results := make([]Result, len(policies)*len(seeds))
 	jobs := make(chan int, len(results))
 	for i := range results {
@@ -61,7 +68,9 @@
 	for range parallel {
 		g.Go(func(context.Context) error {
 			for i := range jobs {
-				results[i] = Run{Deployment: d, Policy: policies[i/len(seeds)], Settings: s, Rate: rate, Seed: seeds[i%len(seeds)]}.Do()
+				r := run
+				r.Policy, r.Seed = policies[i/len(seeds)], seeds[i%len(seeds)]
+				results[i] = r.Do()
 			}
 			return nil
 		})
--- a/dh/dhmeasure/dhmeasure.go
+++ b/dh/dhmeasure/dhmeasure.go
@@ -17,6 +17,7 @@
 package dhmeasure
 
 import (
+	"slices"
 	"time"
 
 	"dandelionhoist.example/dh/dhplacement"
@@ -96,6 +97,18 @@
 	}
 }
 
+// WithLongPrompts returns d with twice the common and three times the
+// accounts' text in its prompts, such as a whole catalogue.
+func (d Deployment) WithLongPrompts() Deployment {
+	d.Name += " with long prompts"
+	d.Classes = slices.Clone(d.Classes)
+	for i := range d.Classes {
+		d.Classes[i].SystemTokens *= 2
+		d.Classes[i].AccountTokens *= 3
+	}
+	return d
+}
+
 // Run is one simulated run.
 type Run struct {
 	Deployment Deployment
@@ -107,6 +120,9 @@
 	// ask without think time.
 	Sessions int
 	Seed     uint64
+	// FreePrefill makes prompts cost nothing, as if every prefix cache held
+	// them: the bound of what any affinity can gain.
+	FreePrefill bool
 	// Warmup precedes the measured Length; 60 s and 240 s by default.
 	Warmup, Length time.Duration
 }
--- a/dh/dhmeasure/dhmeasure_test.go
+++ b/dh/dhmeasure/dhmeasure_test.go
@@ -16,6 +16,7 @@
 
 var (
 	measure = flag.String("measure", "", "measure placement: report, tune or a list of seeds")
+	long    = flag.Bool("long", false, "measure with long prompts")
 	loads   = flag.String("loads", "0.3,0.6,0.8,0.95", "loads to measure, as parts of the capacity")
 )
 
@@ -49,6 +50,9 @@
 		parts = append(parts, part)
 	}
 	for _, d := range []Deployment{Tringles(), Kandy()} {
+		if *long {
+			d = d.WithLongPrompts()
+		}
 		table := Compare(d, dhplacement.Defaults(), parts, seeds)
 		fmt.Fprint(os.Stdout, table)
 	}
--- a/dh/dhmeasure/simulation.go
+++ b/dh/dhmeasure/simulation.go
@@ -109,6 +109,10 @@
 				seen[c.Model] = true
 			}
 		}
+		if s.run.FreePrefill {
+			m.Costs = dhengine.DefaultCosts()
+			m.Costs.PerPrefillToken = 0
+		}
 		m.Start()
 		s.engines[m.ID] = m
 		s.ids = append(s.ids, m.ID)
