Keep the index of the previous view

The placer serves the previous view from its kept index. The engine's fault endpoint has a test that other machines are refused.

--- a/cmd/dandelionhoist-engine/engine_test.go
+++ b/cmd/dandelionhoist-engine/engine_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
@@ -99,3 +100,15 @@
 		assert.Assert(t, err != nil, "%v", bad)
 	}
 }
+
+// Guards against fault injection from other machines.
+func TestFaultsOnlyFromLoopback(t *testing.T) {
+	e := &engine{options: defaultOptions()}
+	for remote, want := range map[string]int{"192.0.2.1:1234": http.StatusForbidden, "127.0.0.1:1234": http.StatusBadRequest} {
+		r := httptest.NewRequest(http.MethodPost, "/faults", strings.NewReader("{"))
+		r.RemoteAddr = remote
+		w := httptest.NewRecorder()
+		e.handler().ServeHTTP(w, r)
+		assert.Equal(t, w.Code, want)
+	}
+}
--- a/dh/dhplacement/index.go
+++ b/dh/dhplacement/index.go
@@ -33,6 +33,9 @@
 type index struct {
 	view  *dhbackend.View
 	pools map[string]*pool
+	// previous serves decisions that still use the view before, so that they
+	// do not build its index again.
+	previous *index
 }
 
 // pool holds a pool's candidates and their groups by version.
@@ -94,15 +97,23 @@
 			p.owners.forget(id)
 		}
 	}
+	if old := p.index.Load(); old != nil {
+		ix.previous = &index{view: old.view, pools: old.pools}
+	}
 	p.index.Store(ix)
 }
 
 func (p *Placer) indexOf(view *dhbackend.View) *index {
-	if ix := p.index.Load(); ix != nil && ix.view == view {
-		return ix
+	for {
+		ix := p.index.Load()
+		switch {
+		case ix != nil && ix.view == view:
+			return ix
+		case ix != nil && ix.previous != nil && ix.previous.view == view:
+			return ix.previous
+		}
+		p.Update(view)
 	}
-	p.Update(view)
-	return p.index.Load()
 }
 
 func (p *Placer) newPool(backends []*dhbackend.Backend, now time.Time) *pool {
