Name the engine's counters in kebab case

GET /stats showed Go names; the project's own formats use kebab case.

go test -race -count=10 ./dh/dhengine ./cmd/dandelionhoist-engine passes.

--- a/dh/dhengine/dhengine.go
+++ b/dh/dhengine/dhengine.go
@@ -139,13 +139,19 @@
 
 // Stats counts what happened in a model.
 type Stats struct {
-	Arrived, Completed, Failed, Cancelled, Crashes int
+	Arrived   int `json:"arrived"`
+	Completed int `json:"completed"`
+	Failed    int `json:"failed"`
+	Cancelled int `json:"cancelled"`
+	Crashes   int `json:"crashes"`
 	// ColdPeak is the highest load during a cold start, outside the grace time of an unannounced turn.
-	ColdPeak int
+	ColdPeak int `json:"cold-peak"`
 	// LateArrivals counts requests that came more than LeaveGrace after leaving began.
-	LateArrivals int
+	LateArrivals int `json:"late-arrivals"`
 	// DecodedTokens counts tokens of answers, PrefilledTokens and CachedTokens those of prompts.
-	DecodedTokens, PrefilledTokens, CachedTokens int
+	DecodedTokens   int `json:"decoded-tokens"`
+	PrefilledTokens int `json:"prefilled-tokens"`
+	CachedTokens    int `json:"cached-tokens"`
 }
 
 // Start applies the defaults and starts the timers of the model.
