--- a/dh/dhplacement/dhplacement_test.go
+++ b/dh/dhplacement/dhplacement_test.go
@@ -271,3 +271,11 @@
 		f.Update(f.table.View(f.timers.Now()))
 	}
 }
+
+func BenchmarkObserve(b *testing.B) {
+	f, _ := large()
+	b.ReportAllocs()
+	for i := uint64(1); b.Loop(); i++ {
+		f.Observe("b1", &dhpb.CacheEvent{Sequence: i, PrefixHash: i * golden, Removed: i%2 == 0})
+	}
+}
