--- a/dh/dhlimit/queue.go
+++ b/dh/dhlimit/queue.go
@@ -21,6 +21,11 @@
 	classes map[string]*runTime
 }
 
+// savedShare is how much of its unused share an account may use later, in
+// seconds of run time for each unit of weight. Without it an account with few
+// requests at a time waited for a whole run of its own last one.
+const savedShare = 10.0
+
 // queue is the part of one account.
 type queue struct {
 	account string
@@ -74,17 +79,24 @@
 	return p.all.mean
 }
 
-// slowRun returns a time that most requests of the class need at most.
-func (p *pool) slowRun(r Request) time.Duration {
+// slowRun returns how long a run must fit into the time left: one that nearly
+// all of the class's requests stay under, so that work on late answers is
+// rare. An account within its share gets the benefit of the doubt.
+func (p *pool) slowRun(q *queue, r Request) time.Duration {
 	t := &p.all
 	if c, ok := p.classes[r.Class]; ok {
 		t = c
 	}
-	return p.run(r) + 2*t.deviation
+	if q.tag < p.virtual {
+		return p.run(r) + t.deviation
+	}
+	return p.run(r) + 4*t.deviation
 }
 
 // wait estimates how long a request waits that has the given number of the
-// account's own requests before it.
+// account's own requests before it. Virtual time passes at slots / weights of
+// the waiting accounts, so the request starts when it reaches its start tag;
+// and at the latest when all that waits before it has run.
 func (p *pool) wait(q *queue, own int) time.Duration {
 	if p.slots <= 0 {
 		return math.MaxInt64
@@ -97,9 +109,15 @@
 			others += len(o.waiters)
 		}
 	}
-	turns := float64(own + 1)
-	position := min(turns*weights/q.weight, turns+float64(others)) + float64(max(p.running-p.slots, 0))
-	return time.Duration(position * float64(p.all.mean) / float64(p.slots))
+	before := 0.0
+	for _, w := range q.waiters[:own] {
+		before += p.run(w.request).Seconds()
+	}
+	mean, slots := p.all.mean.Seconds(), float64(p.slots)
+	turn := max((q.tag-p.virtual+before/q.weight)*weights, before)
+	all := before + float64(others)*mean
+	next := float64(1+max(p.running-p.slots, 0)) * mean
+	return time.Duration((min(turn, all) + next) / slots * float64(time.Second))
 }
 
 func (p *pool) enter(r Request, now time.Time, maxQueue int) (*waiter, error) {
@@ -110,7 +128,7 @@
 	}
 	q, ok := p.queues[r.Account.Name]
 	if !ok {
-		q = &queue{account: r.Account.Name, tag: p.virtual}
+		q = &queue{account: r.Account.Name, tag: p.virtual - savedShare}
 	}
 	q.weight = float64(max(r.Account.Weight, 1))
 	at := q.place(r.Priority)
@@ -118,7 +136,7 @@
 	if p.slots <= 0 {
 		return nil, dhcode.WithRetryAfter(dhcode.Errorf(dhcode.PoolFull, "pool %q has no slot for this VM", p.name), time.Second)
 	}
-	if err := p.tooLate(r, wait, r.Deadline); err != nil {
+	if err := p.tooLate(q, r, wait, r.Deadline); err != nil {
 		return nil, err
 	}
 	if p.queued >= maxQueue && !p.displace(q, r.Priority) {
@@ -135,8 +153,8 @@
 
 // tooLate refuses a request that would not end within the time left. The
 // retry-after is when the queue will have become short enough.
-func (p *pool) tooLate(r Request, wait, left time.Duration) error {
-	need := p.slowRun(r)
+func (p *pool) tooLate(q *queue, r Request, wait, left time.Duration) error {
+	need := p.slowRun(q, r)
 	if wait <= left-need {
 		return nil
 	}
@@ -188,7 +206,7 @@
 		}
 	}
 	// An account that is ahead of its share keeps its tag while others wait.
-	if len(q.waiters) == 0 && (q.tag <= p.virtual || p.queued == 0) {
+	if len(q.waiters) == 0 && (q.tag <= p.virtual-savedShare || p.queued == 0) {
 		delete(p.queues, q.account)
 	}
 }
@@ -199,7 +217,7 @@
 		var next *queue
 		for name, q := range p.queues {
 			if len(q.waiters) == 0 {
-				if q.tag <= p.virtual {
+				if q.tag <= p.virtual-savedShare {
 					delete(p.queues, name)
 				}
 				continue
@@ -211,7 +229,7 @@
 		w := next.waiters[0]
 		p.virtual = max(p.virtual, next.tag)
 		w.charged = p.run(w.request).Seconds() / next.weight
-		next.tag = max(next.tag, p.virtual) + w.charged
+		next.tag = max(next.tag, p.virtual-savedShare) + w.charged
 		p.remove(w)
 		p.start(w, now)
 	}
@@ -270,7 +288,7 @@
 		for i := len(q.waiters) - 1; i >= 0; i-- {
 			w := q.waiters[i]
 			left := w.request.Deadline - now.Sub(w.arrived)
-			if err := p.tooLate(w.request, p.wait(q, i), left); err != nil {
+			if err := p.tooLate(q, w.request, p.wait(q, i), left); err != nil {
 				p.remove(w)
 				w.refuse(err)
 			}
