Renew cold-start credits and let demand settle first

A lent credit could start requests for 2 s of every 12 s only, so that a zone with all demand on one VM used 53% of the sustainable load in the first 30 s, and with even demand 87%, because the first VM borrowed everything before the others asked.

Leases are now renewed while the lender finds credits itself, and nothing is lent in the first 200 ms.

--- a/dh/dhcold/detector.go
+++ b/dh/dhcold/detector.go
@@ -45,6 +45,7 @@
 	// Times of an announced cold start are not usual.
 	if r, ok := c.rows[id]; ok && (r.turned.cold || !r.cold()) {
 		r.turned.add(taken)
+		r.observe(c.now())
 	}
 }
 
@@ -56,6 +57,7 @@
 	defer c.mu.Unlock()
 	if r, ok := c.rows[id]; ok {
 		r.turned.cold, r.turned.normal = true, 0
+		r.observe(c.now())
 	}
 }
 
--- a/dh/dhcold/dhcold.go
+++ b/dh/dhcold/dhcold.go
@@ -8,7 +8,8 @@
 // Unused credits are lent to zone peers with leases:
 //
 //   - The borrower starts requests on a lent credit only during the lease,
-//     counted from before it asked.
+//     counted from before it asked. It renews the lease while it needs the
+//     credit; a lender that needs the credit itself does not renew it.
 //   - The lender uses the credit again after the lease and the longest cold
 //     request, with an allowance for the clocks' rates.
 //   - A restarted VM waits that long too, because it does not know what it
@@ -28,6 +29,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -39,8 +41,12 @@
 
 // Peers asks the other entry VMs of the zone for credits.
 type Peers interface {
-	// Borrow returns how many credits a peer lent and for how long.
-	Borrow(ctx context.Context, backend string, want int) (n int, lease time.Duration, err error)
+	// Names returns the peers in an order that varies.
+	Names() []string
+	// Borrow calls Lend on a peer. The borrower is this VM's name and
+	// incarnation: requests from before a restart may still use what the
+	// earlier incarnation borrowed, so that this must not be renewed.
+	Borrow(ctx context.Context, peer, backend string, want int) (n int, lease time.Duration, err error)
 }
 
 // Credits are one entry VM's permissions to use cold backend servers. Its
@@ -73,11 +79,15 @@
 	backend *dhbackend.Backend
 	home    int
 	running int
-	// short is set when a request found no credit since the last Refill.
-	short    bool
-	wanted   time.Time
-	lent     []loan
-	borrowed []loan
+	// coldSince is when this VM began to treat the backend server as cold.
+	coldSince time.Time
+	// short is when a request last found no credit, wanted when one last asked.
+	short, wanted time.Time
+	// lent holds the unexpired answers to each borrower. Which of them
+	// arrived is not known, so the largest counts.
+	lent map[string][]loan
+	// borrowed holds the latest answer of each lender.
+	borrowed map[string]loan
 	turned   detector
 }
 
@@ -86,6 +96,13 @@
 	until   time.Time
 }
 
+// settle is how long after the begin of a cold start nothing is lent, so that
+// each VM's demand shows before its credits are gone for a lease and a run.
+const settle = 200 * time.Millisecond
+
+// recently is how long a request without a credit counts as demand.
+const recently = time.Second
+
 // Update applies the announced backend servers and forgets the others once
 // nothing of theirs is lent, borrowed or running.
 func (c *Credits) Update(backends []*dhbackend.Backend) {
@@ -100,17 +117,17 @@
 			if len(c.rows) >= orDefault(c.MaxBackends, 4096) {
 				continue
 			}
-			r = &row{}
+			r = &row{lent: make(map[string][]loan), borrowed: make(map[string]loan)}
 			c.rows[b.ID] = r
 		}
 		if r.backend != nil && b.Incarnation != r.backend.Incarnation {
 			r.turned = detector{}
 		}
 		r.backend, r.home = b, c.home(b)
+		r.observe(now)
 	}
 	for id, r := range c.rows {
-		r.lent, r.borrowed = current(r.lent, now), current(r.borrowed, now)
-		if !present[id] && r.running == 0 && len(r.lent) == 0 && len(r.borrowed) == 0 {
+		if !present[id] && r.running == 0 && r.out(now) == 0 && r.in(now) == 0 {
 			delete(c.rows, id)
 		}
 	}
@@ -153,7 +170,7 @@
 	if r.cold() {
 		r.wanted = now
 		if r.running >= c.available(r, now) {
-			r.short = true
+			r.short = now
 			return nil, false
 		}
 	}
@@ -176,14 +193,22 @@
 	return ok && r.cold()
 }
 
+// observe notes the begin of a cold start.
+func (r *row) observe(now time.Time) {
+	if !r.cold() {
+		r.coldSince = time.Time{}
+	} else if r.coldSince.IsZero() {
+		r.coldSince = now
+	}
+}
+
 func (r *row) cold() bool { return r.backend.State != dhbackend.Ready || r.turned.cold }
 
 // available returns how many requests this VM may run on a cold backend server.
 func (c *Credits) available(r *row, now time.Time) int {
-	r.lent, r.borrowed = current(r.lent, now), current(r.borrowed, now)
-	n := sum(r.borrowed)
-	if !now.Before(c.started.Add(c.hold())) {
-		n += r.home - sum(r.lent)
+	n := r.in(now)
+	if c.ownsHome(now) {
+		n += r.home - r.out(now)
 	}
 	return n
 }
@@ -201,82 +226,137 @@
 func (c *Credits) lease() time.Duration   { return durationOr(c.Lease, 2*time.Second) }
 func (c *Credits) longest() time.Duration { return durationOr(c.Longest, 30*time.Second) }
 
-// Lend gives a zone peer credits that this VM does not use: half of them, or
-// all when no request has wanted one for a second.
-func (c *Credits) Lend(id string, want int) (n int, lease time.Duration) {
+// ownsHome reports whether this VM knows that nobody else uses its home
+// credits, other than those in its table.
+func (c *Credits) ownsHome(now time.Time) bool { return !now.Before(c.started.Add(c.hold())) }
+
+// out returns how many credits other VMs may be using.
+func (r *row) out(now time.Time) int {
+	n := 0
+	for borrower := range r.lent {
+		n += r.outTo(borrower, now)
+	}
+	return n
+}
+
+// outTo returns how many credits a borrower may be using, and drops expired answers.
+func (r *row) outTo(borrower string, now time.Time) int {
+	loans, n := r.lent[borrower], 0
+	kept := loans[:0]
+	for _, l := range loans {
+		if now.Before(l.until) {
+			kept = append(kept, l)
+			n = max(n, l.credits)
+		}
+	}
+	r.lent[borrower] = kept
+	if len(kept) == 0 {
+		delete(r.lent, borrower)
+	}
+	return n
+}
+
+// in returns how many borrowed credits may start requests.
+func (r *row) in(now time.Time) int {
+	n := 0
+	for lender, l := range r.borrowed {
+		if !now.Before(l.until) {
+			delete(r.borrowed, lender)
+			continue
+		}
+		n += l.credits
+	}
+	return n
+}
+
+// Lend answers a zone peer that wants to use the given number of this VM's
+// home credits in all: n of them, for the lease from when it asked. The
+// answer replaces the borrower's earlier ones; a borrower is one incarnation
+// of a VM. New credits are half of the
+// unused ones, or all when no request here has wanted one for a second; when
+// requests here find none, nothing is lent or renewed.
+func (c *Credits) Lend(id, borrower string, want int) (n int, lease time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.now()
 	r, ok := c.rows[id]
-	if !ok || now.Before(c.started.Add(c.hold())) {
+	if !ok || !c.ownsHome(now) || now.Sub(r.short) < recently || !r.cold() || now.Sub(r.coldSince) < settle {
 		return 0, 0
 	}
-	r.lent = current(r.lent, now)
-	unused := r.home - sum(r.lent) - r.running
-	if now.Sub(r.wanted) < time.Second {
+	unused := max(r.home-r.out(now)-r.running, 0)
+	if now.Sub(r.wanted) < recently {
 		unused /= 2
 	}
-	if n = min(want, unused); n <= 0 {
+	// A shrunken home does not renew what it no longer has.
+	n = min(want, r.outTo(borrower, now)+unused, r.home)
+	if n <= 0 {
 		return 0, 0
 	}
-	r.lent = append(r.lent, loan{n, now.Add(c.hold())})
+	r.lent[borrower] = append(r.lent[borrower], loan{n, now.Add(c.hold())})
 	return n, c.lease()
 }
 
-// Refill borrows credits for the backend servers on which a request found
-// none since the last call, and renews borrowed credits that are in use. It
-// waits for peers, one question at a time.
+// Refill borrows credits for the cold backend servers on which requests found
+// none lately, and renews what is borrowed. It waits for peers, one question
+// at a time.
 func (c *Credits) Refill(ctx context.Context) {
 	if c.Peers == nil {
 		return
 	}
-	for id, want := range c.wants() {
-		asked := c.Timers.Now()
-		n, lease, err := c.Peers.Borrow(ctx, id, want)
-		if err != nil || n <= 0 {
-			continue
-		}
-		c.mu.Lock()
-		if r, ok := c.rows[id]; ok {
-			r.borrowed = append(r.borrowed, loan{n, asked.Add(lease)})
+	for _, id := range c.wants() {
+		for _, peer := range c.Peers.Names() {
+			want, ok := c.wantFrom(id, peer)
+			if !ok {
+				continue
+			}
+			asked := c.Timers.Now()
+			n, lease, err := c.Peers.Borrow(ctx, peer, id, want)
+			if err != nil || n <= 0 {
+				continue
+			}
+			c.mu.Lock()
+			if r, ok := c.rows[id]; ok {
+				r.borrowed[peer] = loan{n, asked.Add(lease)}
+			}
+			c.mu.Unlock()
 		}
-		c.mu.Unlock()
 	}
 }
 
-// wants returns how many credits to ask for by backend server.
-func (c *Credits) wants() map[string]int {
+// wants returns the backend servers on which this VM needs credits.
+func (c *Credits) wants() []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.now()
-	wants := make(map[string]int)
+	var ids []string
 	for id, r := range c.rows {
-		if r.short && r.cold() && r.backend.Zone == c.Zone {
-			if n := r.backend.SustainableLoad - max(c.available(r, now), r.running); n > 0 {
-				wants[id] = n
-			}
+		// Borrowed credits in use hide the demand until they end.
+		demand := now.Sub(r.short) < recently || (now.Sub(r.wanted) < recently && r.in(now) > 0)
+		if demand && r.cold() && r.backend.Zone == c.Zone {
+			ids = append(ids, id)
 		}
-		r.short = false
 	}
-	return wants
+	slices.Sort(ids)
+	return ids
 }
 
-func current(loans []loan, now time.Time) []loan {
-	kept := loans[:0]
-	for _, l := range loans {
-		if now.Before(l.until) {
-			kept = append(kept, l)
-		}
+// wantFrom returns how many credits to ask a peer for in all, if it is to be
+// asked: when more are needed, or when half of its lease is over.
+func (c *Credits) wantFrom(id, peer string) (int, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r, ok := c.rows[id]
+	if !ok {
+		return 0, false
 	}
-	return kept
-}
-
-func sum(loans []loan) int {
-	n := 0
-	for _, l := range loans {
-		n += l.credits
+	now := c.now()
+	more := 0
+	if now.Sub(r.short) < recently {
+		more = max(r.backend.SustainableLoad-max(c.available(r, now), r.running), 0)
 	}
-	return n
+	l, borrowed := r.borrowed[peer]
+	renew := borrowed && l.until.Sub(now) < c.lease()/2
+	return l.credits + more, more > 0 || renew
 }
 
 func orDefault(n, d int) int {
