Do not pass on the list a starting VM receives

Cause: a restart cost each of 300 members 5,256 to 6,106 bytes: the restarted VM sent on every record of its first list, and each VM that had not heard of the restart answered it with the whole list. Change: unknown members in a page are not news; the whole list goes only to VMs that start or that send a page.

--- a/dh/dhmember/receive.go
+++ b/dh/dhmember/receive.go
@@ -27,7 +27,10 @@
 	m.mu.Lock()
 	old := m.rows[sender.Name]
 	page := 0
-	if old == nil || old.State > Suspect || sender.Incarnation == 0 {
+	stranger := old == nil || old.State > Suspect
+	// A VM that starts gets all records, and so does one back from a partition,
+	// which sends a page itself. One that others already know needs none.
+	if sender.Incarnation == 0 || stranger && (m.bulk(msg) || len(m.rows) <= m.MaxPage) {
 		page = m.MaxMembers
 	}
 	m.merge(msg, m.Timers.Now())
--- a/dh/dhmember/table.go
+++ b/dh/dhmember/table.go
@@ -12,12 +12,14 @@
 func (m *Members) merge(msg *dhpb.GossipMessage, now time.Time) {
 	published := m.dirty
 	m.dirty = false
+	bulk := m.bulk(msg)
 	for _, r := range msg.GetMembers() {
 		if r.GetName() == m.self.Name {
 			m.refute(r)
 			continue
 		}
-		m.apply(r, r.GetName() == msg.GetFrom(), now)
+		direct := r.GetName() == msg.GetFrom()
+		m.apply(r, direct, bulk && !direct, now)
 	}
 	if row := m.rows[msg.GetFrom()]; row != nil {
 		row.heard = now
@@ -40,6 +42,9 @@
 	}
 }
 
+// bulk says whether a message carries a page or all records.
+func (m *Members) bulk(msg *dhpb.GossipMessage) bool { return len(msg.GetMembers()) > m.MaxDeltas+2 }
+
 // refute answers a record about the own VM that is newer or wrong with a
 // higher incarnation.
 func (m *Members) refute(r *dhpb.MemberRecord) {
@@ -61,8 +66,10 @@
 }
 
 // apply merges a record about another member. Records at incarnation 0 come
-// from VMs that do not know their incarnation yet.
-func (m *Members) apply(r *dhpb.MemberRecord, direct bool, now time.Time) {
+// from VMs that do not know their incarnation yet. An unknown member in a bulk
+// message is not passed on as news: a VM that starts would send everyone the
+// whole list.
+func (m *Members) apply(r *dhpb.MemberRecord, direct, bulk bool, now time.Time) {
 	state, ok := parseState(r.GetState())
 	if !ok || r.GetName() == "" || r.GetIncarnation() == 0 {
 		return
@@ -71,7 +78,7 @@
 	cur := m.rows[r.GetName()]
 	if cur == nil {
 		if state <= Suspect && r.GetAddress() != "" && m.makeRoom() {
-			m.add(&row{Member: memberOf(r, state), since: now}, now)
+			m.add(&row{Member: memberOf(r, state), since: now}, !bulk)
 		}
 		return
 	}
@@ -103,11 +110,14 @@
 	m.voters[id] = max(m.voters[id], sequence)
 }
 
-func (m *Members) add(r *row, now time.Time) {
+func (m *Members) add(r *row, news bool) {
 	i, _ := slices.BinarySearch(m.names, r.Name)
 	m.names = slices.Insert(m.names, i, r.Name)
 	m.rows[r.Name] = r
-	m.changed(r, r.State, now)
+	m.dirty = true
+	if news {
+		m.changed(r, r.State, r.since)
+	}
 }
 
 func (m *Members) remove(name string) {
