Ask entry VMs of each zone when not all can be asked

Cause: with more members than MaxFanout, a VM asked those of its own zone first and perhaps none of another zone. Change: the order takes one of each zone in turn; at 9 members all are asked as before.

--- a/dh/dhbackend/dhbackend_test.go
+++ b/dh/dhbackend/dhbackend_test.go
@@ -84,7 +84,10 @@
 	got := make(map[string]*dhbackend.Backend)
 	node := &dhbackend.Digest{
 		Timers: timers, Name: "vm-7", Zone: "zone-3",
-		Received: func(b *dhbackend.Backend) { got[b.ID] = b },
+		Received: func(b *dhbackend.Backend) {
+			got[b.ID] = b
+			assert.Assert(t, b.Address != "" && len(b.Versions) == 1 && b.Slots == 32)
+		},
 	}
 	to := dhmember.Member{Name: "vm-7", Zone: "zone-3"}
 	bytes, records := 0, 0
@@ -108,7 +111,6 @@
 	for _, b := range got {
 		assert.Equal(t, b.State, dhbackend.Leaving)
 		assert.Equal(t, b.Running, 9)
-		assert.Assert(t, b.Address != "" && len(b.Versions) == 1)
 	}
 	fmt.Printf("backends mode=subset backends=4800 held=%d bytes_per_record=%.0f bytes_per_answer=%d\n",
 		len(got), float64(bytes)/float64(records), bytes/10)
--- a/dh/dhbackend/digest.go
+++ b/dh/dhbackend/digest.go
@@ -20,8 +20,9 @@
 // dhmember.Payload; its methods may be called from any goroutine. Zero bounds
 // and periods take the defaults given here.
 //
-// Every VM asks every other in each period of the membership, because at 9
-// entry VMs a random one alone leaves gaps longer than the lease. Records
+// Every VM asks every other in each period of the membership, or as many as
+// MaxFanout allows, some of each zone, because at 9 entry VMs a random one
+// alone leaves gaps longer than the lease. Records
 // travel in answers only: the asker adds the duration of the exchange to
 // their age, so that a message that was stuck never renews a lease.
 //
@@ -291,25 +292,37 @@
 	d.lonely = lonely
 }
 
-// order returns the names of other members, those of the own zone first and
-// then by rendezvous hash, so that VMs ask different ones when there are more
-// than may be asked.
+// order returns the names of other members: the first of each zone, the own
+// zone's before, then the second of each, and so on. Within a zone they are
+// in the order of their rendezvous weights, so that VMs ask different ones
+// when there are more than may be asked.
 func (d *Digest) order(list []dhmember.Member) []string {
+	type candidate struct {
+		name, zone string
+		weight     uint64
+		rank       int
+	}
 	own := xxhash.Sum64String(d.Name)
-	weight := func(m dhmember.Member) uint64 { return rendezvous(own, xxhash.Sum64String(m.Name)) }
-	list = slices.DeleteFunc(list, func(m dhmember.Member) bool { return m.Name == d.Name })
-	slices.SortFunc(list, func(a, b dhmember.Member) int {
-		if near := a.Zone == d.Zone; near != (b.Zone == d.Zone) {
-			if near {
-				return -1
-			}
-			return 1
+	candidates := make([]candidate, 0, len(list))
+	for i := range list {
+		if m := &list[i]; m.Name != d.Name {
+			candidates = append(candidates, candidate{name: m.Name, zone: m.Zone, weight: rendezvous(own, xxhash.Sum64String(m.Name))})
 		}
-		return cmp.Compare(weight(b), weight(a))
-	})
-	names := make([]string, len(list))
-	for i, m := range list {
-		names[i] = m.Name
+	}
+	slices.SortFunc(candidates, func(a, b candidate) int { return cmp.Compare(b.weight, a.weight) })
+	ranks := make(map[string]int)
+	for i := range candidates {
+		c := &candidates[i]
+		c.rank = 2 * ranks[c.zone]
+		if c.zone != d.Zone {
+			c.rank++
+		}
+		ranks[c.zone]++
+	}
+	slices.SortStableFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.rank, b.rank) })
+	names := make([]string, len(candidates))
+	for i, c := range candidates {
+		names[i] = c.name
 	}
 	return names
 }
