--- a/dh/dhmember/cluster_test.go
+++ b/dh/dhmember/cluster_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -47,6 +48,8 @@
 }
 
 func run(t *testing.T, f func(c *cluster)) {
+	// Goroutines that one event starts run in the same order each time.
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
 	synctest.Test(t, func(t *testing.T) {
 		c := &cluster{
 			t: t, timers: dhtimer.NewStepped(), group: dhgroup.New(context.Background()), seed: 1,
