Carry a change in fewer messages

Cause: a change was carried by three times the logarithm of the members, several times what spreading to all of them takes. Change: twice the logarithm.

--- a/dh/dhmember/dhmember.go
+++ b/dh/dhmember/dhmember.go
@@ -131,7 +131,7 @@
 }
 
 // sendFactor times the logarithm of the number of members is how many messages carry a change.
-const sendFactor = 3
+const sendFactor = 2
 
 func (m *Members) init() {
 	m.once.Do(func() {
