Give every starting member the list of all, publish changing parts

Cause: a starting VM that another found first took its incarnation from that contact and never asked for the list; news of VMs that knew few members stopped early; each VM sent pages to a restarted one until it knew of the restart; a view showed revisions and in-flight counts of others only when some state changed. Change: a VM asks for the list in its first period after any contact and again 10 s later; at least 16 messages carry a change; a lost member is tried with a small message first; changing parts are published every period.

--- a/dh/dhmember/cluster_test.go
+++ b/dh/dhmember/cluster_test.go
@@ -123,11 +123,7 @@
 	start := c.timers.Now()
 	for !done() {
 		if c.timers.Now().Sub(start) >= limit {
-			for _, n := range c.up()[:min(20, len(c.up()))] {
-				view := n.View()
-				list := fmt.Sprint(view.All())
-				c.t.Logf("%s sees %d of %d alive: %s", n.Self.GetName(), len(view.Alive()), len(view.All()), list[:min(300, len(list))])
-			}
+			c.report()
 			c.t.Fatalf("seed %d: not within %s: %s", c.seed, limit, what)
 		}
 		c.step(100 * time.Millisecond)
@@ -135,6 +131,24 @@
 	return c.timers.Now().Sub(start)
 }
 
+// report logs up to 20 views that differ from the running members.
+func (c *cluster) report() {
+	list, lines := c.up(), 0
+	for _, n := range list {
+		for _, other := range list {
+			m, _ := n.View().Get(other.Self.GetName())
+			if (m.Name == "" || m.State != dhmember.Alive) && lines < 20 {
+				c.t.Logf("%s sees %q %s %d", n.Self.GetName(), m.Name, m.State, m.Incarnation)
+				lines++
+			}
+		}
+		if view := n.View(); len(view.Alive()) != len(list) && lines < 20 {
+			c.t.Logf("%s sees %d alive, %d known; %d are running", n.Self.GetName(), len(view.Alive()), len(view.All()), len(list))
+			lines++
+		}
+	}
+}
+
 func (c *cluster) up() []*node {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/dh/dhmember/dhmember.go
+++ b/dh/dhmember/dhmember.go
@@ -110,11 +110,15 @@
 	probes  [2][]string // names still to probe in this round: own zone, others
 	cursor  int
 	relayed int
-	dirty   bool
+	dirty   bool // the view is to be published before the lock is released
+	stale   bool // the view is to be published by the next tick
 	left    bool
 	joined  chan struct{}
 	// nextJoin and nextPage are when the next attempt and page are due.
 	nextJoin, nextPage time.Time
+	// nextList is when to ask for a list of all members, or zero; lists counts them.
+	nextList time.Time
+	lists    int
 	// maxVoters bounds voters.
 	maxVoters int
 }
@@ -133,6 +137,14 @@
 // sendFactor times the logarithm of the number of members is how many messages carry a change.
 const sendFactor = 2
 
+// minLogMembers is the least logarithm that is used: a VM that has just
+// started knows few members, and its news stopped before reaching all of 300.
+const minLogMembers = 8
+
+// listDelay is the time from a VM's start to the last list that it asks for,
+// since the member that gave the first may have started just before.
+const listDelay = 10 * time.Second
+
 func (m *Members) init() {
 	m.once.Do(func() {
 		setDuration(&m.Period, 500*time.Millisecond)
@@ -235,7 +247,8 @@
 	InFlight      int
 }
 
-// SetSelf sets the changing part of the own record. It is in every message.
+// SetSelf sets the changing part of the own record. It is in every message
+// from then on, and in the view from the next period.
 func (m *Members) SetSelf(c Change) {
 	m.init()
 	m.mu.Lock()
@@ -243,7 +256,7 @@
 	m.self.Revision, m.self.InFlight = c.Revision, c.InFlight
 	m.self.VoterID, m.self.VoterSequence = c.VoterID, c.VoterSequence
 	m.noteVoter(c.VoterID, c.VoterSequence)
-	m.dirty = true
+	m.stale = true
 }
 
 // VoterSequence returns the highest synced record number that any member has
--- a/dh/dhmember/dhmember_test.go
+++ b/dh/dhmember/dhmember_test.go
@@ -135,6 +135,23 @@
 	})
 }
 
+// Guards against a starting VM that others find before it has asked anyone,
+// and that then knows only the few members that are news.
+func TestFoundMemberGetsTheList(t *testing.T) {
+	run(t, func(c *cluster) {
+		c.prepare = func(n *node) { n.MaxPage = 4 }
+		c.start(30)
+		c.step(time.Minute)
+		c.prepare = func(n *node) { n.Seeds = nil }
+		fresh := c.add("vm-new", "10.0.9.9:7000", "mrc-a")
+		_, err := fresh.Receive(context.Background(), &dhpb.GossipMessage{From: "vm-000", Members: []*dhpb.MemberRecord{
+			{Name: "vm-000", Address: "10.0.0.0:7000", Zone: "mrc-a", State: "alive", Incarnation: 1},
+		}})
+		assert.NilError(t, err)
+		c.within(3*time.Second, "found member knows all", func() bool { return len(fresh.View().Alive()) == 31 })
+	})
+}
+
 // Guards against views that stay wrong after many changes under loss and duplication.
 func TestChurn(t *testing.T) {
 	for seed := uint64(1); seed <= 3; seed++ {
--- a/dh/dhmember/message.go
+++ b/dh/dhmember/message.go
@@ -9,13 +9,17 @@
 
 // build makes a message to a member: the own record, what is known of the
 // member when that is not simply alive, and changed records or a number of
-// records of the whole table. The caller holds the lock.
+// records of the whole table, or a request for all records. The caller holds the lock.
 func (m *Members) build(to Member, page int) *dhpb.GossipMessage {
 	msg := &dhpb.GossipMessage{From: m.self.Name, Revision: m.self.Revision}
 	msg.Members = append(msg.Members, m.self.record())
 	if echo := m.echo(to); echo != nil {
 		msg.Members = append(msg.Members, echo)
 	}
+	if page == wholeList {
+		msg.Members[0].Incarnation = 0 // as a VM that starts
+		return msg
+	}
 	if page == 0 {
 		m.addNews(msg, to.Name)
 		return msg
--- a/dh/dhmember/probe.go
+++ b/dh/dhmember/probe.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"google.golang.org/protobuf/types/known/durationpb"
@@ -16,7 +15,7 @@
 func (m *Members) tick(now time.Time) {
 	m.mu.Lock()
 	m.expire(now)
-	if m.dirty {
+	if m.dirty || m.stale {
 		m.publish()
 	}
 	if m.left {
@@ -29,16 +28,28 @@
 		m.nextPage = now.Add(m.PagePeriod)
 		page = m.MaxPage
 	}
-	var lost string
+	list := !m.nextList.IsZero() && !now.Before(m.nextList) && len(targets) > 0
+	if list {
+		// A VM that others have found did not get a list, so the first is due
+		// at once.
+		m.nextList = time.Time{}
+		if m.lists++; m.lists == 1 {
+			m.nextList = now.Add(listDelay)
+		}
+	}
+	var lost []Member
 	if !now.Before(m.nextJoin) || m.self.Incarnation == 0 {
 		m.nextJoin = now.Add(m.RejoinPeriod)
-		lost = m.lostAddress()
+		lost = m.lost()
 	}
 	m.mu.Unlock()
 
 	for i, to := range targets {
 		size := 0
-		if i == 0 {
+		switch {
+		case i == 0 && list:
+			size = wholeList
+		case i == 0:
 			size = page
 		}
 		m.Group.Go(func(ctx context.Context) error {
@@ -46,10 +57,9 @@
 			return nil
 		})
 	}
-	if lost != "" {
+	for _, to := range lost {
 		m.Group.Go(func(ctx context.Context) error {
-			// Enough records that the other side takes it for a bulk message.
-			_, _ = m.exchange(ctx, Member{Address: lost}, "", m.ProbeTimeout, m.MaxPage+m.MaxDeltas)
+			m.rejoin(ctx, to)
 			return nil
 		})
 	}
@@ -117,26 +127,53 @@
 	m.rnd.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
 }
 
-// lostAddress returns the address of a random seed or dead member that is not
-// known to be alive, or "".
-func (m *Members) lostAddress() string {
+// lost returns a random one of the dead members and of the seeds that are not
+// known, or nothing.
+func (m *Members) lost() []Member {
 	known := map[string]bool{m.self.Address: true}
-	var lost []string
+	var lost []Member
 	for _, name := range m.names {
 		r := m.rows[name]
-		if r.State <= Suspect {
-			known[r.Address] = true
-		}
+		known[r.Address] = known[r.Address] || r.State != Left
 		if r.State == Dead {
-			lost = append(lost, r.Address)
+			lost = append(lost, r.Member)
+		}
+	}
+	for _, seed := range m.Seeds {
+		if !known[seed] {
+			lost = append(lost, Member{Address: seed})
 		}
 	}
-	lost = append(lost, m.Seeds...)
-	lost = slices.DeleteFunc(lost, func(address string) bool { return known[address] })
 	if len(lost) == 0 {
-		return ""
+		return nil
+	}
+	i := m.rnd.IntN(len(lost))
+	return lost[i : i+1]
+}
+
+// manyDead is the number of dead members from which an answer of one of them
+// is taken for the end of a partition rather than the restart of one VM.
+const manyDead = 8
+
+// rejoin tries to reach a lost member. When it answers, and more than one VM
+// seems to be back, both exchange many records.
+func (m *Members) rejoin(ctx context.Context, to Member) {
+	if _, err := m.exchange(ctx, to, "", m.ProbeTimeout, 0); err != nil {
+		return
+	}
+	dead := 0
+	m.mu.Lock()
+	for _, r := range m.rows {
+		if r.State == Dead {
+			dead++
+		}
+	}
+	many := to.Name == "" || dead >= manyDead
+	m.mu.Unlock()
+	if many {
+		// Enough records that the other side takes it for a bulk message.
+		_, _ = m.exchange(ctx, to, "", m.ProbeTimeout, m.MaxPage+m.MaxDeltas)
 	}
-	return lost[m.rnd.IntN(len(lost))]
 }
 
 // probe exchanges messages with a member and suspects it when neither it nor
@@ -216,6 +253,9 @@
 	return list
 }
 
+// wholeList is the page that asks for all records.
+const wholeList = -1
+
 // exchange sends a message, with a page of records when page is above 0, and
 // merges the answer.
 func (m *Members) exchange(ctx context.Context, to Member, probe string, timeout time.Duration, page int) (*dhpb.GossipMessage, error) {
@@ -237,7 +277,9 @@
 	if err != nil {
 		return nil, err
 	}
-	if reply.GetFrom() == "" || to.Name != "" && reply.GetFrom() != to.Name {
+	// A dead member may have been replaced under another name.
+	other := to.Name != "" && to.State != Dead && reply.GetFrom() != to.Name
+	if reply.GetFrom() == "" || other {
 		return nil, dhcode.Errorf(dhcode.BackendFailed, "member %q expected at %s, found %q", to.Name, to.Address, reply.GetFrom())
 	}
 	if len(reply.GetMembers()) > m.MaxMembers+2 {
--- a/dh/dhmember/table.go
+++ b/dh/dhmember/table.go
@@ -10,8 +10,6 @@
 
 // merge applies the member records of a message. The caller holds the lock.
 func (m *Members) merge(msg *dhpb.GossipMessage, now time.Time) {
-	published := m.dirty
-	m.dirty = false
 	bulk := m.bulk(msg)
 	for _, r := range msg.GetMembers() {
 		if r.GetName() == m.self.Name {
@@ -25,12 +23,12 @@
 		row.heard = now
 	}
 	if m.self.Incarnation == 0 && msg.GetFrom() != m.self.Name {
+		m.nextList = now
 		m.self.Incarnation = 1 + m.rnd.Uint64N(1<<16)
 	}
 	if m.dirty {
 		m.publish()
 	}
-	m.dirty = m.dirty || published
 	if msg.GetFrom() == m.self.Name {
 		return
 	}
@@ -60,6 +58,9 @@
 	if same {
 		return
 	}
+	if m.self.Incarnation == 0 {
+		m.nextList = m.Timers.Now()
+	}
 	m.self.Incarnation = r.GetIncarnation() + 1
 	m.dirty = true
 	m.Logger.Info("refuted", "state", state, "incarnation", m.self.Incarnation)
@@ -95,12 +96,14 @@
 	if r.GetIncarnation() != cur.Incarnation {
 		return
 	}
+	old := cur.Member
 	cur.Revision = max(cur.Revision, r.GetRevision())
 	cur.VoterSequence = max(cur.VoterSequence, r.GetVoterSequence())
 	if direct {
 		cur.InFlight = int(r.GetInFlight())
 		cur.VoterID = r.GetVoterId()
 	}
+	m.stale = m.stale || cur.Member != old
 }
 
 func (m *Members) noteVoter(id string, sequence uint64) {
@@ -155,7 +158,7 @@
 	if r.sends == 0 {
 		m.news = append(m.news, r)
 	}
-	r.sends = sendFactor * bits.Len(uint(len(m.rows)+1))
+	r.sends = sendFactor * max(minLogMembers, bits.Len(uint(len(m.rows)+1)))
 	m.dirty = true
 	m.Logger.Info("member", "name", r.Name, "zone", r.Zone, "state", state, "incarnation", r.Incarnation)
 }
--- a/dh/dhmember/view.go
+++ b/dh/dhmember/view.go
@@ -109,6 +109,6 @@
 	if !own {
 		v.members = append(v.members, m.self)
 	}
-	m.dirty = false
+	m.dirty, m.stale = false, false
 	m.view.Store(v)
 }
