Probe half as often above 256 members

Cause: with HTTP headers the membership took a third of the 5 KB/s of a node at the two-year size. Change: above 256 members a random probe every second period. TestZoneLossAtSize measures the loss and return of a quarter of the members.

--- a/dh/dhmember/dhmember.go
+++ b/dh/dhmember/dhmember.go
@@ -94,6 +94,7 @@
 	MaxPage        int // records in a page, 64
 	MaxFanout      int // exchanges started in one period or by one Push, 16
 	MaxRelayed     int // probes on behalf of others at once, 16
+	LargeMembers   int // members above which only every second period has a random probe, 256
 	// LocalShare is the share of random probes that stay in the own zone, 0.5.
 	LocalShare float64
 
@@ -109,6 +110,7 @@
 	voters  map[string]uint64
 	probes  [2][]string // names still to probe in this round: own zone, others
 	cursor  int
+	ticks   int
 	relayed int
 	dirty   bool // the view is to be published before the lock is released
 	stale   bool // the view is to be published by the next tick
@@ -159,6 +161,7 @@
 		setInt(&m.MaxPage, 64)
 		setInt(&m.MaxFanout, 16)
 		setInt(&m.MaxRelayed, 16)
+		setInt(&m.LargeMembers, 256)
 		if m.LocalShare <= 0 {
 			m.LocalShare = 0.5
 		}
--- a/dh/dhmember/probe.go
+++ b/dh/dhmember/probe.go
@@ -77,7 +77,10 @@
 		r.busy = true
 		list = append(list, r.Member)
 	}
-	take(m.nextProbe())
+	m.ticks++
+	if len(m.rows) <= m.LargeMembers || m.ticks%2 == 0 {
+		take(m.nextProbe())
+	}
 	for _, p := range m.Payloads {
 		if t, ok := p.(Targeter); ok {
 			for _, name := range t.Targets(view) {
--- a/dh/dhmember/slopes_test.go
+++ b/dh/dhmember/slopes_test.go
@@ -70,6 +70,32 @@
 	}
 }
 
+// Guards against a zone that is lost and returns at once and that fills the
+// messages or leaves wrong views; run with -slopes.
+func TestZoneLossAtSize(t *testing.T) {
+	if !*slopes {
+		t.Skip("prints figures; run with -slopes")
+	}
+	for _, size := range []int{100, 300} {
+		run(t, func(c *cluster) {
+			c.start(size)
+			c.within(2*time.Minute, "members know each other", c.converged)
+			c.quiet()
+			far := func() int { return (size + 3) / 4 }
+			c.cut["mrc-a"] = true
+			lost := c.within(time.Minute, "zone is dead", func() bool { return len(c.nodes[1].View().Alive()) == size-far() })
+			messages, bytes := c.messages, c.bytes
+			c.step(time.Minute)
+			rate := float64(c.bytes-bytes) / float64(c.messages-messages)
+			clear(c.cut)
+			messages, bytes = c.messages, c.bytes
+			healed := c.within(time.Minute, "zone is back", c.converged)
+			fmt.Printf("zone members=%d lost=%d dead_ms=%d healed_ms=%d bytes_per_message=%.0f healing_bytes_per_message=%.0f\n", size, far(),
+				lost.Milliseconds(), healed.Milliseconds(), rate, float64(c.bytes-bytes)/float64(c.messages-messages))
+		})
+	}
+}
+
 func measure(c *cluster, size int) {
 	c.prepare = func(n *node) { n.Payloads = []dhmember.Payload{follower{n}} }
 	c.start(size)
