--- a/dh/dhmember/digest_test.go
+++ b/dh/dhmember/digest_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -19,6 +20,8 @@
 type fleet struct {
 	*cluster
 	rnd *rand.Rand
+	// sources are the names of the VMs that take announcements when not all of a zone do.
+	sources []string
 	// announceLoss is the probability that an announcement does not reach one entry VM.
 	announceLoss float64
 	mu           sync.Mutex
@@ -30,9 +33,9 @@
 	announced func(id string)
 }
 
-func newFleet(c *cluster, seed uint64, zones int) *fleet {
+func newFleet(c *cluster, seed uint64, zones int, sources ...string) *fleet {
 	f := &fleet{
-		cluster: c, rnd: rand.New(rand.NewPCG(seed, 1)), tables: make(map[*node]*dhbackend.Table),
+		cluster: c, sources: sources, rnd: rand.New(rand.NewPCG(seed, 1)), tables: make(map[*node]*dhbackend.Table),
 		digests: make(map[*node]*dhbackend.Digest), silent: make(map[string]bool),
 	}
 	c.seed = seed
@@ -41,7 +44,7 @@
 		_, _ = fmt.Sscanf(n.Self.GetName(), "vm-%d", &zone)
 		n.Self.Zone = zoneOf(zone % zones)
 		table := &dhbackend.Table{Lease: 2500 * time.Millisecond, MaxBackends: 100}
-		digest := &dhbackend.Digest{Timers: c.timers, Name: n.Self.GetName(), Zone: n.Self.GetZone()}
+		digest := &dhbackend.Digest{Timers: c.timers, Name: n.Self.GetName(), Zone: n.Self.GetZone(), Sources: sources}
 		digest.Received = func(b *dhbackend.Backend) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
@@ -72,7 +75,11 @@
 	}
 	r.Sequence++
 	for _, n := range f.up() {
-		if n.Self.GetZone() != r.GetZone() || f.rnd.Float64() < f.announceLoss {
+		takes := n.Self.GetZone() == r.GetZone()
+		if len(f.sources) > 0 {
+			takes = slices.Contains(f.sources, n.Self.GetName())
+		}
+		if !takes || f.rnd.Float64() < f.announceLoss {
 			continue
 		}
 		got := proto.Clone(r).(*dhpb.BackendRecord)
@@ -177,6 +184,24 @@
 	}
 }
 
+// Guards against VMs that stay without records when backend servers announce
+// themselves to a few sources only and one of those crashes.
+func TestSourcesReplaceEachOther(t *testing.T) {
+	run(t, func(c *cluster) {
+		c.delay = 50 * time.Millisecond
+		f := newFleet(c, 3, 4, "vm-000", "vm-001", "vm-002")
+		for i := range 400 {
+			c.step(100 * time.Millisecond)
+			if i == 100 {
+				c.nodes[1].crash()
+			}
+			if i < 100 || i > 130 {
+				assert.Equal(t, f.missing(), 0, "after %d", i)
+			}
+		}
+	})
+}
+
 // Guards against doubt about the loss rate for which records stay fresh; run
 // with -slopes.
 func TestFreshnessByLoss(t *testing.T) {
