Hold two near backend servers of each pool and version

Cause: with three near ones an answer of a source had 3,269 bytes; with HTTP/1.1 headers a node was at 5.0 KB/s at the two-year size, without a margin. Change: Digest.Near is 2 by default; subsets are used only above WholeBackends.

--- a/dh/dhbackend/digest.go
+++ b/dh/dhbackend/digest.go
@@ -47,7 +47,7 @@
 	SourcePeriod  time.Duration // between questions to a source, 1 s
 	MaxBackends   int           // records kept and taken from one message, 4096
 	WholeBackends int           // records up to which each VM gets all, 64
-	Near, Far     int           // above that: records per pool and version, of the asker's zone and of all others together, 3 and 1
+	Near, Far     int           // above that: records per pool and version, of the asker's zone and of all others together, 2 and 1
 
 	once    sync.Once
 	mu      sync.Mutex
@@ -71,7 +71,7 @@
 		d.SourcePeriod = cmp.Or(d.SourcePeriod, time.Second)
 		d.MaxBackends = cmp.Or(d.MaxBackends, 4096)
 		d.WholeBackends = cmp.Or(d.WholeBackends, 64)
-		d.Near, d.Far = cmp.Or(d.Near, 3), cmp.Or(d.Far, 1)
+		d.Near, d.Far = cmp.Or(d.Near, 2), cmp.Or(d.Far, 1)
 		d.direct = make(map[string]*Backend)
 		d.known = make(map[string]*Backend)
 	})
