Allow 8192 backend records, measure one size

Cause: the default bound of 4,096 records was below the 4,800 replicas of the two-year size. Change: default of 8,192; TestSlopes takes -size; doc comments say what payloads must not call.

--- a/dh/dhbackend/digest.go
+++ b/dh/dhbackend/digest.go
@@ -22,9 +22,9 @@
 //
 // Every VM asks every other in each period of the membership, or as many as
 // MaxFanout allows, some of each zone, because at 9 entry VMs a random one
-// alone leaves gaps longer than the lease. Records
-// travel in answers only: the asker adds the duration of the exchange to
-// their age, so that a message that was stuck never renews a lease.
+// alone leaves gaps longer than the lease. Records travel in answers only: the
+// asker adds the duration of the exchange to their age, so that a message that
+// was stuck never renews a lease.
 //
 // Records of a zone that has a single responsive entry VM left are also passed
 // on by the VMs that got them from it: three lost exchanges in a row with that
@@ -45,7 +45,7 @@
 
 	Lease         time.Duration // 2.5 s
 	SourcePeriod  time.Duration // between questions to a source, 1 s
-	MaxBackends   int           // records kept and taken from one message, 4096
+	MaxBackends   int           // records kept and taken from one message, 8192
 	WholeBackends int           // records up to which each VM gets all, 64
 	Near, Far     int           // above that: records per pool and version, of the asker's zone and of all others together, 2 and 1
 
@@ -69,7 +69,7 @@
 	d.once.Do(func() {
 		d.Lease = cmp.Or(d.Lease, 2500*time.Millisecond)
 		d.SourcePeriod = cmp.Or(d.SourcePeriod, time.Second)
-		d.MaxBackends = cmp.Or(d.MaxBackends, 4096)
+		d.MaxBackends = cmp.Or(d.MaxBackends, 8192)
 		d.WholeBackends = cmp.Or(d.WholeBackends, 64)
 		d.Near, d.Far = cmp.Or(d.Near, 2), cmp.Or(d.Far, 1)
 		d.direct = make(map[string]*Backend)
--- a/dh/dhmember/dhmember.go
+++ b/dh/dhmember/dhmember.go
@@ -1,12 +1,12 @@
 // Package dhmember is the gossip membership of entry VMs.
 //
-// Every period a member exchanges messages with one random member (mostly of
-// its own zone) and with those that its payloads ask for. A member that does not answer is probed
-// through others, then suspected, then dead; a suspected member that is alive
-// refutes with a higher incarnation. A member that leaves says so. Messages
-// carry changed records only; now and then one carries a page of all records.
-// Seeds and dead members are tried on a slow period, so that both sides of a
-// healed partition find each other.
+// Every period a member exchanges messages with one random member, half of the
+// time one of its own zone, and with those that its payloads ask for. A member
+// that does not answer is probed through others, then suspected, then dead; a
+// suspected member that is alive refutes with a higher incarnation. A member
+// that leaves says so. Messages carry changed records only; now and then one
+// carries a page of all records. Seeds and dead members are tried on a slow
+// period, so that both sides of a healed partition find each other.
 //
 // A member starts at incarnation 0 and tells nobody else about itself before
 // its first exchange. A peer that remembers the name answers with its
@@ -60,7 +60,8 @@
 	Merge(msg *dhpb.GossipMessage)
 }
 
-// Targeter is a Payload that names members to exchange messages with in every period.
+// Targeter is a Payload that names members to exchange messages with in every
+// period. Targets must not call methods of Members other than View.
 type Targeter interface {
 	Targets(view *View) []string
 }
@@ -70,7 +71,8 @@
 type Members struct {
 	Timers    dhtimer.Service
 	Transport Transport
-	// Group runs the exchanges. A nil group is replaced by one without a parent.
+	// Group runs the exchanges. A nil group is replaced by one without a
+	// parent. Nothing is called after the group has been waited for.
 	Group *dhgroup.Group
 	// Self gives name, address, zone, region, has_disk and voter_id of this VM.
 	Self *dhpb.MemberRecord
--- a/dh/dhmember/slopes_test.go
+++ b/dh/dhmember/slopes_test.go
@@ -21,7 +21,10 @@
 	"dandelionhoist.example/dh/dhtimer"
 )
 
-var slopes = flag.Bool("slopes", false, "measure at 10, 100 and 300 members")
+var (
+	slopes = flag.Bool("slopes", false, "measure at 10, 100 and 300 members")
+	size   = flag.Int("size", 0, "measure at one number of members only")
+)
 
 // follower adopts the newest revision that messages carry, as a daemon does.
 type follower struct{ n *node }
@@ -50,6 +53,9 @@
 	if *slopes {
 		sizes = []int{10, 100, 300}
 	}
+	if *size > 0 {
+		sizes = []int{*size}
+	}
 	for _, size := range sizes {
 		run(t, func(c *cluster) { measure(c, size) })
 	}
