--- a/dh/dhsession/caller.go
+++ b/dh/dhsession/caller.go
@@ -28,6 +28,8 @@
 	MaxTokens                                int
 	Unary                                    bool
 	Deadline                                 time.Duration
+	// GiveUp is when the caller closes its connection; 0 means never.
+	GiveUp time.Duration
 }
 
 // caller is what a caller holds of a request.
@@ -122,9 +124,9 @@
 		&http.Client{Transport: &transport{world: w, run: r, key: w.key(q.Account)}}, "http://"+reply.VM,
 		connect.WithAcceptCompression("gzip", nil, nil),
 	)
-	if q.Deadline > 0 {
+	if q.GiveUp > 0 {
 		var cancel context.CancelFunc
-		ctx, cancel = dhtimer.WithTimeout(ctx, w.Timers, q.Deadline+time.Second)
+		ctx, cancel = dhtimer.WithTimeout(ctx, w.Timers, q.GiveUp)
 		defer cancel()
 	}
 	if reply.Resumed {
--- a/dh/dhsession/check_control.go
+++ b/dh/dhsession/check_control.go
@@ -95,7 +95,7 @@
 			continue
 		}
 		for _, r := range c.Replies {
-			if r.VM != s.vm || r.Complete || r.Start.After(s.at) || r.End.Before(s.at) || c.crashed(s.vm, s.at, r.End) {
+			if r.VM != s.vm || r.Complete || r.GiveUp > 0 || r.Start.After(s.at) || r.End.Before(s.at) || c.crashed(s.vm, s.at, r.End) {
 				continue
 			}
 			if r.Lost || r.Code == dhcode.Cancelled || r.Code == dhcode.Leaving {
--- a/dh/dhsession/engine.go
+++ b/dh/dhsession/engine.go
@@ -175,6 +175,24 @@
 	return s, nil
 }
 
+// Order implements dhpool.Orders.
+func (l link) Order(ctx context.Context, address string, o *dhpb.OrderRequest) (*dhpb.OrderResponse, error) {
+	w := l.world
+	b, ok := w.engines[address]
+	if !ok || !w.Network.Connected(l.vm, address) || b.Mute {
+		_ = dhtimer.Sleep(ctx, w.Timers, silentTime)
+		return nil, errBroken(address)
+	}
+	if err := dhtimer.Sleep(ctx, w.Timers, w.delay("order", l.vm, address)); err != nil {
+		return nil, err
+	}
+	answer, err := b.Order(o)
+	if err := dhtimer.Sleep(ctx, w.Timers, w.delay("ordered", l.vm, address)); err != nil {
+		return nil, err
+	}
+	return answer, err
+}
+
 // stream is a request at a backend server and the answer that comes back.
 type stream struct {
 	link      link
--- a/dh/dhsession/script.go
+++ b/dh/dhsession/script.go
@@ -22,6 +22,8 @@
 //	include FILE                        more commands, as with tables
 //	vm NAME ZONE [disk]
 //	engine NAME ZONE POOL VERSION,... [service] [slots=N] [cold=LOAD]
+//	deployment NAME                     VMs, backend servers, keys and tables of a deployment
+//	traffic NAME RATE TIME              its workload, from now on
 //	start [NAME...]                     all VMs without a name
 //	tables FILE                         the document of later edits, in the session file or on disk
 //	replace OLD -> NEW                  changes that document
@@ -111,6 +113,17 @@
 		w.AddVM(arg(0), arg(1), arg(2) == "disk")
 	case "engine":
 		return s.engine(args, values)
+	case "deployment":
+		text, err := w.Deploy(filepath.Join(s.Folder, "../../../deploy"), arg(0), nil)
+		s.text = text
+		return err
+	case "traffic":
+		rate, _ := strconv.ParseFloat(arg(1), 64)
+		d, err := time.ParseDuration(arg(2))
+		if err != nil {
+			return err
+		}
+		return w.Traffic(arg(0), rate, d, 40)
 	case "start":
 		if len(args) == 0 {
 			args = w.names
