--- a/dh/dhsession/caller.go
+++ b/dh/dhsession/caller.go
@@ -218,9 +218,11 @@
 	dhwire.SetKey(request.Header, t.key)
 	handler := dhserver.CallerHandler(t.run.callers, t.run.daemon.Settings.Limits.RequestBytes)
 	served := make(chan struct{})
+	t.run.open.Add(1)
 	t.world.group.Go(func(context.Context) error {
 		defer cancel()
 		defer close(served)
+		defer t.run.open.Add(-1)
 		handler.ServeHTTP(w, request)
 		w.WriteHeader(http.StatusOK)
 		return writer.Close()
--- a/dh/dhsession/check_control.go
+++ b/dh/dhsession/check_control.go
@@ -25,7 +25,9 @@
 	}
 	newest := make(map[string]seen)
 	for _, s := range c.seen {
-		c.accept(s.revision, s.at)
+		if s.revision > 0 {
+			c.accept(s.revision, s.at)
+		}
 	}
 	for _, s := range c.seen {
 		since, _ := c.upAt(s.vm, s.at)
--- a/dh/dhsession/dhsession.go
+++ b/dh/dhsession/dhsession.go
@@ -29,6 +29,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing/synctest"
 	"time"
 
@@ -52,9 +53,10 @@
 	silentTime = 3 * time.Second
 	// probePeriod is how often operators ask each VM for its revision.
 	probePeriod = 250 * time.Millisecond
-	// endTime is how long an answer may take to reach its caller once the
-	// daemon has ended.
-	endTime = 100 * time.Millisecond
+	// endTime is how often an ended daemon is asked for open calls, endLimit
+	// when they are cut off.
+	endTime  = 100 * time.Millisecond
+	endLimit = time.Minute
 )
 
 // World is a deployment. Its methods are called by one goroutine, the one that
@@ -107,6 +109,8 @@
 	down     chan struct{}
 	downOnce sync.Once
 	stopping bool
+	// open counts the callers' calls that are being served.
+	open atomic.Int64
 }
 
 func (r *run) close() { r.downOnce.Do(func() { close(r.down) }) }
@@ -132,7 +136,7 @@
 		group: dhgroup.New(context.Background()), vms: make(map[string]*VM), engines: make(map[string]*Backend),
 		streams: make(map[*stream]bool), callers: make(map[string]*caller), tokens: make(map[string]string),
 	}
-	w.Network.Set(dhfake.Faults{MinDelay: minDelay, MaxDelay: maxDelay})
+	w.Loss(0)
 	timers.Subscribe(probePeriod, func(time.Time) { w.probe() })
 	return w
 }
@@ -272,7 +276,17 @@
 	}
 	w.Facts.vm(vm.Name, vmEnded)
 	w.Facts.note("vm %s ended: %v", vm.Name, err)
-	w.Timers.After(endTime, func(time.Time) {
+	w.closeIdle(r, w.Timers.Now().Add(endLimit))
+}
+
+// closeIdle ends a run once no call is open, as the network servers do, which
+// the daemon runs without here.
+func (w *World) closeIdle(r *run, limit time.Time) {
+	w.Timers.After(endTime, func(now time.Time) {
+		if r.open.Load() > 0 && now.Before(limit) {
+			w.closeIdle(r, limit)
+			return
+		}
 		r.close()
 		r.node.Crash()
 	})
@@ -312,12 +326,20 @@
 	synctest.Wait()
 }
 
+// Running reports whether a VM runs.
+func (w *World) Running(name string) bool { return w.vms[name].up() != nil }
+
 // Serving reports whether the balancer sends callers to a VM.
 func (w *World) Serving(name string) bool {
 	r := w.vms[name].up()
 	return r != nil && !r.stopping && r.operators.Node.Ready()
 }
 
+// Loss sets the share of messages and answers between entry VMs that are lost.
+func (w *World) Loss(share float64) {
+	w.Network.Set(dhfake.Faults{Loss: share, MinDelay: minDelay, MaxDelay: maxDelay})
+}
+
 // Partition separates groups of zones from each other; zones that are not
 // named form one more group. Without groups all are connected again.
 func (w *World) Partition(groups ...[]string) {
--- a/dh/dhsession/facts.go
+++ b/dh/dhsession/facts.go
@@ -163,7 +163,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.seen = append(f.seen, seen{vm, f.timers.Now(), revision})
-	if f.tables[revision] != nil {
+	if revision == 0 || f.tables[revision] != nil {
 		return
 	}
 	// The operator did not get the answer to this edit.
@@ -178,6 +178,13 @@
 	f.Asked = append(f.Asked, r)
 }
 
+// Open returns the number of calls that have not ended.
+func (f *Facts) Open() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.Asked) - len(f.Replies)
+}
+
 func (f *Facts) replied(r *Reply) {
 	f.mu.Lock()
 	f.Replies = append(f.Replies, r)
--- /dev/null
+++ b/dh/dhsession/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package dhsession_test
+
+const defaultSeeds = 25
--- a/dh/dhsession/operator.go
+++ b/dh/dhsession/operator.go
@@ -41,7 +41,7 @@
 			continue
 		}
 		out, err := r.operators.GetTables(context.Background(), &dhpb.GetTablesRequest{})
-		if err == nil && out.GetRevision() > 0 {
+		if err == nil {
 			w.Facts.revision(name, out.GetRevision(), out.GetTables())
 		}
 	}
--- a/dh/dhsession/script.go
+++ b/dh/dhsession/script.go
@@ -11,7 +11,6 @@
 	"github.com/rogpeppe/go-internal/txtar"
 
 	"dandelionhoist.example/dh/dhengine"
-	"dandelionhoist.example/dh/dhfake"
 	"dandelionhoist.example/dh/dhpb"
 	"dandelionhoist.example/dh/dhtable"
 )
@@ -251,7 +250,7 @@
 		w.Isolate()
 	case "loss":
 		loss, err := strconv.ParseFloat(args[0], 64)
-		w.Network.Set(dhfake.Faults{Loss: loss, MinDelay: minDelay, MaxDelay: maxDelay})
+		w.Loss(loss)
 		return err
 	case "crash":
 		w.Crash(args[0])
