Let the tables lease last until the next tick

The checker counts a voter's vote 2 s after its start where a majority must be reached, and at once where it must not be.

--- a/dh/dhnode/tick.go
+++ b/dh/dhnode/tick.go
@@ -54,7 +54,9 @@
 // publish builds the snapshot for traffic and the digest for gossip.
 func (n *Node) publish(now time.Time) *dhrouter.Snapshot {
 	s := &dhrouter.Snapshot{
-		LeaseExpired: !n.lease.Valid(now), Backends: n.backends.View(now), Holds: n.Evidence.Holds(), Leaving: n.leaving.Load(),
+		// Traffic uses this snapshot until the next tick, so that the lease must last until then.
+		LeaseExpired: !n.lease.Valid(now.Add(n.Settings.Timing.Tick.Std())),
+		Backends:     n.backends.View(now), Holds: n.Evidence.Holds(), Leaving: n.leaving.Load(),
 	}
 	// Until the first exchange with peers has ended, an older revision than
 	// theirs may be known here, so that nothing is served.
--- a/dh/dhsession/check.go
+++ b/dh/dhsession/check.go
@@ -13,6 +13,9 @@
 	editBound = 2 * time.Second
 	// outBound is when a zone or backend server that went out gets no new work (R6, R10).
 	outBound = 3 * time.Second
+	// voterTime is the time from the start of a voter until it may vote: it
+	// first joins the others and collects what they remember of it.
+	voterTime = 2 * time.Second
 	// leaseTime is how long a VM without a majority of voters may use versions
 	// that are not stable.
 	leaseTime = 3 * time.Second
@@ -37,6 +40,7 @@
 	c.checkOutcomes()
 	c.checkEngines()
 	c.checkStops()
+	slices.Sort(c.faults)
 	return c.faults
 }
 
@@ -100,38 +104,39 @@
 	return connected
 }
 
-// majorityAt reports whether a VM runs and reaches a majority of voters.
-func (c *checker) majorityAt(vm string, t time.Time) bool {
+// majorityAt reports whether a VM runs and reaches a majority of voters that
+// have run for a time.
+func (c *checker) majorityAt(vm string, t time.Time, ran time.Duration) bool {
 	if _, up := c.upAt(vm, t); !up {
 		return false
 	}
 	reached := 0
 	for _, v := range c.voters {
-		if _, up := c.upAt(v, t); up && c.connectedAt(vm, v, t) {
+		if since, up := c.upAt(v, t); up && t.Sub(since) >= ran && c.connectedAt(vm, v, t) {
 			reached++
 		}
 	}
 	return reached > len(c.voters)/2
 }
 
-// contact returns since when a VM has reached a majority of voters without
+// contact returns since when a VM has reached a majority of such voters without
 // interruption, or, with ok unset, since when it has not.
-func (c *checker) contact(vm string, t time.Time) (since time.Time, ok bool) {
+func (c *checker) contact(vm string, t time.Time, ran time.Duration) (since time.Time, ok bool) {
 	changes := []time.Time{c.start}
 	for _, p := range c.partitions {
 		changes = append(changes, p.at)
 	}
 	for _, s := range c.states {
-		changes = append(changes, s.at)
+		changes = append(changes, s.at, s.at.Add(ran))
 	}
 	slices.SortFunc(changes, time.Time.Compare)
-	ok = c.majorityAt(vm, t)
+	ok = c.majorityAt(vm, t, ran)
 	since = t
 	for _, at := range slices.Backward(changes) {
 		if at.After(t) {
 			continue
 		}
-		if c.majorityAt(vm, at) != ok {
+		if c.majorityAt(vm, at, ran) != ok {
 			break
 		}
 		since = at
@@ -145,8 +150,10 @@
 // inForce returns the tables that may be in force on a VM at t, and whether
 // the VM may still use versions that are not stable.
 func (c *checker) inForce(vm string, t time.Time, bound time.Duration) (list []*dhtable.Tables, fresh bool) {
-	since, ok := c.contact(vm, t)
+	// A voter may vote before voterTime, so that the lease may still be renewed.
+	since, ok := c.contact(vm, t, 0)
 	fresh = ok || t.Sub(since) <= leaseTime
+	since, ok = c.contact(vm, t, voterTime)
 	// What was accepted before this time has taken effect.
 	known := t.Add(-bound)
 	switch {
@@ -155,7 +162,7 @@
 	case t.Sub(since) < bound:
 		// The VM is back since a moment; before that it knew what it knew when
 		// the contact broke, or, after a start, what its peers know.
-		if before, had := c.contact(vm, since.Add(-1)); !had {
+		if before, had := c.contact(vm, since.Add(-1), voterTime); !had {
 			known = before.Add(-bound)
 		}
 	}
--- a/dh/dhsession/check_control.go
+++ b/dh/dhsession/check_control.go
@@ -35,7 +35,7 @@
 			c.fault("R12", "%s went back from revision %d to %d at %s", s.vm, old.revision, s.revision, c.offset(s.at))
 		}
 		newest[s.vm] = s
-		contact, ok := c.contact(s.vm, s.at)
+		contact, ok := c.contact(s.vm, s.at, voterTime)
 		if !ok {
 			continue
 		}
--- a/dh/dhsession/dhsession.go
+++ b/dh/dhsession/dhsession.go
@@ -259,6 +259,7 @@
 	r.callers, r.operators, r.peers = d.Callers(), d.Operators(), d.PeerService()
 	vm.run = r
 	w.Facts.vm(name, vmStarted)
+	w.Facts.note("vm %s started", name)
 	w.group.Go(func(context.Context) error {
 		err := d.Run(ctx, r.stop)
 		w.ended(vm, r, err)
@@ -300,6 +301,7 @@
 		return
 	}
 	w.Facts.vm(name, vmCrashed)
+	w.Facts.note("vm %s crashed", name)
 	r.node.Crash()
 	r.close()
 	synctest.Wait() // callers have lost their connections before anything else reacts
@@ -368,6 +370,7 @@
 	w.cutAt = w.Timers.Now()
 	w.mu.Unlock()
 	w.Facts.partition(sides)
+	w.Facts.note("partition %v", sides)
 	broken := func(s *stream) bool { return !w.Network.Connected(s.link.vm, s.backend.ID) }
 	cut := w.findStreams(broken)
 	w.Timers.After(silentTime, func(time.Time) {
