Find the voter set while one of the first voters is down

A starting VM asked the first voters in order of their addresses and gave up at the first one that did not answer, although any other one knows the set in force. Now it asks all of them, each for as long as one message may take.

--- a/dh/dhquorum/replace.go
+++ b/dh/dhquorum/replace.go
@@ -10,6 +10,7 @@
 	"dandelionhoist.example/dh/dhcode"
 	"dandelionhoist.example/dh/dhjournal"
 	"dandelionhoist.example/dh/dhpb"
+	"dandelionhoist.example/dh/dhtimer"
 )
 
 // Bootstrap makes the first voter set from addresses and zones, or finds that
@@ -20,10 +21,13 @@
 	first := VoterSet{Epoch: 1}
 	// All VMs must build the same set, whatever the order in their settings.
 	addresses = slices.SortedFunc(slices.Values(addresses), func(a, b Member) int { return cmp.Compare(a.Address, b.Address) })
+	var missing error
 	for _, m := range addresses {
-		a, err := p.Transport.Prepare(ctx, m.Address, &dhpb.PrepareRequest{Key: VotersKey})
+		a, err := p.identity(ctx, m.Address)
 		if err != nil {
-			return VoterSet{}, unreachable(fmt.Errorf("identity of the voter at %s: %w", m.Address, err))
+			// Any other voter may know the set that is in force.
+			missing = unreachable(fmt.Errorf("identity of the voter at %s: %w", m.Address, err))
+			continue
 		}
 		if set, err := ParseVoterSet(a.Voters); err == nil && set.Epoch >= servingEpoch {
 			p.Adopt(set)
@@ -32,6 +36,9 @@
 		m.ID = a.VoterId
 		first.Voters = append(first.Voters, m)
 	}
+	if missing != nil {
+		return VoterSet{}, missing
+	}
 	for _, m := range first.Voters {
 		if ok, err := p.Teach(ctx, first, m); err != nil || !ok {
 			return VoterSet{}, unreachable(fmt.Errorf("voter at %s does not install the first set: %w", m.Address, err))
@@ -43,6 +50,13 @@
 	return set, nil
 }
 
+// identity asks the voter at an address who it is and which set it knows.
+func (p *Proposer) identity(ctx context.Context, address string) (*dhpb.PrepareResponse, error) {
+	ctx, cancel := dhtimer.WithTimeout(ctx, p.Timers, p.tryTimeout())
+	defer cancel()
+	return p.Transport.Prepare(ctx, address, &dhpb.PrepareRequest{Key: VotersKey})
+}
+
 // teachAll tells all voters of a set. Those that miss it are told with the
 // next message of a register.
 func (p *Proposer) teachAll(ctx context.Context, set VoterSet) {
