--- a/dh/dhrouter/run.go
+++ b/dh/dhrouter/run.go
@@ -110,14 +110,34 @@
 }
 
 // finishClaim stores the outcome. The answer is whole and billed, so a failure
-// to store it is logged and a resend is told that the outcome is unknown.
+// to store it is logged and tried again later; until then a resend is told that
+// the request is in progress.
 func (r *Router) finishClaim(ctx context.Context, t *attempts, result *dhpb.AskResponse) error {
-	if err := r.Claims.Finish(context.WithoutCancel(ctx), t.claim, dhcode.OK, result); err != nil {
-		r.Log.Warn("outcome not stored", slog.String("request", t.GetRequestId()), slog.String("error", err.Error()))
-	}
+	r.settle(context.WithoutCancel(ctx), t, "outcome not stored", func(ctx context.Context) error {
+		return r.Claims.Finish(ctx, t.claim, dhcode.OK, result)
+	})
 	return nil
 }
 
+// settle writes the end of a claim. When no majority of voters answers, it goes
+// on in the background, so that the claim does not stay in progress for ever.
+func (r *Router) settle(ctx context.Context, t *attempts, failure string, write func(ctx context.Context) error) {
+	err := write(ctx)
+	if err == nil {
+		return
+	}
+	r.Log.Warn(failure, slog.String("request", t.GetRequestId()), slog.String("error", err.Error()))
+	r.Group.Go(func(ctx context.Context) error {
+		for tries := 0; tries < settleTries && dhcode.Of(err) == dhcode.OutcomeUnknown; tries++ {
+			if dhtimer.Sleep(ctx, r.Timers, settlePeriod) != nil {
+				return nil
+			}
+			err = write(ctx)
+		}
+		return nil
+	})
+}
+
 // endClaim settles a claim whose request failed. "Not run" is only said once
 // the claim is closed.
 func (r *Router) endClaim(ctx context.Context, t *attempts, cause error) error {
@@ -129,14 +149,19 @@
 		}
 		return dhcode.WithRan(cause, dhcode.NotRun)
 	}
-	if err := r.Claims.Break(ctx, t.claim); err != nil {
-		r.Log.Warn("claim not broken", slog.String("request", t.GetRequestId()), slog.String("error", err.Error()))
-	}
+	r.settle(ctx, t, "claim not broken", func(ctx context.Context) error { return r.Claims.Break(ctx, t.claim) })
 	return dhcode.WithRan(dhcode.Wrap(dhcode.OutcomeUnknown, cause), dhcode.RanUnknown)
 }
 
-// settleTimeout bounds the settling of a claim after the request has failed.
-const settleTimeout = 5 * time.Second
+const (
+	// settleTimeout bounds the settling of a claim after the request has failed.
+	settleTimeout = 5 * time.Second
+	// settlePeriod and settleTries are how often a claim that could not be
+	// settled is tried again: for about half an hour, since each try may take
+	// as long as the quorum timeout.
+	settlePeriod = time.Second
+	settleTries  = 600
+)
 
 // answerOnce admits a request, makes its answer and bills it.
 func (r *Router) answerOnce(ctx context.Context, t *attempts, a *dhanswer.Answer) (*dhpb.AskResponse, error) {
