--- a/dh/dhsession/check_control.go
+++ b/dh/dhsession/check_control.go
@@ -25,7 +25,9 @@
 	}
 	newest := make(map[string]seen)
 	for _, s := range c.seen {
-		c.accept(s.revision, s.at)
+		if s.revision > 0 {
+			c.accept(s.revision, s.at)
+		}
 	}
 	for _, s := range c.seen {
 		since, _ := c.upAt(s.vm, s.at)
@@ -33,7 +35,7 @@
 			c.fault("R12", "%s went back from revision %d to %d at %s", s.vm, old.revision, s.revision, c.offset(s.at))
 		}
 		newest[s.vm] = s
-		contact, ok := c.contact(s.vm, s.at)
+		contact, ok := c.contact(s.vm, s.at, voterTime)
 		if !ok {
 			continue
 		}
@@ -95,7 +97,7 @@
 			continue
 		}
 		for _, r := range c.Replies {
-			if r.VM != s.vm || r.Complete || r.Start.After(s.at) || r.End.Before(s.at) || c.crashed(s.vm, s.at, r.End) {
+			if r.VM != s.vm || r.Complete || r.GiveUp > 0 || r.Start.After(s.at) || r.End.Before(s.at) || c.crashed(s.vm, s.at, r.End) {
 				continue
 			}
 			if r.Lost || r.Code == dhcode.Cancelled || r.Code == dhcode.Leaving {
