--- a/dh/dhledger/format_test.go
+++ b/dh/dhledger/format_test.go
@@ -78,4 +78,7 @@
 
 type discard struct{}
 
-func (discard) Append(_ []byte, apply func()) error { return nil }
+func (discard) Append(_ []byte, apply func()) error {
+	apply()
+	return nil
+}
