Limit cold backend servers by credits

Cause: a backend server in a cold start got no work at all. Change: dhdaemon runs dhcold.Credits: home credits by zone slot, lending between the zone's entry VMs over LendCredit, requests at cold servers bounded in time.

--- a/dh/dhbackend/dhbackend.go
+++ b/dh/dhbackend/dhbackend.go
@@ -166,6 +166,15 @@
 	return slices.Sorted(maps.Keys(v.byPool))
 }
 
+// All returns all backend servers in no order.
+func (v *View) All() []*Backend {
+	list := make([]*Backend, 0, len(v.byID))
+	for _, b := range v.byID {
+		list = append(list, b)
+	}
+	return list
+}
+
 // Get returns a backend server by id.
 func (v *View) Get(id string) (*Backend, bool) {
 	b, ok := v.byID[id]
--- a/dh/dhcold/dhcold.go
+++ b/dh/dhcold/dhcold.go
@@ -185,6 +185,32 @@
 	}, true
 }
 
+// Available reports whether Acquire would permit a request now. A refusal
+// counts as demand for credits.
+func (c *Credits) Available(b *dhbackend.Backend) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.now()
+	r, ok := c.rows[b.ID]
+	if !ok {
+		return false
+	}
+	if !r.cold() || r.running < c.available(r, now) {
+		return true
+	}
+	r.wanted, r.short = now, now
+	return false
+}
+
+// LongestRun returns how long a request on a backend server may run, or 0 for
+// no bound. The caller ends a request on a cold one by then.
+func (c *Credits) LongestRun(id string) time.Duration {
+	if !c.Cold(id) {
+		return 0
+	}
+	return c.longest()
+}
+
 // Cold reports whether a backend server is treated as cold.
 func (c *Credits) Cold(id string) bool {
 	c.mu.Lock()
--- a/dh/dhdaemon/dhdaemon.go
+++ b/dh/dhdaemon/dhdaemon.go
@@ -20,6 +20,7 @@
 	"dandelionhoist.example/dh/dhanswer"
 	"dandelionhoist.example/dh/dhbackend"
 	"dandelionhoist.example/dh/dhclaim"
+	"dandelionhoist.example/dh/dhcold"
 	"dandelionhoist.example/dh/dhdisk"
 	"dandelionhoist.example/dh/dhedit"
 	"dandelionhoist.example/dh/dhengine"
@@ -87,8 +88,11 @@
 	node     *dhnode.Node
 	digest   *dhbackend.Digest
 	claimed  *dhclaim.Claims
-	pools    *pools
-	drained  chan struct{}
+	credits  *dhcold.Credits
+	// started names this start of the VM.
+	started uint64
+	pools   *pools
+	drained chan struct{}
 }
 
 // Run serves until a value arrives on stop and the graceful shutdown has
@@ -146,6 +150,7 @@
 	d.group = dhgroup.New(ctx)
 	d.serving = dhgroup.New(d.group.Context())
 	d.drained = make(chan struct{})
+	d.started = d.incarnation()
 	s := d.Settings
 	d.metrics = dhmetric.New(s.Limits.HistogramLabels)
 	d.random = newRandom(d.Seed)
@@ -158,12 +163,13 @@
 	}
 	placer := &dhplacement.Placer{Timers: d.Timers, Zone: s.Zone, Settings: dhplacement.Defaults(), Seed: d.Seed}
 	d.claimed = d.claims()
+	d.credits = d.newCredits()
 	limiter := &dhlimit.Limiter{Timers: d.Timers, MaxQueue: s.Limits.Queue}
 	d.router = &dhrouter.Router{
 		Timers: d.Timers, Group: d.group, Log: d.Log, Metrics: d.metrics, Answers: answers,
 		Versions: &dhversion.Chooser{Keys: d.Keys.Session, NewSessionID: d.NewID},
 		Placer:   placer,
-		Credits:  noCredits{}, Limiter: limiter, Retries: &dhlimit.Budget{}, Breakers: &dhlimit.Breakers{Timers: d.Timers},
+		Credits:  d.credits, Limiter: limiter, Retries: &dhlimit.Budget{}, Breakers: &dhlimit.Breakers{Timers: d.Timers},
 		Backoff: dhlimit.Backoff{Random: d.random.float64}.Delay,
 		Claims:  d.claimed, Ledger: d.ledger, Planner: dhrouter.LargestModel{}, Engine: d.Engine,
 		VM: s.Name, Zone: s.Zone, MaxAttempts: s.Limits.Attempts,
@@ -172,7 +178,7 @@
 	d.node = &dhnode.Node{
 		Settings: s, Timers: d.Timers, Group: d.group, Log: d.Log, Metrics: d.metrics, Peers: d.Peers,
 		Registers: d.proposer, Revisions: &dhedit.Revisions{Timers: d.Timers}, Router: d.router, Limiter: limiter,
-		Answers: answers, Evidence: &dhversion.Evidence{VM: s.Name, Incarnation: d.incarnation()},
+		Answers: answers, Evidence: &dhversion.Evidence{VM: s.Name, Incarnation: d.started},
 		VoterStatus: d.voterStatus,
 	}
 	d.digest = &dhbackend.Digest{
@@ -188,10 +194,10 @@
 		Period:   s.Timing.GossipPeriod.Std(),
 	}
 	d.node.Members = d.members
-	d.node.TickHooks = append(d.node.TickHooks, func(_ time.Time, s *dhrouter.Snapshot) { placer.Update(s.Backends) })
+	d.node.Prepare = append(d.node.Prepare, func(_ time.Time, s *dhrouter.Snapshot) { placer.Update(s.Backends) }, d.updateCredits)
 	if source, ok := d.Engine.(cacheSource); ok {
 		feed := &cacheFeed{daemon: d, source: source, placer: placer}
-		d.node.TickHooks = append(d.node.TickHooks, feed.tick)
+		d.node.Prepare = append(d.node.Prepare, feed.tick)
 	}
 	if orders, ok := d.Engine.(dhpool.Orders); ok && d.voter != nil {
 		d.pools = newPools(d, orders)
@@ -230,6 +236,7 @@
 	d.group.Go(d.node.WaitStarted)
 	d.group.Go(d.keepBills)
 	d.group.Go(d.maintain)
+	d.group.Go(d.refillCredits)
 	if d.pools != nil {
 		d.group.Go(d.pools.run)
 	}
@@ -255,7 +262,7 @@
 
 // PeerService returns the service for other entry VMs and backend servers.
 func (d *Daemon) PeerService() *dhserver.Peers {
-	peers := &dhserver.Peers{Node: d.node, Announced: d.digest.Announced, Router: d.router, Gossiper: d.members, Bills: d.ledger}
+	peers := &dhserver.Peers{Node: d.node, Announced: d.digest.Announced, Router: d.router, Gossiper: d.members, Bills: d.ledger, Lender: zonePeers{d}}
 	if d.voter != nil {
 		peers.Voter = d.voter.Voter
 	}
--- a/dh/dhdaemon/state.go
+++ b/dh/dhdaemon/state.go
@@ -13,7 +13,6 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"dandelionhoist.example/dh/dhbackend"
 	"dandelionhoist.example/dh/dhcode"
 	"dandelionhoist.example/dh/dhdisk"
 	"dandelionhoist.example/dh/dhengine"
@@ -333,10 +332,3 @@
 func (e engineClient) CacheEvents(ctx context.Context, address string, after uint64, f func(*dhpb.CacheEvent) bool) error {
 	return e.client.CacheEvents(ctx, address, after, f)
 }
-
-// noCredits permits no request at a backend server in a cold start.
-type noCredits struct{}
-
-func (noCredits) Available(*dhbackend.Backend) bool         { return false }
-func (noCredits) Acquire(*dhbackend.Backend) (func(), bool) { return nil, false }
-func (noCredits) Observe(*dhbackend.Backend, time.Duration) {}
--- a/dh/dhnode/dhnode.go
+++ b/dh/dhnode/dhnode.go
@@ -73,8 +73,9 @@
 	Judge     dhversion.Judge
 	// VoterStatus returns id and synced record number of this VM's voter, if any.
 	VoterStatus func() (id string, sequence uint64)
-	// TickHooks run on the control goroutine at the end of each tick.
-	TickHooks []func(now time.Time, s *dhrouter.Snapshot)
+	// Prepare functions run on the control goroutine with each snapshot before
+	// traffic sees it.
+	Prepare []func(now time.Time, s *dhrouter.Snapshot)
 
 	backends dhbackend.Table
 	zones    zoneRamp
--- a/dh/dhnode/tick.go
+++ b/dh/dhnode/tick.go
@@ -22,11 +22,8 @@
 	}
 	n.Answers.Tick(now)
 	n.tickMembers()
-	s := n.publish(now)
+	n.publish(now)
 	n.Limiter.Tick()
-	for _, hook := range n.TickHooks {
-		hook(now, s)
-	}
 }
 
 func (n *Node) observeTables() {
@@ -52,7 +49,7 @@
 }
 
 // publish builds the snapshot for traffic and the digest for gossip.
-func (n *Node) publish(now time.Time) *dhrouter.Snapshot {
+func (n *Node) publish(now time.Time) {
 	s := &dhrouter.Snapshot{
 		// Traffic uses this snapshot until the next tick, so that the lease must last until then.
 		LeaseExpired: !n.lease.Valid(now.Add(n.Settings.Timing.Tick.Std())),
@@ -66,11 +63,13 @@
 	}
 	// Traffic that sees a backend server must find its slots.
 	n.setSlots(s)
+	for _, prepare := range n.Prepare {
+		prepare(now, s)
+	}
 	n.Router.Publish(s)
 	n.digest.Store(&digest{
 		revision: n.Revisions.NewestNumber(), counters: n.Evidence.Counters(), holds: n.Evidence.HoldRecords(),
 	})
-	return s
 }
 
 func (n *Node) tickMembers() {
--- a/dh/dhrouter/attempt.go
+++ b/dh/dhrouter/attempt.go
@@ -105,7 +105,9 @@
 	}
 	t.number++
 	a.StartAttempt(t.number, t.choice.Version.Model, t.choice.Version.Name)
-	first, err := r.relay(ctx, t, place.backend, a)
+	bounded, cancel := r.bound(ctx, place.backend.ID)
+	first, err := r.relay(bounded, t, place.backend, a)
+	cancel()
 	place.done(err)
 	r.ended(ctx, t, place.backend, a, first, err)
 	return err
@@ -132,7 +134,7 @@
 	}
 	r.Breakers.End(b.ID, err == nil)
 	if first > 0 {
-		r.Credits.Observe(b, first)
+		r.Credits.FirstToken(b.ID, first)
 	}
 	_, tokens := a.Len()
 	r.Report(Event{
@@ -154,6 +156,15 @@
 	return dhversion.Usable(r.versionInput(r.Snapshot(), t, t.choice.Version.Model), t.choice)
 }
 
+// bound ends a request at a cold backend server when its credit ends.
+func (r *Router) bound(ctx context.Context, id string) (context.Context, context.CancelFunc) {
+	longest := r.Credits.LongestRun(id)
+	if longest <= 0 {
+		return ctx, func() {}
+	}
+	return dhtimer.WithTimeout(ctx, r.Timers, longest)
+}
+
 // place is where an attempt runs. Done is called once when it has ended.
 type place struct {
 	backend *dhbackend.Backend
@@ -176,7 +187,7 @@
 			return place{}, err
 		}
 		id := p.Backend.ID
-		release, ok := r.acquire(p)
+		release, ok := r.Credits.Acquire(id)
 		if ok && r.Breakers.Begin(id) {
 			r.Placer.Begin(p, req)
 			return place{backend: p.Backend, done: func(err error) {
@@ -191,14 +202,6 @@
 	}
 }
 
-// acquire takes a credit when the placement needs one.
-func (r *Router) acquire(p dhplacement.Placement) (release func(), ok bool) {
-	if !p.Cold {
-		return func() {}, true
-	}
-	return r.Credits.Acquire(p.Backend)
-}
-
 // relay calls a backend server and appends its chunks to the answer. It
 // returns the time to the first token.
 func (r *Router) relay(ctx context.Context, t *attempts, b *dhbackend.Backend, a *dhanswer.Answer) (time.Duration, error) {
--- a/dh/dhrouter/dhrouter.go
+++ b/dh/dhrouter/dhrouter.go
@@ -51,11 +51,13 @@
 type Credits interface {
 	// Available reports whether Acquire may succeed.
 	Available(b *dhbackend.Backend) bool
-	// Acquire takes a credit until release is called.
-	Acquire(b *dhbackend.Backend) (release func(), ok bool)
-	// Observe reports the time to the first token of a request that a backend
-	// server in state ready answered.
-	Observe(b *dhbackend.Backend, firstToken time.Duration)
+	// Acquire permits a request until release is called. It always permits one
+	// at a backend server that is not cold.
+	Acquire(id string) (release func(), ok bool)
+	// LongestRun bounds a request at a cold backend server; 0 is no bound.
+	LongestRun(id string) time.Duration
+	// FirstToken reports the time to the first token of a request.
+	FirstToken(id string, taken time.Duration)
 }
 
 // Limiter admits requests.
--- a/dh/dhsession/break_test.go
+++ b/dh/dhsession/break_test.go
@@ -308,9 +308,10 @@
 
 type unlimited struct{}
 
-func (unlimited) Available(*dhbackend.Backend) bool         { return true }
-func (unlimited) Acquire(*dhbackend.Backend) (func(), bool) { return func() {}, true }
-func (unlimited) Observe(*dhbackend.Backend, time.Duration) {}
+func (unlimited) Available(*dhbackend.Backend) bool { return true }
+func (unlimited) Acquire(string) (func(), bool)     { return func() {}, true }
+func (unlimited) LongestRun(string) time.Duration   { return 0 }
+func (unlimited) FirstToken(string, time.Duration)  {}
 
 // stale never learns of a revision.
 type stale struct{}
