Let latency-sensitive routes learn what escalation gains

A latency-sensitive class never escalated while it was learning, so that no chain could be planned and 40% of its requests started on the large model after the shift. A quarter of its doubtful answers now escalate until 60 ratings are known.

--- a/dh/dhcascade/dhcascade.go
+++ b/dh/dhcascade/dhcascade.go
@@ -141,7 +141,7 @@
 	}
 	// A chain is planned only once it is known what escalation gains.
 	after := p.cell(cellKey{r.Class, r.Candidates[plan.to].Version, r.Candidates[at].Version, allBins})
-	return plan.to, doubtful && !r.LatencySensitive && after.weight < fewRatings && p.random() < 0.25
+	return plan.to, doubtful && after.weight < fewRatings && p.random() < 0.25
 }
 
 // Rating is the rating of an answer.
