--- a/dh/dhcascade/plan.go
+++ b/dh/dhcascade/plan.go
@@ -17,7 +17,7 @@
 	signalMemory = 500
 	allBins      = -1
 	// priorWeight is how many ratings of a bin the line through all bins counts for.
-	priorWeight = 5
+	priorWeight = 40
 	// leastVariance keeps a few equal ratings from looking certain.
 	leastVariance = 0.01
 	// fastMemory is that of the mean that shows a shift, and shiftErrors by
