--- a/dh/dhlimit/queue.go
+++ b/dh/dhlimit/queue.go
@@ -1,7 +1,9 @@
 package dhlimit
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"dandelionhoist.example/dh/dhcode"
@@ -284,7 +286,9 @@
 // refuseLate refuses waiting requests that would not end in time, from the end
 // of each queue, so that the lowest priority goes first.
 func (p *pool) refuseLate(now time.Time) {
-	for _, q := range p.queues {
+	// The order matters, since a refusal shortens the wait of the others.
+	for _, name := range slices.Sorted(maps.Keys(p.queues)) {
+		q := p.queues[name]
 		for i := len(q.waiters) - 1; i >= 0; i-- {
 			w := q.waiters[i]
 			left := w.request.Deadline - now.Sub(w.arrived)
