Keep waiting requests while a pool has no slots

A pool whose slots were 0 for one tick refused its whole queue with a retry-after of centuries, because the wait was unknown. Waiting requests now stay until they can no longer run in time.

--- a/dh/dhlimit/dhlimit_test.go
+++ b/dh/dhlimit/dhlimit_test.go
@@ -131,3 +131,26 @@
 	release()
 	assert.Equal(t, l.Pool("p").Running, 0)
 }
+
+// Guards against a queue that is lost, or refused with an endless
+// retry-after, when a pool has no slot for a moment.
+func TestQueueSurvivesAPoolWithoutSlots(t *testing.T) {
+	l, timers := newLimiter(1)
+	ctx := context.Background()
+	_, err := l.Admit(ctx, request("a", 0))
+	assert.NilError(t, err)
+	group := dhgroup.New(ctx)
+	group.Go(func(ctx context.Context) error {
+		_, err := l.Admit(ctx, request("a", 0))
+		return err
+	})
+	settle(l, 1)
+	l.SetSlots("p", 0)
+	l.Tick()
+	assert.Equal(t, l.Pool("p").Waiting, 1)
+	timers.Step(19500 * time.Millisecond)
+	l.Tick()
+	err = group.Wait()
+	assert.Equal(t, dhcode.Of(err), dhcode.WaitTooLong)
+	assert.Assert(t, dhcode.RetryAfterOf(err) < time.Minute)
+}
--- a/dh/dhlimit/queue.go
+++ b/dh/dhlimit/queue.go
@@ -292,7 +292,12 @@
 		for i := len(q.waiters) - 1; i >= 0; i-- {
 			w := q.waiters[i]
 			left := w.request.Deadline - now.Sub(w.arrived)
-			if err := p.tooLate(q, w.request, p.wait(q, i), left); err != nil {
+			// Without slots the wait is unknown, and a slot may be back soon.
+			wait := time.Duration(0)
+			if p.slots > 0 {
+				wait = p.wait(q, i)
+			}
+			if err := p.tooLate(q, w.request, wait, left); err != nil {
 				p.remove(w)
 				w.refuse(err)
 			}
