--- a/dh/dhversion/dhversion_test.go
+++ b/dh/dhversion/dhversion_test.go
@@ -183,3 +183,13 @@
 		_, _ = chooser.Choose(input(now, "s", token))
 	})
 }
+
+// Guards against a change of the token format that ends the sessions of the
+// previous release.
+func TestTokenOfFormat1(t *testing.T) {
+	const token = "AQZnb2xkZW4BA29hawJ2MfInnJ4JXEKsHbTmX7EmpgEAqQEideKgzy8DF2ihEb7C"
+	in := input(tables(t, 1, "all", stages("stable", 95, "rollout", 5)), "golden", token)
+	choice, err := chooser.Choose(in)
+	assert.NilError(t, err)
+	assert.Equal(t, choice, dhversion.Choice{Version: oakV1, Token: token, Pinned: true})
+}
