--- a/dh/dhsession/operator.go
+++ b/dh/dhsession/operator.go
@@ -33,6 +33,16 @@
 	return e
 }
 
+// Tables returns the newest tables that a VM shows to operators.
+func (w *World) Tables(vm string) (revision uint64, text string) {
+	r := w.vms[vm].up()
+	if r == nil {
+		return 0, ""
+	}
+	out, _ := r.operators.GetTables(context.Background(), &dhpb.GetTablesRequest{})
+	return out.GetRevision(), string(out.GetTables())
+}
+
 // probe asks each VM for its newest revision.
 func (w *World) probe() {
 	for _, name := range w.names {
--- a/dh/dhsession/random_test.go
+++ b/dh/dhsession/random_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"path/filepath"
 	"runtime"
 	"strconv"
 	"strings"
@@ -14,6 +15,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"dandelionhoist.example/dh/dhcode"
 	"dandelionhoist.example/dh/dhdaemon"
 	"dandelionhoist.example/dh/dhengine"
 	"dandelionhoist.example/dh/dhsession"
@@ -71,8 +73,7 @@
 	*dhsession.World
 	*rand.Rand
 	scenario
-	text     string
-	revision uint64
+	operators []*operator
 }
 
 // Guards against violations of the invariants that need several failures at
@@ -104,13 +105,17 @@
 		r := &random{World: dhsession.NewWorld(seed), Rand: rand.New(rand.NewPCG(seed, 3)), scenario: s}
 		defer r.Close()
 		r.Prepare = prepare
-		text, err := r.Deploy(deploy, s.name, func(m *dhengine.Model) {
+		_, err := r.Deploy(deploy, s.name, func(m *dhengine.Model) {
 			m.Slots = 4
 			m.ColdStart = dhengine.DefaultCold()
 			m.ColdStart.For, m.ColdStart.Restart = 6*time.Second, 3*time.Second
 		})
 		assert.NilError(t, err)
-		r.text = text
+		for _, name := range []string{"nimal", "odile"} {
+			o := &operator{run: r, name: name}
+			r.operators = append(r.operators, o)
+			r.Timers.Subscribe(200*time.Millisecond, func(time.Time) { o.tick() })
+		}
 		r.play(t)
 		faults = r.Facts.Check()
 		if len(faults) > 0 || os.Getenv("DH_SESSION_LINES") == "all" {
@@ -157,40 +162,64 @@
 
 func (r *random) some(list []string) string { return list[r.IntN(len(list))] }
 
-// edit sends the next edit to a VM that serves.
-func (r *random) edit(changes []string) {
-	text := r.text
-	for i := 0; i < len(changes); i += 2 {
-		text = strings.Replace(text, changes[i], changes[i+1], 1)
+// operator makes its changes one after the other. It resends an edit whose
+// outcome it does not know, and begins anew after a conflict.
+type operator struct {
+	run   *random
+	name  string
+	queue [][]string
+	edits int
+	busy  *dhsession.Edit
+	vm    int
+}
+
+func (o *operator) tick() {
+	switch {
+	case o.busy == nil:
+	case o.busy.Code == dhcode.OK:
+		o.queue, o.busy = o.queue[1:], nil
+	case o.busy.Code == dhcode.EditConflict, o.busy.Code == dhcode.BaseRevisionUnknown:
+		o.busy = nil
+	case o.run.Timers.Now().Sub(o.busy.Sent) > 3*time.Second:
+		o.busy = o.run.Edit(o.pick(), o.busy.ID, o.busy.Base, o.busy.Text, false)
+		return
 	}
-	if text == r.text {
+	if o.busy != nil || len(o.queue) == 0 {
 		return
 	}
-	r.text = text
-	base := r.revision
-	r.revision++
-	id := fmt.Sprint("edit-", r.revision)
-	var send func()
-	send = func() {
-		vm := ""
-		for _, name := range r.VMs() {
-			if r.Running(name) {
-				vm = name
-				break
-			}
-		}
-		if vm == "" {
-			r.Timers.After(time.Second, func(time.Time) { send() })
-			return
+	vm := o.pick()
+	base, text := o.run.Tables(vm)
+	if base == 0 {
+		data, _ := os.ReadFile(filepath.Join(deploy, o.run.name, "tables.json"))
+		text = string(data)
+	}
+	changed := text
+	for change := o.queue[0]; len(change) > 0; change = change[2:] {
+		changed = strings.Replace(changed, change[0], change[1], 1)
+	}
+	if changed == text {
+		o.queue = o.queue[1:]
+		return
+	}
+	o.edits++
+	o.busy = o.run.Edit(vm, fmt.Sprintf("%s-%d", o.name, o.edits), base, changed, false)
+}
+
+// pick returns the next VM that runs.
+func (o *operator) pick() string {
+	for range o.run.VMs() {
+		o.vm = (o.vm + 1) % len(o.run.VMs())
+		if name := o.run.VMs()[o.vm]; o.run.Running(name) {
+			return name
 		}
-		e := r.Edit(vm, id, base, text, false)
-		r.Timers.After(3*time.Second, func(time.Time) {
-			if e.Revision == 0 {
-				send()
-			}
-		})
 	}
-	send()
+	return o.run.VMs()[0]
+}
+
+// edit gives a change to one of the operators.
+func (r *random) edit(changes []string) {
+	o := r.operators[r.IntN(len(r.operators))]
+	o.queue = append(o.queue, changes)
 }
 
 func (r *random) play(t *testing.T) {
@@ -204,6 +233,15 @@
 	assert.NilError(t, r.Traffic(r.name, 6, trafficTime, 40))
 	bad, _ := dhtable.ParseVersion(r.bad)
 	r.at(0, 3*time.Second, func() { r.edit(r.raise) })
+	for i := range 4 {
+		// Both operators edit at the same time.
+		r.at(0, trafficTime, func() {
+			for _, o := range r.operators {
+				mark := fmt.Sprintf("\n// %s %d", o.name, i)
+				o.queue = append(o.queue, []string{"\n  \"format\"", mark + "\n  \"format\""})
+			}
+		})
+	}
 	r.at(3*time.Second, 6*time.Second, func() {
 		for _, id := range r.Engines() {
 			r.Engine(id).SetFaults(bad, dhengine.Faults{ErrorRate: 0.3, ShortRate: 0.3, Slowness: 1.5})
