--- a/dh/dhbackend/digest.go
+++ b/dh/dhbackend/digest.go
@@ -2,10 +2,12 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"dandelionhoist.example/dh/dhmember"
@@ -18,10 +20,11 @@
 // dhmember.Payload; its methods may be called from any goroutine. Zero bounds
 // and periods take the defaults given here.
 //
-// Every VM asks every other in each period of the membership, because at 9
-// entry VMs a random one alone leaves gaps longer than the lease. Records
-// travel in answers only: the asker adds the duration of the exchange to
-// their age, so that a message that was stuck never renews a lease.
+// Every VM asks every other in each period of the membership, or as many as
+// MaxFanout allows, some of each zone, because at 9 entry VMs a random one
+// alone leaves gaps longer than the lease. Records travel in answers only: the
+// asker adds the duration of the exchange to their age, so that a message that
+// was stuck never renews a lease.
 //
 // Records of a zone that has a single responsive entry VM left are also passed
 // on by the VMs that got them from it: three lost exchanges in a row with that
@@ -42,17 +45,19 @@
 
 	Lease         time.Duration // 2.5 s
 	SourcePeriod  time.Duration // between questions to a source, 1 s
-	MaxBackends   int           // records kept and taken from one message, 4096
+	MaxBackends   int           // records kept and taken from one message, 8192
 	WholeBackends int           // records up to which each VM gets all, 64
-	Near, Far     int           // above that: records per pool and version, of the asker's zone and of all others together, 3 and 1
+	Near, Far     int           // above that: records per pool and version, of the asker's zone and of all others together, 2 and 1
 
 	once    sync.Once
 	mu      sync.Mutex
 	direct  map[string]*Backend
+	index   *index              // of direct, nil after a change
 	lonely  map[string]bool     // zones with a single entry VM
 	known   map[string]*Backend // bases of brief records
 	nextAsk time.Time
 	merged  time.Time // when records last arrived
+	expired time.Time // when direct was last cleaned
 	swept   time.Time // when expired bases were last removed
 }
 
@@ -64,9 +69,9 @@
 	d.once.Do(func() {
 		d.Lease = cmp.Or(d.Lease, 2500*time.Millisecond)
 		d.SourcePeriod = cmp.Or(d.SourcePeriod, time.Second)
-		d.MaxBackends = cmp.Or(d.MaxBackends, 4096)
+		d.MaxBackends = cmp.Or(d.MaxBackends, 8192)
 		d.WholeBackends = cmp.Or(d.WholeBackends, 64)
-		d.Near, d.Far = cmp.Or(d.Near, 3), cmp.Or(d.Far, 1)
+		d.Near, d.Far = cmp.Or(d.Near, 2), cmp.Or(d.Far, 1)
 		d.direct = make(map[string]*Backend)
 		d.known = make(map[string]*Backend)
 	})
@@ -96,12 +101,21 @@
 		}
 	}
 	d.direct[b.ID] = b
+	if !known || b.Pool != old.Pool || b.Zone != old.Zone || !slices.Equal(b.Versions, old.Versions) {
+		d.index = nil
+	}
 }
 
+// expire removes records whose lease has ended, at most once in a lease.
 func (d *Digest) expire(now time.Time) {
+	if now.Sub(d.expired) < d.Lease {
+		return
+	}
+	d.expired = now
 	for id, b := range d.direct {
 		if now.Sub(b.Seen) > d.Lease {
 			delete(d.direct, id)
+			d.index = nil
 		}
 	}
 }
@@ -113,27 +127,36 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.expire(now)
-	list := make([]*Backend, 0, len(d.direct))
-	for _, b := range d.direct {
-		list = append(list, b)
-	}
-	whole := len(list) <= d.WholeBackends
-	if !whole {
-		list = Subset(list, to.Name, to.Zone, d.Near, d.Far)
-	}
-	for _, b := range list {
-		msg.Backends = append(msg.Backends, passedOn(b, now, whole || b.State == Leaving || b.Sequence%fullEvery == 0))
+	if len(d.direct) <= d.WholeBackends {
+		for _, b := range d.direct {
+			d.add(msg, b, now, true)
+		}
+	} else {
+		if d.index == nil {
+			d.index = newIndex(slices.Collect(maps.Values(d.direct)))
+		}
+		for _, id := range d.index.subset(to.Name, to.Zone, d.Near, d.Far) {
+			b := d.direct[id]
+			d.add(msg, b, now, b.State == Leaving || b.Sequence%fullEvery == 0)
+		}
 	}
 	if len(d.lonely) == 0 {
 		return
 	}
 	for _, b := range d.known {
-		if d.lonely[b.Zone] && b.Zone != to.Zone && now.Sub(b.Seen) <= d.Lease {
-			msg.Backends = append(msg.Backends, passedOn(b, now, true))
+		if d.lonely[b.Zone] && b.Zone != to.Zone {
+			d.add(msg, b, now, true)
 		}
 	}
 }
 
+// add adds a record whose lease has not ended to a message.
+func (d *Digest) add(msg *dhpb.GossipMessage, b *Backend, now time.Time, full bool) {
+	if now.Sub(b.Seen) <= d.Lease {
+		msg.Backends = append(msg.Backends, passedOn(b, now, full))
+	}
+}
+
 // passedOn returns a record to pass on; a brief one lacks what does not change
 // while a backend server runs.
 func passedOn(b *Backend, now time.Time, full bool) *dhpb.BackendRecord {
@@ -269,23 +292,37 @@
 	d.lonely = lonely
 }
 
-// order returns the names of other members, those of the own zone first and
-// then by rendezvous hash, so that VMs ask different ones when there are more
-// than may be asked.
+// order returns the names of other members: the first of each zone, the own
+// zone's before, then the second of each, and so on. Within a zone they are
+// in the order of their rendezvous weights, so that VMs ask different ones
+// when there are more than may be asked.
 func (d *Digest) order(list []dhmember.Member) []string {
-	list = slices.DeleteFunc(list, func(m dhmember.Member) bool { return m.Name == d.Name })
-	slices.SortFunc(list, func(a, b dhmember.Member) int {
-		if near := a.Zone == d.Zone; near != (b.Zone == d.Zone) {
-			if near {
-				return -1
-			}
-			return 1
+	type candidate struct {
+		name, zone string
+		weight     uint64
+		rank       int
+	}
+	own := xxhash.Sum64String(d.Name)
+	candidates := make([]candidate, 0, len(list))
+	for i := range list {
+		if m := &list[i]; m.Name != d.Name {
+			candidates = append(candidates, candidate{name: m.Name, zone: m.Zone, weight: rendezvous(own, xxhash.Sum64String(m.Name))})
 		}
-		return cmp.Compare(rendezvous(d.Name, b.Name), rendezvous(d.Name, a.Name))
-	})
-	names := make([]string, len(list))
-	for i, m := range list {
-		names[i] = m.Name
+	}
+	slices.SortFunc(candidates, func(a, b candidate) int { return cmp.Compare(b.weight, a.weight) })
+	ranks := make(map[string]int)
+	for i := range candidates {
+		c := &candidates[i]
+		c.rank = 2 * ranks[c.zone]
+		if c.zone != d.Zone {
+			c.rank++
+		}
+		ranks[c.zone]++
+	}
+	slices.SortStableFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.rank, b.rank) })
+	names := make([]string, len(candidates))
+	for i, c := range candidates {
+		names[i] = c.name
 	}
 	return names
 }
--- a/dh/dhmember/dhmember.go
+++ b/dh/dhmember/dhmember.go
@@ -1,12 +1,12 @@
 // Package dhmember is the gossip membership of entry VMs.
 //
-// Every period a member exchanges messages with one random member (mostly of
-// its own zone) and with those that its payloads ask for. A member that does not answer is probed
-// through others, then suspected, then dead; a suspected member that is alive
-// refutes with a higher incarnation. A member that leaves says so. Messages
-// carry changed records only; now and then one carries a page of all records.
-// Seeds and dead members are tried on a slow period, so that both sides of a
-// healed partition find each other.
+// Every period a member exchanges messages with one random member, half of the
+// time one of its own zone, and with those that its payloads ask for. A member
+// that does not answer is probed through others, then suspected, then dead; a
+// suspected member that is alive refutes with a higher incarnation. A member
+// that leaves says so. Messages carry changed records only; now and then one
+// carries a page of all records. Seeds and dead members are tried on a slow
+// period, so that both sides of a healed partition find each other.
 //
 // A member starts at incarnation 0 and tells nobody else about itself before
 // its first exchange. A peer that remembers the name answers with its
@@ -60,7 +60,8 @@
 	Merge(msg *dhpb.GossipMessage)
 }
 
-// Targeter is a Payload that names members to exchange messages with in every period.
+// Targeter is a Payload that names members to exchange messages with in every
+// period. Targets must not call methods of Members other than View.
 type Targeter interface {
 	Targets(view *View) []string
 }
@@ -70,7 +71,8 @@
 type Members struct {
 	Timers    dhtimer.Service
 	Transport Transport
-	// Group runs the exchanges. A nil group is replaced by one without a parent.
+	// Group runs the exchanges. A nil group is replaced by one without a
+	// parent. Nothing is called after the group has been waited for.
 	Group *dhgroup.Group
 	// Self gives name, address, zone, region, has_disk and voter_id of this VM.
 	Self *dhpb.MemberRecord
@@ -86,14 +88,15 @@
 	SuspectAfter time.Duration // from suspect to dead at up to 16 members, 2 s; grows with the logarithm of their number
 	ForgetAfter  time.Duration // from dead or left to forgotten, 1 h
 	RejoinPeriod time.Duration // between attempts to reach a seed or a dead member, 5 s
-	PagePeriod   time.Duration // between pages of all records, 15 s
+	PagePeriod   time.Duration // between pages of all records, 30 s
 
 	IndirectProbes int // members asked to probe an unresponsive one, 3
 	MaxMembers     int // records kept, 4096
-	MaxDeltas      int // changed records in a message, 16
+	MaxDeltas      int // changed records in a message, 64
 	MaxPage        int // records in a page, 64
 	MaxFanout      int // exchanges started in one period or by one Push, 16
 	MaxRelayed     int // probes on behalf of others at once, 16
+	LargeMembers   int // members above which only every second period has a random probe, 256
 	// LocalShare is the share of random probes that stay in the own zone, 0.5.
 	LocalShare float64
 
@@ -109,12 +112,17 @@
 	voters  map[string]uint64
 	probes  [2][]string // names still to probe in this round: own zone, others
 	cursor  int
+	ticks   int
 	relayed int
-	dirty   bool
+	dirty   bool // the view is to be published before the lock is released
+	stale   bool // the view is to be published by the next tick
 	left    bool
 	joined  chan struct{}
 	// nextJoin and nextPage are when the next attempt and page are due.
 	nextJoin, nextPage time.Time
+	// nextList is when to ask for a list of all members, or zero; lists counts them.
+	nextList time.Time
+	lists    int
 	// maxVoters bounds voters.
 	maxVoters int
 }
@@ -131,7 +139,15 @@
 }
 
 // sendFactor times the logarithm of the number of members is how many messages carry a change.
-const sendFactor = 3
+const sendFactor = 2
+
+// minLogMembers is the least logarithm that is used: a VM that has just
+// started knows few members, and its news stopped before reaching all of 300.
+const minLogMembers = 8
+
+// listDelay is the time from a VM's start to the last list that it asks for,
+// since the member that gave the first may have started just before.
+const listDelay = 10 * time.Second
 
 func (m *Members) init() {
 	m.once.Do(func() {
@@ -140,13 +156,14 @@
 		setDuration(&m.SuspectAfter, 2*time.Second)
 		setDuration(&m.ForgetAfter, time.Hour)
 		setDuration(&m.RejoinPeriod, 5*time.Second)
-		setDuration(&m.PagePeriod, 15*time.Second)
+		setDuration(&m.PagePeriod, 30*time.Second)
 		setInt(&m.IndirectProbes, 3)
 		setInt(&m.MaxMembers, 4096)
-		setInt(&m.MaxDeltas, 16)
+		setInt(&m.MaxDeltas, 64)
 		setInt(&m.MaxPage, 64)
 		setInt(&m.MaxFanout, 16)
 		setInt(&m.MaxRelayed, 16)
+		setInt(&m.LargeMembers, 256)
 		if m.LocalShare <= 0 {
 			m.LocalShare = 0.5
 		}
@@ -235,7 +252,8 @@
 	InFlight      int
 }
 
-// SetSelf sets the changing part of the own record. It is in every message.
+// SetSelf sets the changing part of the own record. It is in every message
+// from then on, and in the view from the next period.
 func (m *Members) SetSelf(c Change) {
 	m.init()
 	m.mu.Lock()
@@ -243,7 +261,7 @@
 	m.self.Revision, m.self.InFlight = c.Revision, c.InFlight
 	m.self.VoterID, m.self.VoterSequence = c.VoterID, c.VoterSequence
 	m.noteVoter(c.VoterID, c.VoterSequence)
-	m.dirty = true
+	m.stale = true
 }
 
 // VoterSequence returns the highest synced record number that any member has
