--- a/dh/dhfake/network.go
+++ b/dh/dhfake/network.go
@@ -154,14 +154,11 @@
 		return nil, fmt.Errorf("node %s is down", n.name)
 	}
 	results := make(chan result, 1)
-<<<<<<< HEAD
-	n.network.transmit(linkOf(n.name, to, message), func() { n.network.deliver(n, to, message, results) })
-=======
-	id := n.network.number(n.name, to)
-	n.network.transmit(n.name, to, id, func(twin uint64) {
+	l := linkOf(n.name, to, message)
+	id := n.network.number(l)
+	n.network.transmit(l, id, func(twin uint64) {
 		n.network.deliver(n, to, message, id|twin<<62, results)
 	})
->>>>>>> state-core
 	select {
 	case r := <-results:
 		return r.answer, r.err
@@ -173,11 +170,11 @@
 }
 
 // number numbers the messages of a link.
-func (n *Network) number(from, to string) uint64 {
+func (n *Network) number(l link) uint64 {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.counts[link{from, to}]++
-	return n.counts[link{from, to}]
+	n.counts[l]++
+	return n.counts[l]
 }
 
 // answerBit is set in the number of an answer, next to that of its message.
@@ -195,11 +192,7 @@
 		if !node.up() {
 			return nil
 		}
-<<<<<<< HEAD
-		n.transmit(linkOf(to, from.name, message), func() {
-=======
-		n.transmit(to, from.name, id|answerBit, func(uint64) {
->>>>>>> state-core
+		n.transmit(linkOf(to, from.name, message), id|answerBit, func(uint64) {
 			select {
 			case results <- result{answer: answer, err: err}:
 			default: // a duplicate
@@ -210,18 +203,11 @@
 }
 
 // transmit schedules the arrivals of one message: none, one or two.
-<<<<<<< HEAD
-func (n *Network) transmit(l link, arrive func()) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.counts[l]++
-=======
-func (n *Network) transmit(from, to string, id uint64, arrive func(twin uint64)) {
+func (n *Network) transmit(l link, id uint64, arrive func(twin uint64)) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
->>>>>>> state-core
 	n.sent++
-	random := n.random(from, to, id)
+	random := n.random(l, id)
 	copies := 1
 	if random.Float64() < n.faults.Loss {
 		copies = 0
@@ -235,13 +221,8 @@
 			d += time.Duration(random.Int64N(int64(spread)))
 		}
 		n.timers.After(d, func(time.Time) {
-<<<<<<< HEAD
 			if n.Connected(l.from, l.to) {
-				arrive()
-=======
-			if n.connected(from, to) {
 				arrive(uint64(i))
->>>>>>> state-core
 			}
 		})
 	}
@@ -254,16 +235,9 @@
 	return n.side[from] == n.side[to]
 }
 
-<<<<<<< HEAD
 // random returns the generator of one message, so that the order in which
 // goroutines send does not change what happens to each message.
-func (n *Network) random(l link, count uint64) *rand.Rand {
-	key := binary.LittleEndian.AppendUint64([]byte(l.from+"\x00"+l.to+"\x00"+l.key), count)
-=======
-// random returns the generator of one message. The order in which goroutines
-// send answers does not change what happens to each.
-func (n *Network) random(from, to string, id uint64) *rand.Rand {
-	key := binary.LittleEndian.AppendUint64([]byte(from+"\x00"+to+"\x00"), id)
->>>>>>> state-core
+func (n *Network) random(l link, id uint64) *rand.Rand {
+	key := binary.LittleEndian.AppendUint64([]byte(l.from+"\x00"+l.to+"\x00"+l.key), id)
 	return rand.New(rand.NewPCG(n.seed, xxhash.Sum64(key)))
 }
