Plan cascades from ratings

Cause: the largest model answered every request. Change: dhrouter plans with dhcascade; dhdaemon asks the rating service for a sample of the answers and, where no caller waits for the first token, for the signal that decides an escalation. A request without a session gets one id, so that all choices of its version agree; a resumed stream counts as pinned.

--- a/cmd/dandelionhoist-engine/engine.go
+++ b/cmd/dandelionhoist-engine/engine.go
@@ -13,6 +13,7 @@
 
 	"dandelionhoist.example/dh/dhengine"
 	"dandelionhoist.example/dh/dhgroup"
+	"dandelionhoist.example/dh/dhpb/dhpbconnect"
 	"dandelionhoist.example/dh/dhtable"
 	"dandelionhoist.example/dh/dhtimer"
 )
@@ -102,6 +103,7 @@
 	mux := http.NewServeMux()
 	server := &dhengine.Server{Model: e.options.model}
 	mux.Handle(server.Handler())
+	mux.Handle(dhpbconnect.NewRatingServiceHandler(&dhengine.Rater{Quality: e.options.quality}))
 	mux.HandleFunc("POST /faults", loopbackOnly(e.serveFaults))
 	mux.HandleFunc("GET /stats", loopbackOnly(func(w http.ResponseWriter, _ *http.Request) {
 		writeJSON(w, e.options.model.Stats())
--- a/cmd/dandelionhoist-engine/options.go
+++ b/cmd/dandelionhoist-engine/options.go
@@ -23,6 +23,7 @@
 	leaveLimit      time.Duration
 	model           *dhengine.Model
 	faults          map[dhtable.Version]dhengine.Faults
+	quality         map[string]float64
 }
 
 // defaultOptions returns the defaults. They are not left to kingpin, which
@@ -43,7 +44,7 @@
 	m := o.model
 	kind := dhtable.Engine.String()
 	var peerKeyFile string
-	var versions, faults []string
+	var versions, faults, qualities []string
 	app := kingpin.New("dandelionhoist-engine", "Simulated model engine or plain service.")
 	duration := func(name, help string, target *time.Duration) {
 		app.Flag(name, fmt.Sprintf("%s (%v).", help, *target)).DurationVar(target)
@@ -79,6 +80,7 @@
 	duration("report-lag", "Age of load reports", &m.ReportLag)
 	duration("leave-grace", "Time for which a leaving backend server still accepts work", &m.LeaveGrace)
 	duration("leave-limit", "Longest time from SIGTERM to exit", &o.leaveLimit)
+	app.Flag("quality", "Mean score that the simulated rating service gives a model, as model=0.9; may be repeated.").StringsVar(&qualities)
 	app.Flag("fault", "Faults of a version, as model/version:error-rate=0.1,slowness=2,short-rate=0.1; may be repeated.").StringsVar(&faults)
 	if _, err := app.Parse(args); err != nil {
 		return nil, err
@@ -99,6 +101,9 @@
 		}
 		m.Versions = append(m.Versions, v)
 	}
+	if err := o.parseQuality(qualities); err != nil {
+		return nil, err
+	}
 	if err := o.parseFaults(faults); err != nil {
 		return nil, err
 	}
@@ -117,6 +122,19 @@
 	return nil
 }
 
+func (o *options) parseQuality(specs []string) error {
+	o.quality = make(map[string]float64)
+	for _, spec := range specs {
+		model, text, _ := strings.Cut(spec, "=")
+		score, err := strconv.ParseFloat(text, 64)
+		if err != nil || score < 0 || score > 1 {
+			return fmt.Errorf("flag --quality %q: want model=score with a score between 0 and 1", spec)
+		}
+		o.quality[model] = score
+	}
+	return nil
+}
+
 func (o *options) parseFaults(specs []string) error {
 	o.faults = make(map[dhtable.Version]dhengine.Faults)
 	for _, spec := range specs {
--- a/cmd/dandelionhoistd/main_test.go
+++ b/cmd/dandelionhoistd/main_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"testing"
 
@@ -149,3 +150,33 @@
 		assert.Equal(t, dhcode.Of(dhwire.FromConnect(err)), dhcode.NotAuthenticated)
 	}
 }
+
+// Guards against a cascade that stays on the largest model although ratings
+// show that a cheaper one meets the target, and against an answer that was
+// escalated but is billed or shown as two.
+func TestCascadeLearnsFromRatings(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	c.withRatings(map[string]float64{"pine": 0.95, "oak": 0.95})
+	c.startAll()
+	d := c.daemons[0]
+	applyTables(t, d)
+	c.backend("atelier-llm-1", "atelier-llm", dhtable.Engine, pine, oak)
+	waitPool(t, d, "atelier-llm")
+	const most, wanted = 3000, 20
+	asked, inRow := 0, 0
+	for ; asked < most && inRow < wanted; asked++ {
+		got, err := d.router.Ask(t.Context(), &dhpb.AskRequest{
+			Route: "finish-questions", Prompt: fmt.Sprintf("Is matte brass %d in stock?", asked), MaxTokens: 1,
+		})
+		if dhcode.Of(dhwire.FromConnect(err)) == dhcode.RateLimited {
+			asked--
+			continue
+		}
+		assert.NilError(t, err)
+		inRow++
+		if got.GetModel() != "pine" {
+			inRow = 0
+		}
+	}
+	assert.Assert(t, asked < most, "the cheaper model did not answer %d requests in a row", wanted)
+}
--- a/cmd/dandelionhoistd/process_test.go
+++ b/cmd/dandelionhoistd/process_test.go
@@ -141,6 +141,24 @@
 	return next
 }
 
+// withRatings runs a simulated rating service for daemons that are not started yet.
+func (c *cluster) withRatings(quality map[string]float64) {
+	c.t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(c.t, err)
+	mux := http.NewServeMux()
+	mux.Handle(dhpbconnect.NewRatingServiceHandler(&dhengine.Rater{Quality: quality}))
+	server := dhengine.NewHTTPServer(mux)
+	c.group.Go(func(context.Context) error { _ = server.Serve(listener); return nil })
+	c.t.Cleanup(func() { _ = server.Close() })
+	for _, d := range c.daemons {
+		data, err := os.ReadFile(d.settings)
+		assert.NilError(c.t, err)
+		rating := fmt.Sprintf(`"rating": {"address": %q, "per-second": 1000}, "state":`, listener.Addr().String())
+		assert.NilError(c.t, os.WriteFile(d.settings, []byte(strings.Replace(string(data), `"state":`, rating, 1)), 0o600))
+	}
+}
+
 // start runs daemon i and waits until it serves.
 func (c *cluster) start(i int) *daemon {
 	c.t.Helper()
--- a/dh/dhdaemon/dhdaemon.go
+++ b/dh/dhdaemon/dhdaemon.go
@@ -19,6 +19,7 @@
 
 	"dandelionhoist.example/dh/dhanswer"
 	"dandelionhoist.example/dh/dhbackend"
+	"dandelionhoist.example/dh/dhcascade"
 	"dandelionhoist.example/dh/dhclaim"
 	"dandelionhoist.example/dh/dhcold"
 	"dandelionhoist.example/dh/dhdisk"
@@ -89,6 +90,7 @@
 	digest   *dhbackend.Digest
 	claimed  *dhclaim.Claims
 	credits  *dhcold.Credits
+	ratings  *ratings
 	// started names this start of the VM.
 	started uint64
 	pools   *pools
@@ -162,6 +164,7 @@
 		Grace: resumeGrace,
 	}
 	placer := &dhplacement.Placer{Timers: d.Timers, Zone: s.Zone, Settings: dhplacement.Defaults(), Seed: d.Seed}
+	planner := &dhcascade.Planner{Timers: d.Timers}
 	d.claimed = d.claims()
 	d.credits = d.newCredits()
 	limiter := &dhlimit.Limiter{Timers: d.Timers, MaxQueue: s.Limits.Queue}
@@ -171,10 +174,14 @@
 		Placer:   placer,
 		Credits:  d.credits, Limiter: limiter, Retries: &dhlimit.Budget{}, Breakers: &dhlimit.Breakers{Timers: d.Timers},
 		Backoff: dhlimit.Backoff{Random: d.random.float64}.Delay,
-		Claims:  d.claimed, Ledger: d.ledger, Planner: dhrouter.LargestModel{}, Engine: d.Engine,
+		Claims:  d.claimed, Ledger: d.ledger, Planner: planner, Engine: d.Engine,
 		VM: s.Name, Zone: s.Zone, MaxAttempts: s.Limits.Attempts,
 		NewRequestID: d.NewID,
 	}
+	if s.Rating.Address != "" {
+		d.ratings = d.newRatings(planner)
+		d.router.Ratings = d.ratings
+	}
 	d.node = &dhnode.Node{
 		Settings: s, Timers: d.Timers, Group: d.group, Log: d.Log, Metrics: d.metrics, Peers: d.Peers,
 		Registers: d.proposer, Revisions: &dhedit.Revisions{Timers: d.Timers}, Router: d.router, Limiter: limiter,
@@ -237,6 +244,9 @@
 	d.group.Go(d.keepBills)
 	d.group.Go(d.maintain)
 	d.group.Go(d.refillCredits)
+	if d.ratings != nil {
+		d.group.Go(d.rate)
+	}
 	if d.pools != nil {
 		d.group.Go(d.pools.run)
 	}
@@ -269,6 +279,12 @@
 	return peers
 }
 
+// rate rates answers until ctx ends.
+func (d *Daemon) rate(ctx context.Context) error {
+	_ = d.ratings.Run(ctx) // it ends only with ctx
+	return nil
+}
+
 func (d *Daemon) servers() []dhserver.Server {
 	listen := d.Settings.Listen
 	operatorMux := http.NewServeMux()
--- a/dh/dhpb/dhpbconnect/dandelionhoist.connect.go
+++ b/dh/dhpb/dhpbconnect/dandelionhoist.connect.go
@@ -29,6 +29,8 @@
 	OperatorServiceName = "dandelionhoist.v1.OperatorService"
 	// EngineServiceName is the fully-qualified name of the EngineService service.
 	EngineServiceName = "dandelionhoist.v1.EngineService"
+	// RatingServiceName is the fully-qualified name of the RatingService service.
+	RatingServiceName = "dandelionhoist.v1.RatingService"
 	// AnnounceServiceName is the fully-qualified name of the AnnounceService service.
 	AnnounceServiceName = "dandelionhoist.v1.AnnounceService"
 	// PeerServiceName is the fully-qualified name of the PeerService service.
@@ -83,6 +85,8 @@
 	// EngineServiceCacheEventsProcedure is the fully-qualified name of the EngineService's CacheEvents
 	// RPC.
 	EngineServiceCacheEventsProcedure = "/dandelionhoist.v1.EngineService/CacheEvents"
+	// RatingServiceRateProcedure is the fully-qualified name of the RatingService's Rate RPC.
+	RatingServiceRateProcedure = "/dandelionhoist.v1.RatingService/Rate"
 	// AnnounceServiceAnnounceProcedure is the fully-qualified name of the AnnounceService's Announce
 	// RPC.
 	AnnounceServiceAnnounceProcedure = "/dandelionhoist.v1.AnnounceService/Announce"
@@ -744,6 +748,80 @@
 	return connect.NewError(connect.CodeUnimplemented, errors.New("dandelionhoist.v1.EngineService.CacheEvents is not implemented"))
 }
 
+// RatingServiceClient is a client for the dandelionhoist.v1.RatingService service.
+type RatingServiceClient interface {
+	Rate(context.Context, *dhpb.RateRequest) (*dhpb.RateResponse, error)
+}
+
+// NewRatingServiceClient constructs a client for the dandelionhoist.v1.RatingService service. By
+// default, it uses the Connect protocol with the binary Protobuf Codec, asks for gzipped responses,
+// and sends uncompressed requests. To use the gRPC or gRPC-Web protocols, supply the
+// connect.WithGRPC() or connect.WithGRPCWeb() options.
+//
+// The URL supplied here should be the base URL for the Connect or gRPC server (for example,
+// http://api.acme.com or https://acme.com/grpc).
+func NewRatingServiceClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) RatingServiceClient {
+	baseURL = strings.TrimRight(baseURL, "/")
+	ratingServiceMethods := dhpb.File_dandelionhoist_proto.Services().ByName("RatingService").Methods()
+	return &ratingServiceClient{
+		rate: connect.NewClient[dhpb.RateRequest, dhpb.RateResponse](
+			httpClient,
+			baseURL+RatingServiceRateProcedure,
+			connect.WithSchema(ratingServiceMethods.ByName("Rate")),
+			connect.WithClientOptions(opts...),
+		),
+	}
+}
+
+// ratingServiceClient implements RatingServiceClient.
+type ratingServiceClient struct {
+	rate *connect.Client[dhpb.RateRequest, dhpb.RateResponse]
+}
+
+// Rate calls dandelionhoist.v1.RatingService.Rate.
+func (c *ratingServiceClient) Rate(ctx context.Context, req *dhpb.RateRequest) (*dhpb.RateResponse, error) {
+	response, err := c.rate.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
+// RatingServiceHandler is an implementation of the dandelionhoist.v1.RatingService service.
+type RatingServiceHandler interface {
+	Rate(context.Context, *dhpb.RateRequest) (*dhpb.RateResponse, error)
+}
+
+// NewRatingServiceHandler builds an HTTP handler from the service implementation. It returns the
+// path on which to mount the handler and the handler itself.
+//
+// By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
+// and JSON codecs. They also support gzip compression.
+func NewRatingServiceHandler(svc RatingServiceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
+	ratingServiceMethods := dhpb.File_dandelionhoist_proto.Services().ByName("RatingService").Methods()
+	ratingServiceRateHandler := connect.NewUnaryHandlerSimple(
+		RatingServiceRateProcedure,
+		svc.Rate,
+		connect.WithSchema(ratingServiceMethods.ByName("Rate")),
+		connect.WithHandlerOptions(opts...),
+	)
+	return "/dandelionhoist.v1.RatingService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case RatingServiceRateProcedure:
+			ratingServiceRateHandler.ServeHTTP(w, r)
+		default:
+			http.NotFound(w, r)
+		}
+	})
+}
+
+// UnimplementedRatingServiceHandler returns CodeUnimplemented from all methods.
+type UnimplementedRatingServiceHandler struct{}
+
+func (UnimplementedRatingServiceHandler) Rate(context.Context, *dhpb.RateRequest) (*dhpb.RateResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("dandelionhoist.v1.RatingService.Rate is not implemented"))
+}
+
 // AnnounceServiceClient is a client for the dandelionhoist.v1.AnnounceService service.
 type AnnounceServiceClient interface {
 	Announce(context.Context, *dhpb.AnnounceRequest) (*dhpb.AnnounceResponse, error)
--- a/dh/dhrouter/attempt.go
+++ b/dh/dhrouter/attempt.go
@@ -69,6 +69,10 @@
 		if r.Retries.Retry(t.route.Pool) != nil {
 			return err
 		}
+		if text, _ := a.Len(); text > 0 {
+			// The answer has begun, so it goes on with its version.
+			t.choice.Pinned = true
+		}
 		if dhtimer.Sleep(ctx, r.Timers, r.Backoff(retry)) != nil {
 			return err
 		}
--- a/dh/dhrouter/cascade.go
+++ b/dh/dhrouter/cascade.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"dandelionhoist.example/dh/dhanswer"
+	"dandelionhoist.example/dh/dhcascade"
 	"dandelionhoist.example/dh/dhcode"
 	"dandelionhoist.example/dh/dhpb"
 	"dandelionhoist.example/dh/dhplacement"
@@ -11,67 +12,80 @@
 	"dandelionhoist.example/dh/dhversion"
 )
 
-// PlanInput is what the choice of a model depends on.
-type PlanInput struct {
-	Route dhtable.Route
-	Pool  dhtable.Pool
-	// Models are those of the cascade that may start now, the cheapest first.
-	Models []string
-	Prompt string
+// plan is a request's cascade.
+type plan struct {
+	dhcascade.Request
+	// at is the candidate that answers.
+	at int
 }
 
-// PlanAnswer is what is known of an answer that may be escalated.
-type PlanAnswer struct {
-	Version   dhtable.Version
-	Text      string
-	Tokens    int
-	RequestID string
+// newPlan returns the models that may start now with the versions that would
+// answer, and where the cascade starts.
+func (r *Router) newPlan(s *Snapshot, t *attempts) (plan, error) {
+	p := plan{Request: dhcascade.Request{
+		Class: t.route.Class, Target: t.route.QualityTarget, LatencySensitive: t.route.LatencySensitive,
+	}}
+	models := dhversion.Models(r.versionInput(s, t, ""))
+	if len(models) == 0 {
+		// The choice of a version says why there is none.
+		models = t.route.Cascade[len(t.route.Cascade)-1:]
+	}
+	pool := s.Tables.Pools[t.route.Pool]
+	for _, model := range models {
+		choice, err := r.Versions.Choose(r.versionInput(s, t, model))
+		if err != nil {
+			return plan{}, err
+		}
+		cost := pool.Models[model].CostPer1000Tokens * float64(t.GetMaxTokens()) / 1000
+		p.Candidates = append(p.Candidates, dhcascade.Candidate{Version: choice.Version, Cost: cost})
+	}
+	p.at = len(p.Candidates) - 1
+	if !t.keyed() {
+		p.at = r.Planner.Start(p.Request)
+	}
+	return p, nil
 }
 
-// LargestModel is the default Planner: the last model of the cascade answers.
-type LargestModel struct{}
-
-// Start implements Planner.
-func (LargestModel) Start(in PlanInput) (string, bool) { return in.Models[len(in.Models)-1], false }
-
-// Escalate implements Planner.
-func (LargestModel) Escalate(PlanInput, string, PlanAnswer) (string, bool, bool) {
-	return "", false, false
+// mayEscalate reports whether an answer is held back until it is judged. A
+// caller who waits for the first token is not made to wait for that.
+func (r *Router) mayEscalate(t *attempts, p plan) bool {
+	return r.Ratings != nil && !t.keyed() && !p.LatencySensitive && p.at < len(p.Candidates)-1
 }
 
 // cascade makes an answer, beginning with the model that the plan says.
 func (r *Router) cascade(ctx context.Context, t *attempts, a *dhanswer.Answer) (*dhpb.AskResponse, error) {
-	s := r.Snapshot()
-	in := PlanInput{
-		Route: t.route, Pool: s.Tables.Pools[t.route.Pool], Prompt: t.GetPrompt(),
-		Models: dhversion.Models(r.versionInput(s, t, "")),
-	}
-	if len(in.Models) == 0 {
-		// The choice of a version says why there is none.
-		in.Models = t.route.Cascade[len(t.route.Cascade)-1:]
+	p, err := r.newPlan(r.Snapshot(), t)
+	if err != nil {
+		return nil, err
 	}
-	model, hold := r.Planner.Start(in)
+	sample := dhcascade.Sample{Prompt: t.GetPrompt()}
 	for {
-		if hold && !t.keyed() {
+		held := r.mayEscalate(t, p)
+		if held {
 			a.Hold()
 		} else {
 			a.Release()
 		}
-		if err := r.generate(ctx, t, model, a); err != nil {
+		if err := r.generate(ctx, t, p.Candidates[p.at].Version.Model, a); err != nil {
 			return nil, err
 		}
 		result := r.result(t, a)
-		if t.keyed() {
+		if t.keyed() || r.Ratings == nil {
 			return result, nil
 		}
-		next, holdNext, escalate := r.Planner.Escalate(in, model, PlanAnswer{
-			Version: t.choice.Version, Text: result.GetText(), Tokens: int(result.GetTokens()), RequestID: t.GetRequestId(),
-		})
-		if !escalate || !a.Reset() {
+		sample.Class, sample.Version, sample.Text = p.Class, t.choice.Version, result.GetText()
+		next, ok := 0, false
+		if held {
+			sample.Signal = r.Ratings.Signal(ctx, sample)
+			next, ok = r.Planner.Escalate(p.Request, p.at, sample.Signal)
+		}
+		r.Ratings.Offer(sample)
+		if !ok || !a.Reset() {
 			return result, nil
 		}
 		r.Metrics.Count("escalated", t.route.Name)
-		model, hold = next, holdNext
+		sample.From, sample.FromSignal, sample.Signal = sample.Version, sample.Signal, dhcascade.Signal{}
+		p.at = next
 	}
 }
 
@@ -103,15 +117,13 @@
 
 func (r *Router) explain(t *attempts, out *dhpb.ExplainResponse) error {
 	s := r.Snapshot()
-	in := PlanInput{
-		Route: t.route, Pool: s.Tables.Pools[t.route.Pool], Models: dhversion.Models(r.versionInput(s, t, "")),
-	}
-	if len(in.Models) == 0 {
-		in.Models = t.route.Cascade[len(t.route.Cascade)-1:]
+	plan, err := r.newPlan(s, t)
+	if err != nil {
+		return err
 	}
-	model, hold := r.Planner.Start(in)
+	model := plan.Candidates[plan.at].Version.Model
 	out.Model = model
-	if hold {
+	if r.mayEscalate(t, plan) {
 		out.Reasons = append(out.Reasons, "the answer of model \""+model+"\" may be escalated")
 	}
 	choice, err := r.Versions.Choose(r.versionInput(s, t, model))
--- a/dh/dhrouter/dhrouter.go
+++ b/dh/dhrouter/dhrouter.go
@@ -23,6 +23,7 @@
 
 	"dandelionhoist.example/dh/dhanswer"
 	"dandelionhoist.example/dh/dhbackend"
+	"dandelionhoist.example/dh/dhcascade"
 	"dandelionhoist.example/dh/dhclaim"
 	"dandelionhoist.example/dh/dhcode"
 	"dandelionhoist.example/dh/dhgroup"
@@ -94,14 +95,21 @@
 	Put(ctx context.Context, bill *dhpb.Bill) error
 }
 
-// Planner says at which model of a cascade an answer starts and whether it is
-// good enough.
+// Planner says at which candidate of a cascade an answer starts and whether it
+// is good enough.
 type Planner interface {
-	// Start returns the model to start with and whether its answer may be
-	// escalated, in which case it is held back until it is judged.
-	Start(in PlanInput) (model string, hold bool)
-	// Escalate returns the next model, or false when the answer is good enough.
-	Escalate(in PlanInput, model string, answer PlanAnswer) (next string, hold, ok bool)
+	Start(r dhcascade.Request) int
+	Escalate(r dhcascade.Request, at int, s dhcascade.Signal) (next int, ok bool)
+}
+
+// Ratings gets answers rated. A nil Ratings means that there is no rating
+// service.
+type Ratings interface {
+	// Signal returns a rating that decides about an escalation, or one that is
+	// not known when none comes in time.
+	Signal(ctx context.Context, s dhcascade.Sample) dhcascade.Signal
+	// Offer gives an answer for rating later. It never waits.
+	Offer(s dhcascade.Sample) bool
 }
 
 // Engine calls backend servers.
@@ -156,6 +164,7 @@
 	Claims   Claimer
 	Ledger   Ledger
 	Planner  Planner
+	Ratings  Ratings
 	Engine   Engine
 	// VM and Zone name the entry VM.
 	VM, Zone string
--- a/dh/dhrouter/request.go
+++ b/dh/dhrouter/request.go
@@ -93,6 +93,10 @@
 	if q.RequestId == "" {
 		q.RequestId = r.NewRequestID()
 	}
+	if q.SessionId == "" && q.SessionToken == "" {
+		// All choices of a version for the request must agree.
+		q.SessionId = r.NewRequestID()
+	}
 	if q.MaxTokens == 0 || int(q.MaxTokens) > route.MaxTokens {
 		q.MaxTokens = int32(route.MaxTokens)
 	}
--- a/dh/dhsetting/check.go
+++ b/dh/dhsetting/check.go
@@ -44,6 +44,9 @@
 	for _, seed := range s.Peers.Seeds {
 		addresses = append(addresses, struct{ pointer, value string }{"/peers/seeds", seed})
 	}
+	if s.Rating.Address != "" {
+		addresses = append(addresses, struct{ pointer, value string }{"/rating/address", s.Rating.Address})
+	}
 	for _, v := range s.State.Voters {
 		addresses = append(addresses, struct{ pointer, value string }{"/state/voters", v.Address})
 	}
@@ -84,6 +87,9 @@
 	if s.IsVoter() && s.State.Folder == "" {
 		return doc.Errorf("/state/folder", "voter %q needs a folder for its state", s.Name)
 	}
+	if s.Rating.PerSecond <= 0 || s.Rating.Inline <= 0 {
+		return doc.Errorf("/rating", "per-second and inline must be above zero")
+	}
 	if s.Timing.BackendLease < 2*s.Timing.Tick {
 		return doc.Errorf("/timing/backend-lease", "must be at least two ticks")
 	}
--- a/dh/dhsetting/dhsetting.go
+++ b/dh/dhsetting/dhsetting.go
@@ -32,6 +32,7 @@
 	Peers  Peers  `json:"peers" doc:"other entry VMs"`
 	Keys   Keys   `json:"keys" doc:"files with keys; the files hold one key a line"`
 	State  State  `json:"state" doc:"durable state"`
+	Rating Rating `json:"rating" doc:"the platform's rating service"`
 	Timing Timing `json:"timing" doc:"periods and leases"`
 	Limits Limits `json:"limits" doc:"bounds"`
 }
@@ -77,6 +78,13 @@
 	return slices.ContainsFunc(s.State.Voters, func(v Voter) bool { return v.Address == s.Listen.Peers })
 }
 
+// Rating says how answers are rated.
+type Rating struct {
+	Address   string          `json:"address" doc:"IP and port of the rating service; empty means that there is none, and the last model of each cascade answers"`
+	PerSecond float64         `json:"per-second" doc:"most ratings asked for each second by this VM"`
+	Inline    dhjson.Duration `json:"inline" doc:"longest wait for a rating that decides whether an answer is escalated, on routes that are not latency-sensitive"`
+}
+
 // Timing holds periods and leases.
 type Timing struct {
 	Tick           dhjson.Duration `json:"tick" doc:"period of the control loop"`
@@ -121,6 +129,7 @@
 			StopLimit:      dhjson.Duration(10 * time.Minute),
 			VoterReplaced:  dhjson.Duration(10 * time.Minute),
 		},
+		Rating: Rating{PerSecond: 2, Inline: dhjson.Duration(time.Second)},
 		Limits: Limits{
 			RequestBytes: 1 << 20, AnswerBytes: 1 << 20, Answers: 4096, Backends: 4096, Queue: 1024,
 			Attempts: 3, Bills: 65536, HistogramLabels: 64,
