--- a/dh/dhversion/measure_test.go
+++ b/dh/dhversion/measure_test.go
@@ -198,7 +198,7 @@
 // in short rollouts as 9 VMs see them and in long ones as one VM sees them.
 func TestMeasureFalseHolds(t *testing.T) {
 	for _, rate := range []float64{0.005, 0.02, 0.05, 0.10} {
-		for _, c := range []struct{ vms, blocks, seconds, seeds int }{{9, 600, 1, 1000}, {1, 1440, 10, 10000}} {
+		for _, c := range []struct{ vms, blocks, seconds, seeds int }{{9, 600, 1, 3000}, {1, 1440, 10, 10000}} {
 			t.Run(fmt.Sprintf("%g/%d", rate, c.vms), func(t *testing.T) {
 				t.Parallel()
 				now := rollout(t, 1, 5)
