Mark the answer to a resent order that joins the first as replayed

A resent order that reached the entry VM that ran the first sending joined its answer, and both replies came without the mark "replayed", so that the caller could not tell one order from two. Only resends to other entry VMs were marked.

Router.Start now says whether it joined, and the callers' service sets the mark for requests with an idempotency key. TestResentOrderIsMarked sends an order 8 times at once and expects one reply without the mark and one execution.

--- a/cmd/dandelionhoistd/main_test.go
+++ b/cmd/dandelionhoistd/main_test.go
@@ -128,6 +128,46 @@
 	assert.Equal(t, len(bills.GetBills()), 1)
 }
 
+// Guards against a resent order that looks like a second one: the VM that ran
+// the order, or still runs it, must mark the answer to a resend as replayed.
+func TestResentOrderIsMarked(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	c.startAll()
+	applyTables(t, c.daemons[0])
+	service := c.backend("atelier-app-1", "atelier-app", dhtable.Service, cutOrder)
+	waitPool(t, c.daemons[0], "atelier-app")
+	const sendings = 8
+	replayed := make([]bool, sendings)
+	group := dhgroup.New(t.Context())
+	for i := range replayed {
+		group.Go(func(ctx context.Context) error {
+			req := &dhpb.AskRequest{Route: "cut-orders", Prompt: "2 poles of 140 cm", IdempotencyKey: "order-1", RequestId: "r-1"}
+			if i%2 == 0 {
+				got, err := c.daemons[0].router.Ask(ctx, req)
+				replayed[i] = got.GetReplayed()
+				return err
+			}
+			stream, err := c.daemons[0].router.Stream(ctx, req)
+			if err != nil {
+				return err
+			}
+			for stream.Receive() {
+				replayed[i] = stream.Msg().GetReplayed()
+			}
+			return stream.Err()
+		})
+	}
+	assert.NilError(t, group.Wait())
+	fresh := 0
+	for _, r := range replayed {
+		if !r {
+			fresh++
+		}
+	}
+	assert.Equal(t, fresh, 1, "answers without the mark")
+	assert.Equal(t, service.Executions("r-1"), 1)
+}
+
 // Guards against a key that opens a service it must not open.
 func TestKeysOpenOnlyTheirService(t *testing.T) {
 	c := newCluster(t, 1, 1)
--- a/dh/dhrouter/dhrouter.go
+++ b/dh/dhrouter/dhrouter.go
@@ -8,7 +8,7 @@
 //
 //	router := &dhrouter.Router{Timers: timers, Answers: answers, Versions: chooser, Placer: placer, ...}
 //	router.Publish(snapshot)
-//	answer, err := router.Start(ctx, account, request) // joins a request that is already running
+//	answer, joined, err := router.Start(account, request) // joins a request that is already running
 //	part, err := answer.Read(ctx, 0)
 //
 // The answer goes on when the caller's connection is lost; Resume and Cancel
--- a/dh/dhrouter/request.go
+++ b/dh/dhrouter/request.go
@@ -29,29 +29,29 @@
 // keyed reports whether the request must run at most once.
 func (q *request) keyed() bool { return !q.route.Repeatable }
 
-// Start begins to answer a request, or joins it when it is already running.
-// Errors are refusals before any work. A refusal of a request with an
+// Start begins to answer a request, or joins it when this VM runs it or keeps
+// its answer. Errors are refusals before any work. A refusal of a request with an
 // idempotency key does not say "not run", since an earlier attempt with the
 // key may have run.
-func (r *Router) Start(account dhtable.Account, req *dhpb.AskRequest) (*dhanswer.Answer, error) {
+func (r *Router) Start(account dhtable.Account, req *dhpb.AskRequest) (answer *dhanswer.Answer, joined bool, err error) {
 	q, err := r.check(account, req)
 	if err != nil {
 		r.refused(account.Name, req, err)
 		if req.GetIdempotencyKey() != "" {
 			err = dhcode.WithRan(err, dhcode.RanUnknown)
 		}
-		return nil, withHint(err)
+		return nil, false, withHint(err)
 	}
-	answer, existing, err := r.Answers.Create(account.Name, q.GetRequestId(), q.hash)
+	answer, joined, err = r.Answers.Create(account.Name, q.GetRequestId(), q.hash)
 	if err != nil {
 		r.refused(account.Name, req, err)
 		if q.keyed() {
 			err = dhcode.WithRan(err, dhcode.RanUnknown)
 		}
-		return nil, withHint(err)
+		return nil, false, withHint(err)
 	}
-	if existing {
-		return answer, nil
+	if joined {
+		return answer, true, nil
 	}
 	ctx, cancel := context.WithCancel(r.Group.Context())
 	// A request that must not run twice goes on, since its outcome counts.
@@ -61,7 +61,7 @@
 		r.run(ctx, q, answer)
 		return nil
 	})
-	return answer, nil
+	return answer, false, nil
 }
 
 // check refuses a request that cannot be answered, before any work.
--- a/dh/dhserver/callers.go
+++ b/dh/dhserver/callers.go
@@ -5,6 +5,7 @@
 	"net/http"
 
 	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
 
 	"dandelionhoist.example/dh/dhanswer"
 	"dandelionhoist.example/dh/dhcode"
@@ -54,23 +55,27 @@
 
 // Ask implements the callers' service.
 func (c *Callers) Ask(ctx context.Context, req *dhpb.AskRequest) (*dhpb.AskResponse, error) {
-	answer, err := c.Router.Start(AccountOf(ctx), req)
+	answer, joined, err := c.Router.Start(AccountOf(ctx), req)
 	if err != nil {
 		return nil, dhwire.ToConnect(err)
 	}
 	defer answer.Follow(c.Router.Timers)()
 	result, err := answer.Wait(ctx)
+	if err == nil && joined && req.GetIdempotencyKey() != "" {
+		result = proto.CloneOf(result)
+		result.Replayed = true
+	}
 	return result, dhwire.ToConnect(err)
 }
 
 // Stream implements the callers' service.
 func (c *Callers) Stream(ctx context.Context, req *dhpb.AskRequest, stream *connect.ServerStream[dhpb.Chunk]) error {
-	answer, err := c.Router.Start(AccountOf(ctx), req)
+	answer, joined, err := c.Router.Start(AccountOf(ctx), req)
 	if err != nil {
 		return dhwire.ToConnect(err)
 	}
 	defer answer.Follow(c.Router.Timers)()
-	return dhwire.ToConnect(send(ctx, answer, 0, stream))
+	return dhwire.ToConnect(send(ctx, answer, 0, joined && req.GetIdempotencyKey() != "", stream))
 }
 
 // Resume implements the callers' service.
@@ -78,7 +83,7 @@
 	account := AccountOf(ctx).Name
 	if answer, ok := c.Router.Answer(account, req.GetRequestId()); ok {
 		defer answer.Follow(c.Router.Timers)()
-		return dhwire.ToConnect(send(ctx, answer, int(req.GetOffset()), stream))
+		return dhwire.ToConnect(send(ctx, answer, int(req.GetOffset()), false, stream))
 	}
 	if c.Others == nil {
 		return dhwire.ToConnect(errNotKept(req.GetRequestId()))
@@ -92,8 +97,9 @@
 }
 
 // send relays an answer from an offset to its end. The last chunk is sent
-// once the answer is whole and billed.
-func send(ctx context.Context, answer *dhanswer.Answer, offset int, stream *connect.ServerStream[dhpb.Chunk]) error {
+// once the answer is whole and billed. The sending of an order that joined an
+// earlier one is marked as replayed, so that its caller counts one order.
+func send(ctx context.Context, answer *dhanswer.Answer, offset int, replayed bool, stream *connect.ServerStream[dhpb.Chunk]) error {
 	if offset < 0 {
 		return dhcode.Errorf(dhcode.RequestMalformed, "offset %d is negative", offset)
 	}
@@ -109,6 +115,7 @@
 		}
 		if part.Done {
 			complete(chunk, part.Result)
+			chunk.Replayed = chunk.Replayed || replayed
 		}
 		if err := stream.Send(chunk); err != nil || part.Done {
 			return err
