Run the main job on loopback with `make run`

`make run BIN=folder` builds into another folder.

dandelionhoist-load sent operators' requests to the callers' address, which does not serve them, so that bills were never checked against a real daemon.

--- a/Makefile
+++ b/Makefile
@@ -33,5 +33,11 @@
 	bin/buf generate
 	cd dh && go generate ./...
 
+BIN = bin
+
 programs:
-	go build -o bin/ dandelionhoist.example/cmd/...
+	go build -o $(BIN)/ dandelionhoist.example/cmd/...
+
+# Three entry VMs, simulated backend servers and the load generator on loopback.
+run: programs
+	scripts/run-local.sh $(BIN)
--- a/cmd/dandelionhoist-load/fake_test.go
+++ b/cmd/dandelionhoist-load/fake_test.go
@@ -161,23 +161,30 @@
 }
 
 // serve starts two entry VMs and returns their URLs.
-func (s *fakeState) serve(t *testing.T) []string {
+// Callers and operators have different addresses, as on an entry VM.
+func (s *fakeState) serve(t *testing.T) (callers, operators []string) {
 	t.Helper()
-	var urls []string
 	for range 2 {
 		f := &fakeRouter{state: s}
-		mux := http.NewServeMux()
-		mux.Handle(dhpbconnect.NewRouterServiceHandler(f))
-		mux.Handle(dhpbconnect.NewOperatorServiceHandler(f))
-		server := httptest.NewUnstartedServer(mux)
-		server.Config.ErrorLog = log.New(io.Discard, "", 0)
-		server.Config.Protocols = new(http.Protocols)
-		server.Config.Protocols.SetUnencryptedHTTP2(true)
-		server.Start()
-		t.Cleanup(server.Close)
-		urls = append(urls, server.URL)
+		path, handler := dhpbconnect.NewRouterServiceHandler(f)
+		callers = append(callers, listen(t, path, handler))
+		path, handler = dhpbconnect.NewOperatorServiceHandler(f)
+		operators = append(operators, listen(t, path, handler))
 	}
-	return urls
+	return callers, operators
+}
+
+func listen(t *testing.T, path string, handler http.Handler) (url string) {
+	t.Helper()
+	mux := http.NewServeMux()
+	mux.Handle(path, handler)
+	server := httptest.NewUnstartedServer(mux)
+	server.Config.ErrorLog = log.New(io.Discard, "", 0)
+	server.Config.Protocols = new(http.Protocols)
+	server.Config.Protocols.SetUnencryptedHTTP2(true)
+	server.Start()
+	t.Cleanup(server.Close)
+	return server.URL
 }
 
 // pollClock is a stepped clock on which pauses pass at once and time limits do not.
--- a/cmd/dandelionhoist-load/load_test.go
+++ b/cmd/dandelionhoist-load/load_test.go
@@ -43,7 +43,9 @@
 			return nil
 		},
 	}
-	assert.NilError(t, l.configure(flags{workload: workload, keys: file, operatorKeyFile: file, servers: s.serve(t)}))
+	callers, operators := s.serve(t)
+	f := flags{workload: workload, keys: file, operatorKeyFile: file, servers: callers, operatorServers: operators}
+	assert.NilError(t, l.configure(f))
 	report := l.run(t.Context())
 	l.settle(t.Context(), report)
 	return report
@@ -166,6 +168,7 @@
 		{"--workload=kandy", "--keys=../../deploy/tringles/keys.json", "--server=http://h"},
 		{"--workload=kandy", "--keys=../../deploy/kandy/keys.json", "--server=h:1"},
 		{"--workload=kandy", "--keys=../../deploy/kandy/keys.json", "--server=http://h", "--rate=0"},
+		{"--workload=kandy", "--keys=../../deploy/kandy/keys.json", "--server=http://h", "--operator-server=h:1", "--operator-key-file=../../deploy/kandy/keys.json"},
 	} {
 		var out, errs bytes.Buffer
 		assert.Equal(t, run(t.Context(), args, &out, &errs, dhtimer.NewStepped()), dhcode.ClassUsage, "%q", args)
--- a/cmd/dandelionhoist-load/main.go
+++ b/cmd/dandelionhoist-load/main.go
@@ -14,7 +14,8 @@
 //
 //	dandelionhoist-load --workload=tringles --keys=deploy/tringles/keys.json \
 //		--server=http://127.0.0.1:7001 --server=http://127.0.0.1:7002 \
-//		--rate=200 --duration=30s --operator-key-file=operator.key
+//		--operator-server=http://127.0.0.1:7011 --operator-key-file=operator.key \
+//		--rate=200 --duration=30s
 //
 // The exit status is 0 when every check holds, 1 when one is violated and 2
 // when the command line or a file cannot be used. Refusals are no violations.
@@ -61,7 +62,7 @@
 
 type flags struct {
 	workload, keys, caFile, operatorKeyFile string
-	servers                                 []string
+	servers, operatorServers                []string
 	json                                    bool
 }
 
@@ -75,6 +76,7 @@
 	app.Flag("keys", "File with API keys by client account, JSON with comments.").Required().StringVar(&f.keys)
 	app.Flag("server", "URL of an entry VM; repeat it.").Short('s').Required().StringsVar(&f.servers)
 	app.Flag("ca-file", "File with certificates to trust, PEM.").StringVar(&f.caFile)
+	app.Flag("operator-server", "URL of an entry VM's operators' address, for bills and quality; repeat it. The callers' URLs by default.").StringsVar(&f.operatorServers)
 	app.Flag("operator-key-file", "File with an operator's key, for bills and quality.").StringVar(&f.operatorKeyFile)
 	app.Flag("seed", "Seed of the workload and of the callers.").Default("1").Uint64Var(&l.Options.Seed)
 	app.Flag("rate", "Requests per second.").Default("50").Float64Var(&l.Options.Rate)
@@ -149,7 +151,13 @@
 	if err != nil {
 		return err
 	}
-	for _, server := range f.servers {
+	if len(f.operatorServers) == 0 {
+		f.operatorServers = f.servers
+	}
+	for _, server := range f.operatorServers {
+		if err := dhwire.CheckURL(server); err != nil {
+			return err
+		}
 		l.Operators = append(l.Operators, dhpbconnect.NewOperatorServiceClient(client, strings.TrimSuffix(server, "/"), dhwire.WithKey(strings.TrimSpace(string(key)))))
 	}
 	return nil
