Tell gossip messages of one moment apart in the sessions

Two gossip messages from one VM to another at the same moment got each other's delay when goroutines ran in another order, and the session r12-restart then differed by 10 ms under the race detector.

--- a/dh/dhsession/peer.go
+++ b/dh/dhsession/peer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 
 	"github.com/twitchtv/twirp"
 	"google.golang.org/protobuf/proto"
@@ -72,7 +73,12 @@
 
 // Gossip implements dhmember.Transport.
 func (p *peers) Gossip(ctx context.Context, address string, m *dhpb.GossipMessage) (*dhpb.GossipMessage, error) {
-	out, err := p.send(ctx, address, "gossip", m.GetProbe(), m)
+	// Exchanges of the same moment differ in what they carry.
+	key := fmt.Sprint(m.GetProbe(), len(m.GetBackends()), m.GetRevision())
+	for _, r := range m.GetMembers() {
+		key += " " + r.GetName() + r.GetState()
+	}
+	out, err := p.send(ctx, address, "gossip", key, m)
 	answer, _ := out.(*dhpb.GossipMessage)
 	return answer, err
 }
