--- a/dh/dhdaemon/dhdaemon.go
+++ b/dh/dhdaemon/dhdaemon.go
@@ -57,6 +57,9 @@
 	FetchAnswer(ctx context.Context, address string, m *dhpb.FetchAnswerRequest) (*dhpb.FetchAnswerResponse, error)
 }
 
+// judge says which answers count against a rollout.
+var judge = dhversion.Judge{LowRating: 0.5, MinTokens: 1, SlowFirstToken: 5 * time.Second}
+
 // Daemon is one entry VM. Exported fields are set before Run.
 type Daemon struct {
 	Settings dhsetting.Settings
@@ -186,7 +189,7 @@
 		Settings: s, Timers: d.Timers, Group: d.group, Log: d.Log, Metrics: d.metrics, Peers: d.Peers,
 		Registers: d.proposer, Revisions: &dhedit.Revisions{Timers: d.Timers}, Router: d.router, Limiter: limiter,
 		Answers: answers, Evidence: &dhversion.Evidence{VM: s.Name, Incarnation: d.started},
-		VoterStatus: d.voterStatus,
+		VoterStatus: d.voterStatus, Judge: judge,
 	}
 	d.digest = &dhbackend.Digest{
 		Timers: d.Timers, Name: s.Name, Zone: s.Zone, Received: d.node.Learn,
--- a/dh/dhdaemon/ratings.go
+++ b/dh/dhdaemon/ratings.go
@@ -39,7 +39,11 @@
 	out, err := r.client.Rate(ctx, &dhpb.RateRequest{
 		Class: s.Class, Model: s.Version.Model, Version: s.Version.Name, Prompt: s.Prompt, Text: s.Text,
 	})
-	return out.GetScore(), err
+	if err != nil {
+		return 0, err
+	}
+	r.daemon.node.Rated(s.Version, out.GetScore())
+	return out.GetScore(), nil
 }
 
 // Signal implements dhrouter.Ratings.
--- a/dh/dhnode/dhnode.go
+++ b/dh/dhnode/dhnode.go
@@ -29,6 +29,7 @@
 	"dandelionhoist.example/dh/dhpb"
 	"dandelionhoist.example/dh/dhrouter"
 	"dandelionhoist.example/dh/dhsetting"
+	"dandelionhoist.example/dh/dhtable"
 	"dandelionhoist.example/dh/dhtimer"
 	"dandelionhoist.example/dh/dhversion"
 )
@@ -210,6 +211,30 @@
 	n.Evidence.Count(e.Pool, e.Version, 1, count)
 }
 
+// Rated takes the rating of an answer.
+func (n *Node) Rated(v dhtable.Version, rating float64) { n.post(rated{version: v, rating: rating}) }
+
+type rated struct {
+	version dhtable.Version
+	rating  float64
+}
+
+func (e rated) apply(n *Node, _ time.Time) {
+	newest := n.Revisions.Newest()
+	if newest == nil {
+		return
+	}
+	low := int64(0)
+	if n.Judge.Low(e.rating) {
+		low = 1
+	}
+	for pool := range newest.Tables.Pools {
+		if _, ok := newest.Tables.Entry(pool, e.version); ok {
+			n.Evidence.CountRatings(pool, e.version, 1, low)
+		}
+	}
+}
+
 // Edit proposes an edit of the tables.
 func (n *Node) Edit(ctx context.Context, edit dhedit.Edit) (uint64, error) {
 	ctx, cancel := dhtimer.WithTimeout(ctx, n.Timers, time.Duration(n.Settings.Timing.QuorumTimeout))
