Borrow unused limits of client accounts from other entry VMs

Cause: an account whose callers reach one entry VM got only that VM's share. Change: LendLimit moves tokens and slots; the limiter asks one other VM.

--- a/dh/dhdaemon/dhdaemon.go
+++ b/dh/dhdaemon/dhdaemon.go
@@ -54,6 +54,7 @@
 	PutBills(ctx context.Context, address string, m *dhpb.PutBillsRequest) (*dhpb.PutBillsResponse, error)
 	ListBills(ctx context.Context, address string, m *dhpb.ExportBillsRequest) (*dhpb.ExportBillsResponse, error)
 	LendCredit(ctx context.Context, address string, m *dhpb.LendCreditRequest) (*dhpb.LendCreditResponse, error)
+	LendLimit(ctx context.Context, address string, m *dhpb.LendLimitRequest) (*dhpb.LendLimitResponse, error)
 	FetchAnswer(ctx context.Context, address string, m *dhpb.FetchAnswerRequest) (*dhpb.FetchAnswerResponse, error)
 }
 
@@ -92,6 +93,7 @@
 	node     *dhnode.Node
 	digest   *dhbackend.Digest
 	claimed  *dhclaim.Claims
+	limiter  *dhlimit.Limiter
 	credits  *dhcold.Credits
 	ratings  *ratings
 	// started names this start of the VM.
@@ -170,7 +172,8 @@
 	planner := &dhcascade.Planner{Timers: d.Timers}
 	d.claimed = d.claims()
 	d.credits = d.newCredits()
-	limiter := &dhlimit.Limiter{Timers: d.Timers, MaxQueue: s.Limits.Queue}
+	limiter := &dhlimit.Limiter{Timers: d.Timers, MaxQueue: s.Limits.Queue, Peers: limitPeers{d}}
+	d.limiter = limiter
 	d.router = &dhrouter.Router{
 		Timers: d.Timers, Group: d.group, Log: d.Log, Metrics: d.metrics, Answers: answers,
 		Versions: &dhversion.Chooser{Keys: d.Keys.Session, NewSessionID: d.NewID},
@@ -275,7 +278,10 @@
 
 // PeerService returns the service for other entry VMs and backend servers.
 func (d *Daemon) PeerService() *dhserver.Peers {
-	peers := &dhserver.Peers{Node: d.node, Announced: d.digest.Announced, Router: d.router, Gossiper: d.members, Bills: d.ledger, Lender: zonePeers{d}}
+	peers := &dhserver.Peers{
+		Node: d.node, Announced: d.digest.Announced, Router: d.router, Gossiper: d.members, Bills: d.ledger, Lender: zonePeers{d},
+		Limits: limitPeers{d},
+	}
 	if d.voter != nil {
 		peers.Voter = d.voter.Voter
 	}
--- /dev/null
+++ b/dh/dhdaemon/limits.go
@@ -0,0 +1,53 @@
+package dhdaemon
+
+import (
+	"context"
+	"math/rand/v2"
+
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"dandelionhoist.example/dh/dhlimit"
+	"dandelionhoist.example/dh/dhmember"
+	"dandelionhoist.example/dh/dhpb"
+)
+
+// limitPeers moves unused limits of client accounts between entry VMs.
+type limitPeers struct{ daemon *Daemon }
+
+// Borrow implements dhlimit.Peers. It asks one random other entry VM.
+func (l limitPeers) Borrow(ctx context.Context, account string, want dhlimit.Loan) (dhlimit.Loan, error) {
+	view := l.daemon.members.View()
+	var others []dhmember.Member
+	for _, m := range view.Alive() {
+		if m.Name != view.Self.Name && m.State == dhmember.Alive {
+			others = append(others, m)
+		}
+	}
+	if len(others) == 0 {
+		return dhlimit.Loan{}, nil
+	}
+	peer := others[rand.IntN(len(others))]
+	out, err := l.daemon.Peers.LendLimit(ctx, peer.Address, &dhpb.LendLimitRequest{
+		Account: account, Tokens: int32(want.Tokens), Slots: int32(want.Slots),
+	})
+	if err != nil {
+		return dhlimit.Loan{}, err
+	}
+	return dhlimit.Loan{Tokens: int(out.GetTokens()), Slots: int(out.GetSlots()), Lease: out.GetLease().AsDuration()}, nil
+}
+
+// LendLimit implements dhserver.LimitLender.
+func (l limitPeers) LendLimit(m *dhpb.LendLimitRequest) *dhpb.LendLimitResponse {
+	tables := l.daemon.router.Snapshot().Tables
+	if tables == nil {
+		return &dhpb.LendLimitResponse{}
+	}
+	account, ok := tables.Accounts[m.GetAccount()]
+	if !ok {
+		return &dhpb.LendLimitResponse{}
+	}
+	given := l.daemon.limiter.Lend(account, dhlimit.Loan{Tokens: int(m.GetTokens()), Slots: int(m.GetSlots())})
+	return &dhpb.LendLimitResponse{
+		Tokens: int32(given.Tokens), Slots: int32(given.Slots), Lease: durationpb.New(given.Lease),
+	}
+}
--- a/dh/dhpb/dhpbconnect/dandelionhoist.connect.go
+++ b/dh/dhpb/dhpbconnect/dandelionhoist.connect.go
@@ -112,6 +112,8 @@
 	PeerServiceLendCreditProcedure = "/dandelionhoist.v1.PeerService/LendCredit"
 	// PeerServiceFetchAnswerProcedure is the fully-qualified name of the PeerService's FetchAnswer RPC.
 	PeerServiceFetchAnswerProcedure = "/dandelionhoist.v1.PeerService/FetchAnswer"
+	// PeerServiceLendLimitProcedure is the fully-qualified name of the PeerService's LendLimit RPC.
+	PeerServiceLendLimitProcedure = "/dandelionhoist.v1.PeerService/LendLimit"
 )
 
 // RouterServiceClient is a client for the dandelionhoist.v1.RouterService service.
@@ -908,6 +910,7 @@
 	ListBills(context.Context, *dhpb.ExportBillsRequest) (*dhpb.ExportBillsResponse, error)
 	LendCredit(context.Context, *dhpb.LendCreditRequest) (*dhpb.LendCreditResponse, error)
 	FetchAnswer(context.Context, *dhpb.FetchAnswerRequest) (*dhpb.FetchAnswerResponse, error)
+	LendLimit(context.Context, *dhpb.LendLimitRequest) (*dhpb.LendLimitResponse, error)
 }
 
 // NewPeerServiceClient constructs a client for the dandelionhoist.v1.PeerService service. By
@@ -981,6 +984,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("FetchAnswer")),
 			connect.WithClientOptions(opts...),
 		),
+		lendLimit: connect.NewClient[dhpb.LendLimitRequest, dhpb.LendLimitResponse](
+			httpClient,
+			baseURL+PeerServiceLendLimitProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("LendLimit")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -996,6 +1005,7 @@
 	listBills      *connect.Client[dhpb.ExportBillsRequest, dhpb.ExportBillsResponse]
 	lendCredit     *connect.Client[dhpb.LendCreditRequest, dhpb.LendCreditResponse]
 	fetchAnswer    *connect.Client[dhpb.FetchAnswerRequest, dhpb.FetchAnswerResponse]
+	lendLimit      *connect.Client[dhpb.LendLimitRequest, dhpb.LendLimitResponse]
 }
 
 // Gossip calls dandelionhoist.v1.PeerService.Gossip.
@@ -1088,6 +1098,15 @@
 	return nil, err
 }
 
+// LendLimit calls dandelionhoist.v1.PeerService.LendLimit.
+func (c *peerServiceClient) LendLimit(ctx context.Context, req *dhpb.LendLimitRequest) (*dhpb.LendLimitResponse, error) {
+	response, err := c.lendLimit.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
 // PeerServiceHandler is an implementation of the dandelionhoist.v1.PeerService service.
 type PeerServiceHandler interface {
 	Gossip(context.Context, *dhpb.GossipMessage) (*dhpb.GossipMessage, error)
@@ -1100,6 +1119,7 @@
 	ListBills(context.Context, *dhpb.ExportBillsRequest) (*dhpb.ExportBillsResponse, error)
 	LendCredit(context.Context, *dhpb.LendCreditRequest) (*dhpb.LendCreditResponse, error)
 	FetchAnswer(context.Context, *dhpb.FetchAnswerRequest) (*dhpb.FetchAnswerResponse, error)
+	LendLimit(context.Context, *dhpb.LendLimitRequest) (*dhpb.LendLimitResponse, error)
 }
 
 // NewPeerServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -1169,6 +1189,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("FetchAnswer")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceLendLimitHandler := connect.NewUnaryHandlerSimple(
+		PeerServiceLendLimitProcedure,
+		svc.LendLimit,
+		connect.WithSchema(peerServiceMethods.ByName("LendLimit")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/dandelionhoist.v1.PeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerServiceGossipProcedure:
@@ -1191,6 +1217,8 @@
 			peerServiceLendCreditHandler.ServeHTTP(w, r)
 		case PeerServiceFetchAnswerProcedure:
 			peerServiceFetchAnswerHandler.ServeHTTP(w, r)
+		case PeerServiceLendLimitProcedure:
+			peerServiceLendLimitHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -1239,3 +1267,7 @@
 func (UnimplementedPeerServiceHandler) FetchAnswer(context.Context, *dhpb.FetchAnswerRequest) (*dhpb.FetchAnswerResponse, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("dandelionhoist.v1.PeerService.FetchAnswer is not implemented"))
 }
+
+func (UnimplementedPeerServiceHandler) LendLimit(context.Context, *dhpb.LendLimitRequest) (*dhpb.LendLimitResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("dandelionhoist.v1.PeerService.LendLimit is not implemented"))
+}
--- a/dh/dhpeer/dhpeer.go
+++ b/dh/dhpeer/dhpeer.go
@@ -151,3 +151,9 @@
 	reply, err := c.peer(address).FetchAnswer(ctx, m)
 	return reply, decode(err)
 }
+
+// LendLimit asks another VM for a part of a client account's limits.
+func (c *Client) LendLimit(ctx context.Context, address string, m *dhpb.LendLimitRequest) (*dhpb.LendLimitResponse, error) {
+	reply, err := c.peer(address).LendLimit(ctx, m)
+	return reply, decode(err)
+}
--- a/dh/dhserver/peers.go
+++ b/dh/dhserver/peers.go
@@ -40,6 +40,11 @@
 	Lend(ctx context.Context, m *dhpb.LendCreditRequest) (*dhpb.LendCreditResponse, error)
 }
 
+// LimitLender lends unused limits of client accounts.
+type LimitLender interface {
+	LendLimit(m *dhpb.LendLimitRequest) *dhpb.LendLimitResponse
+}
+
 // Peers is the service that entry VMs offer each other. Voter is nil on a VM
 // without a disk.
 type Peers struct {
@@ -49,6 +54,7 @@
 	Voter    Voter
 	Bills    BillKeeper
 	Lender   Lender
+	Limits   LimitLender
 	// Announced takes each announcement that is passed on to other entry VMs.
 	Announced func(*dhpb.BackendRecord)
 }
@@ -131,6 +137,14 @@
 	return out, dhwire.ToTwirp(err)
 }
 
+// LendLimit implements the peers' service.
+func (p *Peers) LendLimit(_ context.Context, m *dhpb.LendLimitRequest) (*dhpb.LendLimitResponse, error) {
+	if p.Limits == nil {
+		return &dhpb.LendLimitResponse{}, nil
+	}
+	return p.Limits.LendLimit(m), nil
+}
+
 // FetchAnswer implements the peers' service. It waits for text after the
 // offset; an answer that this VM does not hold is answered with found unset.
 func (p *Peers) FetchAnswer(ctx context.Context, m *dhpb.FetchAnswerRequest) (*dhpb.FetchAnswerResponse, error) {
--- a/dh/dhsession/peer.go
+++ b/dh/dhsession/peer.go
@@ -42,6 +42,8 @@
 		return p.PutBills(ctx, m)
 	case *dhpb.ExportBillsRequest:
 		return p.ListBills(ctx, m)
+	case *dhpb.LendLimitRequest:
+		return p.LendLimit(ctx, m)
 	case *dhpb.LendCreditRequest:
 		return p.LendCredit(ctx, m)
 	case *dhpb.FetchAnswerRequest:
@@ -136,6 +138,13 @@
 	return answer, err
 }
 
+// LendLimit implements dhdaemon.PeerClient.
+func (p *peers) LendLimit(ctx context.Context, address string, m *dhpb.LendLimitRequest) (*dhpb.LendLimitResponse, error) {
+	out, err := p.send(ctx, address, "limit", m.GetAccount(), m)
+	answer, _ := out.(*dhpb.LendLimitResponse)
+	return answer, err
+}
+
 // FetchAnswer implements dhdaemon.PeerClient.
 func (p *peers) FetchAnswer(ctx context.Context, address string, m *dhpb.FetchAnswerRequest) (*dhpb.FetchAnswerResponse, error) {
 	out, err := p.send(ctx, address, "answer", m.GetRequestId(), m)
