--- a/dh/dhdaemon/credits.go
+++ b/dh/dhdaemon/credits.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"time"
 
 	"google.golang.org/protobuf/types/known/durationpb"
@@ -52,7 +51,7 @@
 			names = append(names, m.Name)
 		}
 	}
-	rand.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+	z.daemon.random.shuffle(names)
 	return names
 }
 
--- a/dh/dhdaemon/state.go
+++ b/dh/dhdaemon/state.go
@@ -63,6 +63,12 @@
 	return r.rand.Float64()
 }
 
+func (r *random) shuffle(names []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.rand.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+}
+
 // incarnation of this start; later starts get higher ones while the VM's clock does not go back.
 func (d *Daemon) incarnation() uint64 { return uint64(d.Timers.Now().UnixMilli()) }
 
