--- a/cmd/dandelionhoistd/main_test.go
+++ b/cmd/dandelionhoistd/main_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"testing"
 
@@ -128,6 +129,46 @@
 	assert.Equal(t, len(bills.GetBills()), 1)
 }
 
+// Guards against a resent order that looks like a second one: the VM that ran
+// the order, or still runs it, must mark the answer to a resend as replayed.
+func TestResentOrderIsMarked(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	c.startAll()
+	applyTables(t, c.daemons[0])
+	service := c.backend("atelier-app-1", "atelier-app", dhtable.Service, cutOrder)
+	waitPool(t, c.daemons[0], "atelier-app")
+	const sendings = 8
+	replayed := make([]bool, sendings)
+	group := dhgroup.New(t.Context())
+	for i := range replayed {
+		group.Go(func(ctx context.Context) error {
+			req := &dhpb.AskRequest{Route: "cut-orders", Prompt: "2 poles of 140 cm", IdempotencyKey: "order-1", RequestId: "r-1"}
+			if i%2 == 0 {
+				got, err := c.daemons[0].router.Ask(ctx, req)
+				replayed[i] = got.GetReplayed()
+				return err
+			}
+			stream, err := c.daemons[0].router.Stream(ctx, req)
+			if err != nil {
+				return err
+			}
+			for stream.Receive() {
+				replayed[i] = stream.Msg().GetReplayed()
+			}
+			return stream.Err()
+		})
+	}
+	assert.NilError(t, group.Wait())
+	fresh := 0
+	for _, r := range replayed {
+		if !r {
+			fresh++
+		}
+	}
+	assert.Equal(t, fresh, 1, "answers without the mark")
+	assert.Equal(t, service.Executions("r-1"), 1)
+}
+
 // Guards against a key that opens a service it must not open.
 func TestKeysOpenOnlyTheirService(t *testing.T) {
 	c := newCluster(t, 1, 1)
@@ -149,3 +190,33 @@
 		assert.Equal(t, dhcode.Of(dhwire.FromConnect(err)), dhcode.NotAuthenticated)
 	}
 }
+
+// Guards against a cascade that stays on the largest model although ratings
+// show that a cheaper one meets the target, and against an answer that was
+// escalated but is billed or shown as two.
+func TestCascadeLearnsFromRatings(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	c.withRatings(map[string]float64{"pine": 0.95, "oak": 0.95})
+	c.startAll()
+	d := c.daemons[0]
+	applyTables(t, d)
+	c.backend("atelier-llm-1", "atelier-llm", dhtable.Engine, pine, oak)
+	waitPool(t, d, "atelier-llm")
+	const most, wanted = 3000, 20
+	asked, inRow := 0, 0
+	for ; asked < most && inRow < wanted; asked++ {
+		got, err := d.router.Ask(t.Context(), &dhpb.AskRequest{
+			Route: "finish-questions", Prompt: fmt.Sprintf("Is matte brass %d in stock?", asked), MaxTokens: 1,
+		})
+		if dhcode.Of(dhwire.FromConnect(err)) == dhcode.RateLimited {
+			asked--
+			continue
+		}
+		assert.NilError(t, err)
+		inRow++
+		if got.GetModel() != "pine" {
+			inRow = 0
+		}
+	}
+	assert.Assert(t, asked < most, "the cheaper model did not answer %d requests in a row", wanted)
+}
