--- a/dh/dhdaemon/limits.go
+++ b/dh/dhdaemon/limits.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 
 	"google.golang.org/protobuf/types/known/durationpb"
 
@@ -17,16 +16,17 @@
 // Borrow implements dhlimit.Peers. It asks one random other entry VM.
 func (l limitPeers) Borrow(ctx context.Context, account string, want dhlimit.Loan) (dhlimit.Loan, error) {
 	view := l.daemon.members.View()
-	var others []dhmember.Member
+	var names []string
 	for _, m := range view.Alive() {
 		if m.Name != view.Self.Name && m.State == dhmember.Alive {
-			others = append(others, m)
+			names = append(names, m.Name)
 		}
 	}
-	if len(others) == 0 {
+	if len(names) == 0 {
 		return dhlimit.Loan{}, nil
 	}
-	peer := others[rand.IntN(len(others))]
+	l.daemon.random.shuffle(names)
+	peer, _ := view.Get(names[0])
 	out, err := l.daemon.Peers.LendLimit(ctx, peer.Address, &dhpb.LendLimitRequest{
 		Account: account, Tokens: int32(want.Tokens), Slots: int32(want.Slots),
 	})
