Ask for a last list of members a minute after the start

Cause: of 1,000 members that started at once, at least ten did not know one other after 9 minutes (trial: go test ./dh/dhmember -v -run TestSlopes -size 1000 failed). Change: a third list, 70 s after the start; TestSlopes measures after it.

--- a/dh/dhmember/dhmember.go
+++ b/dh/dhmember/dhmember.go
@@ -145,9 +145,10 @@
 // started knows few members, and its news stopped before reaching all of 300.
 const minLogMembers = 8
 
-// listDelay is the time from a VM's start to the last list that it asks for,
-// since the member that gave the first may have started just before.
-const listDelay = 10 * time.Second
+// listDelays are the times between the lists of all members that a starting VM
+// asks for. The member that gave the first may have started just before; when
+// 1,000 started at once, pages alone had not told all of each other after 9 minutes.
+var listDelays = [...]time.Duration{10 * time.Second, time.Minute}
 
 func (m *Members) init() {
 	m.once.Do(func() {
--- a/dh/dhmember/probe.go
+++ b/dh/dhmember/probe.go
@@ -33,8 +33,8 @@
 		// A VM that others have found did not get a list, so the first is due
 		// at once.
 		m.nextList = time.Time{}
-		if m.lists++; m.lists == 1 {
-			m.nextList = now.Add(listDelay)
+		if m.lists++; m.lists <= len(listDelays) {
+			m.nextList = now.Add(listDelays[m.lists-1])
 		}
 	}
 	var lost []Member
--- a/dh/dhmember/slopes_test.go
+++ b/dh/dhmember/slopes_test.go
@@ -111,6 +111,7 @@
 	for _, n := range c.nodes {
 		n.SetSelf(dhmember.Change{Revision: 100})
 	}
+	c.step(80 * time.Second) // until members have asked for their last list
 	settled := c.quiet()
 
 	const window = 60
