--- /dev/null
+++ b/cmd/dandelionhoistd/settings_page_test.go
@@ -0,0 +1,32 @@
+package main
+
+import (
+	"flag"
+	"os"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"dandelionhoist.example/dh/dhsetting"
+)
+
+var updatePages = flag.Bool("update-pages", false, "Write docs/SETTINGS.md.")
+
+const settingsPage = "../../docs/SETTINGS.md"
+
+const settingsHead = "# Settings\n\n" +
+	"The settings of a daemon are one file of JSON with comments, read once at the start. `dandelionhoistd check-settings FILE` checks a file without starting; `dandelionhoistd print-defaults` prints the list below. A file states `format`, `name`, `zone`, `region`, the files under `keys` and what differs from the defaults. Unknown keys, durations without a unit, addresses without IP and port, and combinations that cannot work are refused with file, row and column.\n\n" +
+	"Durations have a unit (`100ms`, `5s`, `24h`); sizes are in bytes. Worked examples for every VM are in [deploy/tringles/settings](../deploy/tringles/settings) and [deploy/kandy/settings](../deploy/kandy/settings).\n\n" +
+	"Settings that must be the same on all VMs of a deployment: `state.voters`, `peers.entry-vms`, the keys, `timing` and, within a zone, `peers.zone-slots`. `keys` files are read at the start; `listen.cert-file` and `listen.key-file` are read again when they change.\n\n" +
+	"This page is written by `go test ./cmd/dandelionhoistd -run TestSettingsPage -update-pages`; the test keeps it equal to package `dhsetting`.\n\n"
+
+// Guards against a page that lacks a setting or names a wrong default.
+func TestSettingsPage(t *testing.T) {
+	want := settingsHead + "```jsonc\n" + dhsetting.Describe() + "```\n"
+	if *updatePages {
+		assert.NilError(t, os.WriteFile(settingsPage, []byte(want), 0o600))
+	}
+	got, err := os.ReadFile(settingsPage)
+	assert.NilError(t, err)
+	assert.Equal(t, string(got), want)
+}
