Show spares as spares in the status

Status called every VM with a disk a voter, because each of them has a voter id, so that an operator could count on a majority that does not exist: the example deployments have three voters and a spare, and status showed four voters. A VM is now a voter when the voter set that the answering VM knows contains it, and otherwise a spare when it has a disk.

--- a/cmd/dandelionhoistd/main_test.go
+++ b/cmd/dandelionhoistd/main_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"os"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -168,6 +170,31 @@
 	assert.Equal(t, service.Executions("r-1"), 1)
 }
 
+// Guards against a status that calls every VM with a disk a voter, so that an
+// operator counts a majority that does not exist.
+func TestStatusTellsVotersFromSpares(t *testing.T) {
+	c := newCluster(t, 2, 1)
+	spare := c.daemons[1]
+	text, err := os.ReadFile(spare.settings)
+	assert.NilError(t, err)
+	changed := strings.Replace(string(text), `"state": {`, `"state": {"folder": "`+t.TempDir()+`", `, 1)
+	assert.NilError(t, os.WriteFile(spare.settings, []byte(changed), 0o600))
+	c.startAll()
+	applyTables(t, c.daemons[0])
+	want := map[string]string{"entry-0": "voter", "entry-1": "spare"}
+	for _, d := range c.daemons {
+		got := make(map[string]string)
+		for t.Context().Err() == nil && !maps.Equal(got, want) {
+			status, err := d.operator.Status(t.Context(), &dhpb.StatusRequest{})
+			assert.NilError(t, err)
+			clear(got)
+			for _, vm := range status.GetVms() {
+				got[vm.GetName()] = vm.GetRole()
+			}
+		}
+	}
+}
+
 // Guards against a key that opens a service it must not open.
 func TestKeysOpenOnlyTheirService(t *testing.T) {
 	c := newCluster(t, 1, 1)
--- a/dh/dhdaemon/dhdaemon.go
+++ b/dh/dhdaemon/dhdaemon.go
@@ -174,6 +174,7 @@
 		Registers: d.proposer, Revisions: &dhedit.Revisions{Timers: d.Timers}, Router: d.router, Limiter: limiter,
 		Answers: answers, Evidence: &dhversion.Evidence{VM: s.Name, Incarnation: d.incarnation()},
 		VoterStatus: d.voterStatus,
+		IsVoter:     func(id string) bool { return d.proposer.Set().Contains(id) },
 	}
 	d.digest = &dhbackend.Digest{
 		Timers: d.Timers, Name: s.Name, Zone: s.Zone, Received: d.node.Learn,
--- a/dh/dhnode/dhnode.go
+++ b/dh/dhnode/dhnode.go
@@ -73,6 +73,9 @@
 	Judge     dhversion.Judge
 	// VoterStatus returns id and synced record number of this VM's voter, if any.
 	VoterStatus func() (id string, sequence uint64)
+	// IsVoter reports whether a voter's id is in the voter set that this VM
+	// knows; the other VMs with a disk are spares.
+	IsVoter func(id string) bool
 	// TickHooks run on the control goroutine at the end of each tick.
 	TickHooks []func(now time.Time, s *dhrouter.Snapshot)
 
--- a/dh/dhnode/status.go
+++ b/dh/dhnode/status.go
@@ -29,8 +29,11 @@
 	var list []*dhpb.VMStatus
 	for _, m := range n.Members.View().All() {
 		role := "entry"
-		if m.VoterID != "" {
+		switch {
+		case m.VoterID != "" && n.IsVoter(m.VoterID):
 			role = "voter"
+		case m.HasDisk:
+			role = "spare"
 		}
 		state := m.State.String()
 		if m.Name == n.Settings.Name {
