--- a/cmd/dandelionhoistd/process_test.go
+++ b/cmd/dandelionhoistd/process_test.go
@@ -48,7 +48,9 @@
 	daemons []*daemon
 	group   *dhgroup.Group
 	entries []string
-	models  map[string]*dhengine.Model
+	// flags are added to the daemons' command lines.
+	flags  []string
+	models map[string]*dhengine.Model
 }
 
 type daemon struct {
@@ -57,9 +59,10 @@
 	process                   *exec.Cmd
 	router                    dhpbconnect.RouterServiceClient
 	operator                  dhpbconnect.OperatorServiceClient
-	log                       *os.File
-	serving, exited           chan struct{}
-	exit                      error
+	// log is complete once exited is closed.
+	log             strings.Builder
+	serving, exited chan struct{}
+	exit            error
 }
 
 // newCluster writes settings for n daemons, the first voters of which have disks.
@@ -146,7 +149,7 @@
 	c.t.Helper()
 	d := c.daemons[i]
 	d.serving, d.exited = make(chan struct{}), make(chan struct{})
-	d.process = exec.Command(os.Args[0], "run", d.settings)
+	d.process = exec.Command(os.Args[0], append([]string{"run", d.settings}, c.flags...)...)
 	d.process.Env = append(os.Environ(), runMain+"=1")
 	stderr, err := d.process.StderrPipe()
 	assert.NilError(c.t, err)
@@ -165,6 +168,7 @@
 func (c *cluster) follow(d *daemon, lines *bufio.Scanner) {
 	open := true
 	for lines.Scan() {
+		d.log.WriteString(lines.Text() + "\n")
 		if testing.Verbose() {
 			fmt.Println(lines.Text())
 		}
