Call an edit that is sent again by hand unsettled until it is decided

When no server took this sending, the tool said "ran: not-run", although the earlier sending may still come into force. It now treats the edit as perhaps accepted from the start. Found while reading the output of the procedure "two voters lost" in scripts/operators-lab.sh.

Measured: the new case of TestUnsettledEdit fails without the change (exit status 6 instead of 7) and `go test ./cmd/dandelionhoist` passes with it.

--- a/cmd/dandelionhoist/apply.go
+++ b/cmd/dandelionhoist/apply.go
@@ -88,11 +88,12 @@
 	if err != nil {
 		return err
 	}
-	if edit.GetEditId() == "" {
+	resent := edit.GetEditId() != ""
+	if !resent {
 		edit.EditId = rand.Text()
 	}
 	fmt.Fprintf(p.Err, "edit %s, base revision %d\n", edit.GetEditId(), edit.GetBaseRevision())
-	revision, err := c.edit(ctx, edit)
+	revision, err := c.edit(ctx, edit, resent)
 	if err != nil {
 		if dhcode.ClassOf(err) == dhcode.ClassUnknown {
 			fmt.Fprintf(p.Err, "to settle it: apply FILE --base=%d --edit-id=%s\n", edit.GetBaseRevision(), edit.GetEditId())
@@ -111,8 +112,9 @@
 
 // edit sends an edit to the servers in turn until its fate is known or ctx
 // ends, always with the same edit id, so that it comes into force at most once.
-func (c *client) edit(ctx context.Context, edit *dhpb.EditTablesRequest) (revision uint64, err error) {
-	maybe := false // an earlier sending may have been accepted
+// With resent an earlier run of the program has sent the edit, which may be in force.
+func (c *client) edit(ctx context.Context, edit *dhpb.EditTablesRequest, resent bool) (revision uint64, err error) {
+	maybe := resent // an earlier sending may have been accepted
 	for i := 0; ; i++ {
 		s := c.servers[(c.first+i)%len(c.servers)]
 		err = c.once(ctx, s, func(ctx context.Context, s server) error {
--- a/cmd/dandelionhoist/apply_test.go
+++ b/cmd/dandelionhoist/apply_test.go
@@ -85,11 +85,13 @@
 		class dhcode.Class
 		code2 dhcode.Code
 		want  string
+		flags []string
 	}{
-		{"never run", dhcode.Leaving, 0, dhcode.ClassUnavailable, dhcode.Leaving, "ran: not-run"},
-		{"perhaps run", dhcode.QuorumUnreachable, 0, dhcode.ClassUnknown, dhcode.OutcomeUnknown, "--edit-id="},
-		{"lost before a refusal", dhcode.NotAuthenticated, 1, dhcode.ClassUnknown, dhcode.OutcomeUnknown, "--edit-id="},
-		{"refused", dhcode.NotAuthenticated, 0, dhcode.ClassNotAllowed, dhcode.NotAuthenticated, "ran: not-run"},
+		{"never run", dhcode.Leaving, 0, dhcode.ClassUnavailable, dhcode.Leaving, "ran: not-run", nil},
+		{"perhaps run", dhcode.QuorumUnreachable, 0, dhcode.ClassUnknown, dhcode.OutcomeUnknown, "--edit-id=", nil},
+		{"lost before a refusal", dhcode.NotAuthenticated, 1, dhcode.ClassUnknown, dhcode.OutcomeUnknown, "--edit-id=", nil},
+		{"refused", dhcode.NotAuthenticated, 0, dhcode.ClassNotAllowed, dhcode.NotAuthenticated, "ran: not-run", nil},
+		{"resent by hand", dhcode.Leaving, 0, dhcode.ClassUnknown, dhcode.OutcomeUnknown, "--edit-id=e-1", []string{"--edit-id=e-1"}},
 	} {
 		d, vms, servers := twoVMs(t)
 		vms[1].refuse = refusals(c.code)
@@ -98,7 +100,7 @@
 			vms[0].refuse = append([]error{nil}, vms[0].refuse...)
 			vms[0].lose = c.lose
 		}
-		r := runFor(t, servers, "apply", editedTables(t, d))
+		r := runFor(t, servers, append([]string{"apply", editedTables(t, d)}, c.flags...)...)
 		assert.Equal(t, r.status, int(c.class), "%s: %s", c.name, r.err)
 		assert.Assert(t, strings.Contains(r.err, c.code2.String()), "%s: %s", c.name, r.err)
 		assert.Assert(t, strings.Contains(r.err, c.want), "%s: %s", c.name, r.err)
