--- a/dh/dhnode/dhnode.go
+++ b/dh/dhnode/dhnode.go
@@ -74,6 +74,9 @@
 	Judge     dhversion.Judge
 	// VoterStatus returns id and synced record number of this VM's voter, if any.
 	VoterStatus func() (id string, sequence uint64)
+	// IsVoter reports whether a voter's id is in the voter set that this VM
+	// knows; the other VMs with a disk are spares.
+	IsVoter func(id string) bool
 	// Prepare functions run on the control goroutine with each snapshot before
 	// traffic sees it.
 	Prepare []func(now time.Time, s *dhrouter.Snapshot)
