Compute docs/CAPACITY.md from measured slopes

Cause: docs/design.md names a page of capacities at the two-year size, and only membership, registers and the relay had benchmarks.

BenchmarkRequestTokens measures the daemon's processor time per request.

--- a/cmd/dandelionhoistd/speed_test.go
+++ b/cmd/dandelionhoistd/speed_test.go
@@ -201,6 +201,40 @@
 	b.ReportMetric(float64((processorTime(b, d)-cpu).Microseconds())/float64(count.Load()), "µs/token")
 }
 
+// Measures the processor time of a daemon per request, by tokens of the answer.
+func BenchmarkRequestTokens(b *testing.B) {
+	for _, tokens := range []int32{1, 50, 200} {
+		b.Run(strconv.Itoa(int(tokens)), func(b *testing.B) { benchmarkRequests(b, tokens) })
+	}
+}
+
+func benchmarkRequests(b *testing.B, tokens int32) {
+	const callers, each = 40, 20
+	d, _ := speedCluster(b, 2*time.Millisecond)
+	var first, between latencies
+	var count atomic.Int64
+	cpu, requests := processorTime(b, d), 0
+	for b.Loop() {
+		group := dhgroup.New(b.Context())
+		for range callers {
+			group.Go(func(ctx context.Context) error {
+				for range each {
+					if err := follow(func() (*connect.ServerStreamForClient[dhpb.Chunk], error) {
+						return d.router.Stream(ctx, &dhpb.AskRequest{Route: "ask", Prompt: "p", MaxTokens: tokens})
+					}, &first, &between, &count); err != nil {
+						return err
+					}
+				}
+				return nil
+			})
+		}
+		assert.NilError(b, group.Wait())
+		requests += callers * each
+	}
+	b.ReportMetric(float64((processorTime(b, d)-cpu).Microseconds())/float64(requests), "µs/request")
+	b.ReportMetric(float64(count.Load())/float64(requests), "tokens/request")
+}
+
 // profile stores the daemon's processor profile of the next seconds in a file.
 func profile(b *testing.B, d *daemon, path string) {
 	b.Helper()
--- /dev/null
+++ b/dh/dhcapacity/collect.go
@@ -0,0 +1,129 @@
+package dhcapacity
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// source is a command whose output holds slopes.
+type source struct {
+	command, seed string
+	// parse returns the slope, size and values of a line.
+	parse func(line string) (name string, size float64, values map[string]float64, ok bool)
+}
+
+// sources are all commands of make capacity. Seeds are those that the tests use.
+var sources = []source{
+	{"go test ./dh/dhcapacity -run Slopes -slopes -v -count 1", "none", parseKeys("slope", "name", "size", "")},
+	{"go test ./dh/dhmember -run TestSlopes$ -slopes -v -count 1", "1", parseKeys("steady", "", "members", "steady")},
+	{"go test ./dh/dhmember -run TestSlopes$ -slopes -v -count 1", "1", parseKeys("change", "kind", "members", "change-")},
+	{"go test ./dh/dhquorum -run NONE -bench Update -benchtime 3000x", "none", parseBenchmark("BenchmarkUpdate", "update")},
+	{"go test ./cmd/dandelionhoistd -run NONE -bench Relay -benchtime 1x", "none", parseBenchmark("BenchmarkRelay", "relay")},
+	{"go test ./cmd/dandelionhoistd -run NONE -bench RequestTokens -benchtime 1x", "none", parseBenchmark("BenchmarkRequestTokens", "request")},
+}
+
+// parseKeys takes lines of a kind with key=value pairs. The slope is named by
+// a key, if there is one, after a prefix.
+func parseKeys(kind, nameKey, sizeKey, prefix string) func(string) (string, float64, map[string]float64, bool) {
+	return func(line string) (string, float64, map[string]float64, bool) {
+		fields := strings.Fields(line)
+		if len(fields) < 2 || fields[0] != kind {
+			return "", 0, nil, false
+		}
+		name, size, values := prefix, 0.0, make(map[string]float64)
+		for _, field := range fields[1:] {
+			key, text, _ := strings.Cut(field, "=")
+			value, err := strconv.ParseFloat(text, 64)
+			switch {
+			case key == nameKey:
+				name += text
+			case key == sizeKey:
+				size = value
+			case err == nil:
+				values[key] = value
+			}
+		}
+		return name, size, values, true
+	}
+}
+
+// parseBenchmark takes lines of a benchmark whose name ends with "/<size>" or
+// "/<key>=<size>".
+func parseBenchmark(benchmark, name string) func(string) (string, float64, map[string]float64, bool) {
+	return func(line string) (string, float64, map[string]float64, bool) {
+		fields := strings.Fields(line)
+		if len(fields) < 4 || !strings.HasPrefix(fields[0], benchmark+"/") {
+			return "", 0, nil, false
+		}
+		text, _, _ := strings.Cut(strings.TrimPrefix(fields[0], benchmark+"/"), "-")
+		size, err := strconv.ParseFloat(text[strings.IndexByte(text, '=')+1:], 64)
+		if err != nil {
+			return "", 0, nil, false
+		}
+		values := make(map[string]float64)
+		for i := 2; i+1 < len(fields); i += 2 {
+			if v, err := strconv.ParseFloat(fields[i], 64); err == nil {
+				values[fields[i+1]] = v
+			}
+		}
+		return name, size, values, true
+	}
+}
+
+// Collect runs all commands in a folder and returns what they printed.
+func Collect(ctx context.Context, folder string) (*Data, error) {
+	d := new(Data)
+	printed := make(map[string][]byte)
+	for _, s := range sources {
+		load, date := loadAverage(), time.Now().UTC().Format("2006-01-02 15:04")
+		output, ok := printed[s.command]
+		if !ok {
+			args := strings.Fields(s.command)
+			run := exec.CommandContext(ctx, args[0], args[1:]...)
+			run.Dir = folder
+			var err error
+			if output, err = run.CombinedOutput(); err != nil {
+				return nil, fmt.Errorf("%s: %w\n%s", s.command, err, output)
+			}
+			printed[s.command] = output
+		}
+		before := len(d.Slopes)
+		d.add(s, output, date, load)
+		if len(d.Slopes) == before {
+			return nil, fmt.Errorf("%s printed no slope:\n%s", s.command, output)
+		}
+	}
+	return d, nil
+}
+
+func (d *Data) add(s source, output []byte, date, load string) {
+	lines := bufio.NewScanner(bytes.NewReader(output))
+	for lines.Scan() {
+		name, size, values, ok := s.parse(lines.Text())
+		if !ok {
+			continue
+		}
+		slope, err := d.slope(name)
+		if err != nil {
+			d.Slopes = append(d.Slopes, Slope{Name: name, Command: s.command, Seed: s.seed, Date: date, Load: load})
+			slope = &d.Slopes[len(d.Slopes)-1]
+		}
+		slope.Points = append(slope.Points, Point{Size: size, Values: values})
+	}
+}
+
+func loadAverage() string {
+	text, err := os.ReadFile("/proc/loadavg")
+	if err != nil {
+		return "unknown"
+	}
+	load, _, _ := strings.Cut(string(text), " ")
+	return load
+}
