--- a/Makefile
+++ b/Makefile
@@ -41,3 +41,9 @@
 # Three entry VMs, simulated backend servers and the load generator on loopback.
 run: programs
 	scripts/run-local.sh $(BIN)
+
+# Measures all slopes again and computes docs/CAPACITY.md from them.
+.PHONY: capacity
+capacity:
+	go test ./dh/dhcapacity -run 'TestCollect$$' -collect -v -count 1 -timeout 30m
+	go test ./dh/dhcapacity -update
