--- a/dh/dhengine/server.go
+++ b/dh/dhengine/server.go
@@ -11,6 +11,7 @@
 	"dandelionhoist.example/dh/dhpb"
 	"dandelionhoist.example/dh/dhpb/dhpbconnect"
 	"dandelionhoist.example/dh/dhtimer"
+	"dandelionhoist.example/dh/dhwire"
 )
 
 // eventPoll is how often a stream of cache events looks for due events, of
@@ -50,7 +51,7 @@
 			}
 		}
 		if done {
-			return encodeError(err)
+			return dhwire.ToConnect(err)
 		}
 	}
 }
@@ -103,7 +104,7 @@
 // Order implements EngineServiceHandler.
 func (s *Server) Order(_ context.Context, req *dhpb.OrderRequest) (*dhpb.OrderResponse, error) {
 	response, err := s.Model.Order(req)
-	return response, encodeError(err)
+	return response, dhwire.ToConnect(err)
 }
 
 // CacheEvents implements EngineServiceHandler. The stream ends with its caller.
--- a/dh/dhengine/wire.go
+++ b/dh/dhengine/wire.go
@@ -11,12 +11,7 @@
 	"connectrpc.com/connect"
 
 	"dandelionhoist.example/dh/dhcode"
-)
-
-// The headers of an error that carry its result code and whether the request ran.
-const (
-	codeHeader = "Dandelionhoist-Code"
-	ranHeader  = "Dandelionhoist-Ran"
+	"dandelionhoist.example/dh/dhwire"
 )
 
 // NewHTTPClient returns a client that speaks HTTP/2, without TLS for http URLs.
@@ -45,48 +40,12 @@
 	}
 }
 
-// encodeError turns an error of the model into one for the network.
-func encodeError(err error) error {
-	if err == nil {
-		return nil
-	}
-	code := dhcode.Of(err)
-	e := connect.NewError(connectCode(code), err)
-	e.Meta().Set(codeHeader, code.String())
-	e.Meta().Set(ranHeader, dhcode.RanOf(err).String())
-	return e
-}
-
-func connectCode(c dhcode.Code) connect.Code {
-	switch c {
-	case dhcode.Cancelled:
-		return connect.CodeCanceled
-	case dhcode.DeadlineExceeded:
-		return connect.CodeDeadlineExceeded
-	case dhcode.RequestMalformed:
-		return connect.CodeInvalidArgument
-	case dhcode.QueueFull:
-		return connect.CodeResourceExhausted
-	case dhcode.VersionNotAllowed:
-		return connect.CodeFailedPrecondition
-	case dhcode.NotAuthenticated:
-		return connect.CodeUnauthenticated
-	}
-	return connect.CodeUnavailable
-}
-
 // decodeError gives an error of a call its result code. sent says whether the
 // call got as far as a connection; when it did not, the request has not run.
 func decodeError(err error, sent bool) error {
 	var e *connect.Error
-	if errors.As(err, &e) && e.Meta().Get(codeHeader) != "" {
-		err = dhcode.Wrap(dhcode.Parse(e.Meta().Get(codeHeader)), err)
-		for _, r := range []dhcode.Ran{dhcode.NotRun, dhcode.DidRun} {
-			if e.Meta().Get(ranHeader) == r.String() {
-				return dhcode.WithRan(err, r)
-			}
-		}
-		return err
+	if errors.As(err, &e) && e.Meta().Get(dhwire.HeaderCode) != "" {
+		return dhwire.FromConnect(err)
 	}
 	code := dhcode.BackendFailed
 	switch {
