--- a/dh/dhsession/random_test.go
+++ b/dh/dhsession/random_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	"dandelionhoist.example/dh/dhcode"
+	"dandelionhoist.example/dh/dhcold"
 	"dandelionhoist.example/dh/dhdaemon"
 	"dandelionhoist.example/dh/dhengine"
 	"dandelionhoist.example/dh/dhsession"
@@ -83,7 +84,7 @@
 	for _, s := range scenarios {
 		for seed := first; seed < first+seeds; seed++ {
 			t.Run(fmt.Sprintf("%s/%d", s.name, seed), func(t *testing.T) {
-				faults := runRandom(t, s, seed, nil)
+				faults := runRandom(t, s, seed)
 				for _, fault := range faults {
 					t.Error(fault)
 				}
@@ -99,12 +100,15 @@
 	return byDefault
 }
 
-func runRandom(t *testing.T, s scenario, seed uint64, prepare func(*dhsession.VM, *dhdaemon.Daemon)) (faults []string) {
+func runRandom(t *testing.T, s scenario, seed uint64) (faults []string) {
 	cryptotest.SetGlobalRandom(t, seed)
 	synctest.Test(t, func(t *testing.T) {
 		r := &random{World: dhsession.NewWorld(seed), Rand: rand.New(rand.NewPCG(seed, 3)), scenario: s}
 		defer r.Close()
-		r.Prepare = prepare
+		r.Prepare = func(_ *dhsession.VM, d *dhdaemon.Daemon) {
+			// A VM uses its credits only this long after its start; the default is 30 s.
+			d.Callers().Router.Credits.(*dhcold.Credits).Longest = 4 * time.Second
+		}
 		_, err := r.Deploy(deploy, s.name, func(m *dhengine.Model) {
 			m.Slots = 4
 			m.ColdStart = dhengine.DefaultCold()
