Report a VM as ready once it knows backend servers

Ready now also waits for a backend server of each pool, at most 2 s, so that a balancer keeps its requests with the other VMs. Requests that arrive all the same are still refused as not run.

--- a/cmd/dandelionhoistd/main_test.go
+++ b/cmd/dandelionhoistd/main_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"net/http"
 	"os"
 	"strings"
 	"testing"
@@ -195,6 +196,33 @@
 	}
 }
 
+// Guards against a restarted VM that the balancer sends requests to before it
+// knows any backend server, so that it refuses what other VMs could answer.
+func TestHealthWaitsForBackends(t *testing.T) {
+	c := newCluster(t, 2, 1)
+	c.startAll()
+	applyTables(t, c.daemons[0])
+	c.backend("atelier-llm-1", "atelier-llm", dhtable.Engine, oak)
+	c.backend("atelier-app-1", "atelier-app", dhtable.Service, cutOrder)
+	waitPool(t, c.daemons[1], "atelier-app")
+	assert.NilError(t, c.stop(c.daemons[1]))
+	d := c.start(1)
+	for t.Context().Err() == nil {
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+d.callers+"/health", nil)
+		assert.NilError(t, err)
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			continue
+		}
+		assert.NilError(t, resp.Body.Close())
+		if resp.StatusCode == http.StatusOK {
+			break
+		}
+	}
+	_, err := d.router.Ask(t.Context(), &dhpb.AskRequest{Route: "finish-questions", Prompt: "Is matte brass in stock?", MaxTokens: 5})
+	assert.NilError(t, err)
+}
+
 // Guards against a key that opens a service it must not open.
 func TestKeysOpenOnlyTheirService(t *testing.T) {
 	c := newCluster(t, 1, 1)
--- a/dh/dhnode/dhnode.go
+++ b/dh/dhnode/dhnode.go
@@ -88,6 +88,8 @@
 	noticed atomic.Bool
 	leaving atomic.Bool
 	started atomic.Bool
+	// startedAt is when started was set.
+	startedAt atomic.Pointer[time.Time]
 	// lost counts events that found the channel full.
 	lost atomic.Int64
 	// digest is what gossip sends of the control state.
--- a/dh/dhnode/tables.go
+++ b/dh/dhnode/tables.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dandelionhoist.example/dh/dhedit"
+	"dandelionhoist.example/dh/dhrouter"
 	"dandelionhoist.example/dh/dhtimer"
 )
 
@@ -15,6 +16,9 @@
 	// startWait is how long a starting VM waits for peers that may know a newer
 	// revision, once it has one.
 	startWait = 2 * time.Second
+	// announceWait is how long a VM that serves waits for a backend server of
+	// each pool before it reports itself as ready; they announce themselves every second.
+	announceWait = 2 * time.Second
 )
 
 // KeepLease renews the tables lease until ctx ends. Each answer from a
@@ -81,6 +85,8 @@
 
 func (n *Node) setStarted() {
 	if n.started.CompareAndSwap(false, true) {
+		now := n.Timers.Now()
+		n.startedAt.Store(&now)
 		n.Log.Info("serving", slog.Uint64("revision", n.Revisions.NewestNumber()))
 		n.post(newRevision{})
 	}
@@ -89,7 +95,22 @@
 // Ready reports whether the node serves; the balancer's health check asks.
 func (n *Node) Ready() bool {
 	s := n.Router.Snapshot()
-	return s.Tables != nil && !s.Leaving && !n.noticed.Load()
+	return s.Tables != nil && !s.Leaving && !n.noticed.Load() && n.hasBackends(s)
+}
+
+// hasBackends reports whether a backend server of each pool is known, or has
+// had the time to announce itself. A VM without one refuses requests that the
+// others could answer.
+func (n *Node) hasBackends(s *dhrouter.Snapshot) bool {
+	if at := n.startedAt.Load(); at != nil && n.Timers.Now().Sub(*at) >= announceWait {
+		return true
+	}
+	for pool := range s.Tables.Pools {
+		if len(s.Backends.Pool(pool)) == 0 {
+			return false
+		}
+	}
+	return true
 }
 
 // Left reports whether work is refused because of a graceful shutdown.
