--- a/dh/dhcapacity/control_test.go
+++ b/dh/dhcapacity/control_test.go
@@ -53,7 +53,7 @@
 		Evidence: &dhversion.Evidence{VM: "vm-self", Incarnation: 1},
 	}
 	placer := &dhplacement.Placer{Timers: timers, Zone: "zone-0", Settings: dhplacement.Defaults(), Seed: 1}
-	n.TickHooks = append(n.TickHooks, func(_ time.Time, s *dhrouter.Snapshot) { placer.Update(s.Backends) })
+	n.Prepare = append(n.Prepare, func(_ time.Time, s *dhrouter.Snapshot) { placer.Update(s.Backends) })
 	n.Init()
 	editor := &dhedit.Editor{Registers: store, Revisions: revisions}
 	_, err := editor.Edit(t.Context(), dhedit.Edit{ID: "edit-1", Author: "operator", Text: tablesText(19)})
