Measure each size apart and the kept answers in their own process

Cause: memory that earlier sizes and tests freed late was subtracted from later ones: 4,000 kept answers seemed to need 6.2 MB, less than their text.

Change: each size is a subtest, and kept answers run in a process of their own. go test ./dh/dhcapacity -collect PATTERN measures with some commands only and keeps the slopes of the others.

--- a/Makefile
+++ b/Makefile
@@ -39,5 +39,5 @@
 # Measures all slopes again and computes docs/CAPACITY.md from them.
 .PHONY: capacity
 capacity:
-	go test ./dh/dhcapacity -run 'TestCollect$$' -collect -v -count 1 -timeout 30m
+	go test ./dh/dhcapacity -run 'TestCollect$$' -collect . -v -count 1 -timeout 30m
 	go test ./dh/dhcapacity -update
--- a/dh/dhcapacity/collect.go
+++ b/dh/dhcapacity/collect.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"regexp"
 	"slices"
 	"strconv"
 	"strings"
@@ -26,6 +27,7 @@
 // sources are all commands of make capacity. Seeds are those that the tests use.
 var sources = []source{
 	{"go test ./dh/dhcapacity -run Slopes -slopes -v -count 3", "none", "cpu_us", parseKeys("slope", "name", "size", "")},
+	{"go test ./dh/dhcapacity -run AnswerMemory -slopes -v -count 1", "none", "", parseKeys("slope", "name", "size", "")},
 	{"go test ./dh/dhmember -run TestSlopes$ -slopes -v -count 1", "1", "", parseKeys("steady", "", "members", "steady")},
 	{"go test ./dh/dhmember -run TestSlopes$ -slopes -v -count 1", "1", "", parseKeys("change", "kind", "members", "change-")},
 	{"go test ./dh/dhquorum -run NONE -bench Update -benchtime 3000x -count 3", "none", "ns/op", parseBenchmark("BenchmarkUpdate", "update")},
@@ -81,11 +83,20 @@
 	}
 }
 
-// Collect runs all commands in a folder and returns what they printed.
-func Collect(ctx context.Context, folder string) (*Data, error) {
+// Collect runs the commands that match a pattern in a folder and returns what
+// they printed. Slopes of the others are kept from old data.
+func Collect(ctx context.Context, folder string, pattern *regexp.Regexp, old *Data) (*Data, error) {
 	d := new(Data)
 	printed := make(map[string][]byte)
 	for _, s := range sources {
+		if !pattern.MatchString(s.command) {
+			for _, slope := range old.Slopes {
+				if _, err := d.slope(slope.Name); err != nil && slope.Command == s.command {
+					d.Slopes = append(d.Slopes, slope)
+				}
+			}
+			continue
+		}
 		load, date := loadAverage(), time.Now().UTC().Format("2006-01-02 15:04")
 		output, ok := printed[s.command]
 		if !ok {
--- a/dh/dhcapacity/control_test.go
+++ b/dh/dhcapacity/control_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"runtime"
+	"strconv"
 	"testing"
 	"time"
 
@@ -123,13 +124,19 @@
 func TestTickSlopes(t *testing.T) {
 	slow(t)
 	for _, backends := range []int{64, 512, 4800} {
-		ticks(t, "tick-backends", backends, 10, backends, 1)
+		t.Run(strconv.Itoa(backends), func(t *testing.T) {
+			ticks(t, "tick-backends", backends, 10, backends, 1)
+		})
 	}
 	for _, members := range []int{10, 300, 1700} {
-		ticks(t, "tick-members", members, members, 57, 1)
+		t.Run(strconv.Itoa(members), func(t *testing.T) {
+			ticks(t, "tick-members", members, members, 57, 1)
+		})
 	}
 	for _, vms := range []int{10, 50, 200} {
-		ticks(t, "tick-counters", vms, 10, 57, vms)
+		t.Run(strconv.Itoa(vms), func(t *testing.T) {
+			ticks(t, "tick-counters", vms, 10, 57, vms)
+		})
 	}
 }
 
@@ -140,13 +147,15 @@
 	r, err := dhedit.FromMessage(&dhpb.Revision{Header: &dhpb.RevisionHeader{Revision: 1, EditId: "edit-1", Author: "operator", ContentHash: make([]byte, 32)}, Tables: tables, Found: true})
 	assert.NilError(t, err)
 	for _, count := range []int{1000, 4000, 16000} {
-		before := heap()
-		revisions := &dhedit.Revisions{Timers: dhtimer.NewStepped()}
-		for i := range count {
-			h := dhedit.Header{Revision: uint64(i + 1), EditID: fmt.Sprintf("edit-%024d", i), Author: fmt.Sprintf("operator-%03d", i%100), ContentHash: string(make([]byte, 32))}
-			assert.Assert(t, revisions.Apply(&dhedit.Revision{Header: h, Tables: r.Tables}))
-		}
-		fmt.Printf("slope name=header size=%d heap_bytes=%.0f\n", count, heap()-before)
-		runtime.KeepAlive(revisions)
+		t.Run(strconv.Itoa(count), func(t *testing.T) {
+			before := heap()
+			revisions := &dhedit.Revisions{Timers: dhtimer.NewStepped()}
+			for i := range count {
+				h := dhedit.Header{Revision: uint64(i + 1), EditID: fmt.Sprintf("edit-%024d", i), Author: fmt.Sprintf("operator-%03d", i%100), ContentHash: string(make([]byte, 32))}
+				assert.Assert(t, revisions.Apply(&dhedit.Revision{Header: h, Tables: r.Tables}))
+			}
+			fmt.Printf("slope name=header size=%d heap_bytes=%.0f\n", count, heap()-before)
+			runtime.KeepAlive(revisions)
+		})
 	}
 }
--- a/dh/dhcapacity/dhcapacity_test.go
+++ b/dh/dhcapacity/dhcapacity_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"os"
+	"regexp"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -11,7 +12,7 @@
 	"dandelionhoist.example/dh/dhcapacity"
 )
 
-var collect = flag.Bool("collect", false, "measure all slopes and write docs/capacity.json")
+var collect = flag.String("collect", "", "measure with the commands that match this pattern and write docs/capacity.json")
 
 const (
 	dataFile = "../../docs/capacity.json"
@@ -20,10 +21,14 @@
 
 // TestCollect measures; it runs for some minutes.
 func TestCollect(t *testing.T) {
-	if !*collect {
+	if *collect == "" {
 		t.Skip("measures only with -collect")
 	}
-	d, err := dhcapacity.Collect(t.Context(), "../..")
+	pattern, err := regexp.Compile(*collect)
+	assert.NilError(t, err)
+	old, err := dhcapacity.Load(dataFile)
+	assert.NilError(t, err)
+	d, err := dhcapacity.Collect(t.Context(), "../..", pattern, old)
 	assert.NilError(t, err)
 	assert.NilError(t, d.Save(dataFile))
 }
--- a/dh/dhcapacity/slopes_test.go
+++ b/dh/dhcapacity/slopes_test.go
@@ -7,6 +7,7 @@
 	"flag"
 	"fmt"
 	"runtime"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -161,24 +162,26 @@
 func TestClaimSlopes(t *testing.T) {
 	slow(t)
 	for _, voters := range []int{1, 3, 5} {
-		q := newQuorum(t, voters)
-		claims := &dhclaim.Claims{Registers: q, Timers: dhtimer.NewSystem(), Owner: "vm-0001.8c1f"}
-		claim := func(ctx context.Context, i int) error {
-			id := fmt.Sprintf("request-%08d", i)
-			r := dhclaim.Request{Account: "crew-east", Key: "key-" + id, ID: id, Hash: [32]byte{1}}
-			c, _, err := claims.Take(ctx, r)
-			if err == nil {
-				err = claims.Dispatch(ctx, c)
-			}
-			if err == nil {
-				err = claims.Finish(ctx, c, dhcode.OK, &dhpb.AskResponse{RequestId: id, Text: strings.Repeat("cut list ", 22)})
+		t.Run(strconv.Itoa(voters), func(t *testing.T) {
+			q := newQuorum(t, voters)
+			claims := &dhclaim.Claims{Registers: q, Timers: dhtimer.NewSystem(), Owner: "vm-0001.8c1f"}
+			claim := func(ctx context.Context, i int) error {
+				id := fmt.Sprintf("request-%08d", i)
+				r := dhclaim.Request{Account: "crew-east", Key: "key-" + id, ID: id, Hash: [32]byte{1}}
+				c, _, err := claims.Take(ctx, r)
+				if err == nil {
+					err = claims.Dispatch(ctx, c)
+				}
+				if err == nil {
+					err = claims.Finish(ctx, c, dhcode.OK, &dhpb.AskResponse{RequestId: id, Text: strings.Repeat("cut list ", 22)})
+				}
+				return err
 			}
-			return err
-		}
-		before := heap()
-		q.cost(t, "claim", voters, 5000, 100, claim)
-		fmt.Printf("slope name=claim-memory size=%d heap_bytes_per_claim_all_voters=%.0f\n", voters, (heap()-before)/5000)
-		runtime.KeepAlive(q)
+			before := heap()
+			q.cost(t, "claim", voters, 5000, 100, claim)
+			fmt.Printf("slope name=claim-memory size=%d heap_bytes_per_claim_all_voters=%.0f\n", voters, (heap()-before)/5000)
+			runtime.KeepAlive(q)
+		})
 	}
 }
 
@@ -186,14 +189,16 @@
 func TestLeaseSlopes(t *testing.T) {
 	slow(t)
 	for _, voters := range []int{1, 3, 5} {
-		q := newQuorum(t, voters)
-		revisions := &dhedit.Revisions{Timers: dhtimer.NewSystem()}
-		editor := &dhedit.Editor{Registers: q, Revisions: revisions}
-		_, err := editor.Edit(t.Context(), dhedit.Edit{ID: "edit-1", Author: "operator", Text: tablesText(19)})
-		assert.NilError(t, err)
-		q.cost(t, "lease-question", voters, 5000, 100, func(ctx context.Context, _ int) error {
-			_, err := dhedit.CatchUp(ctx, q, revisions)
-			return err
+		t.Run(strconv.Itoa(voters), func(t *testing.T) {
+			q := newQuorum(t, voters)
+			revisions := &dhedit.Revisions{Timers: dhtimer.NewSystem()}
+			editor := &dhedit.Editor{Registers: q, Revisions: revisions}
+			_, err := editor.Edit(t.Context(), dhedit.Edit{ID: "edit-1", Author: "operator", Text: tablesText(19)})
+			assert.NilError(t, err)
+			q.cost(t, "lease-question", voters, 5000, 100, func(ctx context.Context, _ int) error {
+				_, err := dhedit.CatchUp(ctx, q, revisions)
+				return err
+			})
 		})
 	}
 }
@@ -246,39 +251,41 @@
 func TestEditSlopes(t *testing.T) {
 	slow(t)
 	for _, versions := range []int{5, 19, 76} {
-		text := tablesText(versions)
-		q := newQuorum(t, 5)
-		revisions := &dhedit.Revisions{Timers: dhtimer.NewSystem()}
-		editor := &dhedit.Editor{Registers: q, Revisions: revisions}
-		base := uint64(0)
-		q.cost(t, "edit", versions, 100, 1, func(ctx context.Context, i int) error {
-			var err error
-			base, err = editor.Edit(ctx, dhedit.Edit{ID: fmt.Sprintf("edit-%d", i), Base: base, Author: "operator", Text: text})
-			return err
-		})
-		q.cost(t, "catch-up", versions, 100, 1, func(ctx context.Context, _ int) error {
-			behind := &dhedit.Revisions{Timers: dhtimer.NewSystem()}
-			previous, err := dhedit.FromMessage(revisions.Fetch(base - 1))
-			if err != nil {
+		t.Run(strconv.Itoa(versions), func(t *testing.T) {
+			text := tablesText(versions)
+			q := newQuorum(t, 5)
+			revisions := &dhedit.Revisions{Timers: dhtimer.NewSystem()}
+			editor := &dhedit.Editor{Registers: q, Revisions: revisions}
+			base := uint64(0)
+			q.cost(t, "edit", versions, 100, 1, func(ctx context.Context, i int) error {
+				var err error
+				base, err = editor.Edit(ctx, dhedit.Edit{ID: fmt.Sprintf("edit-%d", i), Base: base, Author: "operator", Text: text})
+				return err
+			})
+			q.cost(t, "catch-up", versions, 100, 1, func(ctx context.Context, _ int) error {
+				behind := &dhedit.Revisions{Timers: dhtimer.NewSystem()}
+				previous, err := dhedit.FromMessage(revisions.Fetch(base - 1))
+				if err != nil {
+					return err
+				}
+				behind.Apply(previous)
+				_, err = dhedit.CatchUp(ctx, q, behind)
 				return err
+			})
+			m := revisions.Fetch(0)
+			const count = 100
+			spent, before := cpu(), heap()
+			var kept []*dhedit.Revision
+			for range count {
+				r, err := dhedit.FromMessage(m)
+				assert.NilError(t, err)
+				kept = append(kept, r)
 			}
-			behind.Apply(previous)
-			_, err = dhedit.CatchUp(ctx, q, behind)
-			return err
+			spent = cpu() - spent
+			fmt.Printf("slope name=fetch size=%d text_bytes=%d bytes=%d zipped_bytes=%d cpu_us=%.1f heap_bytes=%.0f\n", versions, len(text), proto.Size(m), zipped(t, text),
+				float64(spent.Microseconds())/count, (heap()-before)/count)
+			runtime.KeepAlive(kept)
 		})
-		m := revisions.Fetch(0)
-		const count = 100
-		spent, before := cpu(), heap()
-		var kept []*dhedit.Revision
-		for range count {
-			r, err := dhedit.FromMessage(m)
-			assert.NilError(t, err)
-			kept = append(kept, r)
-		}
-		spent = cpu() - spent
-		fmt.Printf("slope name=fetch size=%d text_bytes=%d bytes=%d zipped_bytes=%d cpu_us=%.1f heap_bytes=%.0f\n", versions, len(text), proto.Size(m), zipped(t, text),
-			float64(spent.Microseconds())/count, (heap()-before)/count)
-		runtime.KeepAlive(kept)
 	}
 }
 
@@ -296,31 +303,33 @@
 func TestBillSlopes(t *testing.T) {
 	slow(t)
 	for _, count := range []int{10_000, 50_000, 200_000} {
-		const batch = 50
-		message, journal := 0, 0
-		before := heap()
-		s := &dhledger.Store{VoterID: "v0", Journal: discard{&journal}}
-		spent := time.Duration(0)
-		for i := 0; i < count; i += batch {
-			r := &dhpb.PutBillsRequest{}
-			for n := i; n < i+batch; n++ {
-				r.Bills = append(r.Bills, &dhpb.Bill{
-					RequestId: fmt.Sprintf("0d7c5a3e-%08d-4b", n), Account: "account-07", Route: "route-07", Model: "model-07", Version: "v1",
-					Tokens: 338, Cost: 3.38, Revision: 123456,
-				})
+		t.Run(strconv.Itoa(count), func(t *testing.T) {
+			const batch = 50
+			message, journal := 0, 0
+			before := heap()
+			s := &dhledger.Store{VoterID: "v0", Journal: discard{&journal}}
+			spent := time.Duration(0)
+			for i := 0; i < count; i += batch {
+				r := &dhpb.PutBillsRequest{}
+				for n := i; n < i+batch; n++ {
+					r.Bills = append(r.Bills, &dhpb.Bill{
+						RequestId: fmt.Sprintf("0d7c5a3e-%08d-4b", n), Account: "account-07", Route: "route-07", Model: "model-07", Version: "v1",
+						Tokens: 338, Cost: 3.38, Revision: 123456,
+					})
+				}
+				data, err := proto.Marshal(r)
+				assert.NilError(t, err)
+				message += len(data)
+				start := cpu()
+				var got dhpb.PutBillsRequest
+				assert.NilError(t, proto.Unmarshal(data, &got))
+				assert.NilError(t, s.Put(got.Bills))
+				spent += cpu() - start
 			}
-			data, err := proto.Marshal(r)
-			assert.NilError(t, err)
-			message += len(data)
-			start := cpu()
-			var got dhpb.PutBillsRequest
-			assert.NilError(t, proto.Unmarshal(data, &got))
-			assert.NilError(t, s.Put(got.Bills))
-			spent += cpu() - start
-		}
-		fmt.Printf("slope name=bill size=%d message_bytes=%.1f journal_bytes=%.1f heap_bytes=%.0f cpu_us=%.2f\n", count,
-			float64(message)/float64(count), float64(journal)/float64(count), (heap()-before)/float64(count),
-			float64(spent.Microseconds())/float64(count))
-		runtime.KeepAlive(s)
+			fmt.Printf("slope name=bill size=%d message_bytes=%.1f journal_bytes=%.1f heap_bytes=%.0f cpu_us=%.2f\n", count,
+				float64(message)/float64(count), float64(journal)/float64(count), (heap()-before)/float64(count),
+				float64(spent.Microseconds())/float64(count))
+			runtime.KeepAlive(s)
+		})
 	}
 }
