Ask other VMs for an answer at once; send other VMs' counters rarely

Cause: a resume waited up to 3 s for each unresponsive VM in turn, every gossip message carried the counters of all VMs, and a pool without any backend server was refused as pool-full. Change: FetchAnswer goes to all other VMs at once; one message in eight carries all counters, the others those of the sender; an unknown pool is no-backend.

--- a/dh/dhcapacity/collect.go
+++ b/dh/dhcapacity/collect.go
@@ -11,7 +11,8 @@
 	"slices"
 	"strconv"
 	"strings"
-	"time"
+
+	"dandelionhoist.example/dh/dhtimer"
 )
 
 // source is a command whose output holds slopes.
@@ -97,7 +98,7 @@
 			}
 			continue
 		}
-		load, date := loadAverage(), time.Now().UTC().Format("2006-01-02 15:04")
+		load, date := loadAverage(), dhtimer.NewSystem().Now().UTC().Format("2006-01-02 15:04")
 		output, ok := printed[s.command]
 		if !ok {
 			args := strings.Fields(s.command)
--- a/dh/dhcapacity/figures.go
+++ b/dh/dhcapacity/figures.go
@@ -66,7 +66,7 @@
 	// What an entry VM spends today, because no source is set.
 	{"todayExchanges", "16 / 0.5", "exchanges/s", "each period with as many members as MaxFanout allows"},
 	{"todayBackendBytes", "sides * todayExchanges * controlSourceBytes", "B/s", "each answer has a subset of the zone's backend servers"},
-	{"todayCounterBytes", `sides * 2 * todayExchanges * at("tick-counters", "gossip_bytes", 4096 / versions)`, "B/s", "each question and answer has all counters, at most 4,096"},
+	{"todayCounterBytes", `sides * 2 * todayExchanges * at("tick-counters", "gossip_bytes", 4096 / versions)`, "B/s", "one question or answer in eight has all counters, at most 4,096, the others those of one VM"},
 	{"todayCores", `todayExchanges * (at("exchange", "cpu_us", 1000) + at("source", "answer_cpu_us", 512)) / 1_000_000`, "cores", "asking and answering, messages of 1,000 B"},
 	{"todayBytes", "controlBytes - controlSourceBytes - controlCounterBytes + todayBackendBytes + todayCounterBytes", "B/s", ""},
 
@@ -78,7 +78,7 @@
 	{"controlLeaseBytes", `2 * (at("lease-question", "bytes", voters) + voters * at("exchange", "overhead_bytes", 100))`, "B/s", "two questions a second to all voters"},
 	{"controlTablesBytes", `edits / day * at("catch-up", "bytes", tableVersions)`, "B/s", "each voter answers with the whole tables"},
 	{"controlMessages", `at("steady", "messages_per_member_s", 300) + 1`, "messages/s", "sent, with the question to a source; as many are received"},
-	{"controlCounterBytes", `sides * controlMessages * at("tick-counters", "gossip_bytes", 4096 / versions)`, "B/s", "each message has all counters, at most 4,096"},
+	{"controlCounterBytes", `sides * controlMessages * at("tick-counters", "gossip_bytes", 4096 / versions)`, "B/s", "one message in eight has all counters, at most 4,096, the others those of one VM"},
 	{"controlIdleBytes", `sides * (nodes - 1) * per("connection", "idle_bytes_s")`, "B/s", "HTTP/2 pings of connections to and from all members"},
 	{"controlBytes", "controlGossipBytes + controlChangeBytes + controlSourceBytes + controlLeaseBytes + controlTablesBytes + controlCounterBytes + controlIdleBytes", "B/s", "with sources"},
 	{"controlBaseBytes", "controlGossipBytes + controlChangeBytes + controlSourceBytes + controlLeaseBytes", "B/s", "without tables, counters and idle connections"},
@@ -92,7 +92,7 @@
 	{"plannedTablesWhole", `edits / day * at("fetch", "bytes", tableVersions)`, "B/s", "one copy of the tables, from a source"},
 	{"plannedTablesBytes", "plannedTablesWhole / zipRatio", "B/s", "compressed"},
 	{"plannedTablesZipped", `at("fetch", "text_bytes", tableVersions) / at("fetch", "zipped_bytes", tableVersions)`, "", "the ratio of the generated tables, which repeat more than real ones; not used"},
-	{"plannedCounterBytes", `2 * per("tick-counters", "gossip_bytes") / 5`, "B/s", "own counters to the source and the sums back, each 5 s"},
+	{"plannedCounterBytes", `2 * 8 * per("tick-counters", "gossip_bytes") / 5`, "B/s", "own counters to the source and the sums back, each 5 s"},
 	{"plannedIdleBytes", `(4 + 3) * per("connection", "idle_bytes_s")`, "B/s", "7 connections kept: to sources, voters' stand-ins and recent peers"},
 	{"plannedBytes", "controlGossipBytes + controlChangeBytes + controlSourceBytes + plannedLeaseBytes + plannedTablesBytes + plannedCounterBytes + plannedIdleBytes", "B/s", ""},
 
--- a/dh/dhcapacity/rows.go
+++ b/dh/dhcapacity/rows.go
@@ -15,7 +15,7 @@
 	{"Entry VM, control", "controlSourceBytes", "bytesBudget", "`dhbackend.Digest` with `Sources`; `dhdaemon` does not set them yet", "versions times `Near` + `Far`", "breakSourceVersions"},
 	{"Entry VM, control", "controlLeaseBytes", "bytesBudget", "`dhnode.KeepLease`, `dhedit.CatchUp`", "each answer carries the voter set", "breakLeaseQuestions"},
 	{"Entry VM, control", "controlTablesBytes", "bytesBudget", "`dhedit.CatchUp`; planned: one copy from a source", "the tables arrive once from each voter", "controlTablesBreak"},
-	{"Entry VM, control", "controlCounterBytes", "bytesBudget", "`dhnode.Gossip`, `dhversion.Evidence`; planned: sums at the sources", "every message has every counter", "controlCounterBreak"},
+	{"Entry VM, control", "controlCounterBytes", "bytesBudget", "`dhnode.Gossip`, `dhversion.Evidence`; planned: sums at the sources", "one message in eight has every counter", "controlCounterBreak"},
 	{"Entry VM, control", "controlIdleBytes", "bytesBudget", "`dhpeer.Client`; planned: idle connections are closed", "pings each 2 s on connections to all members", "controlIdleBreak"},
 	{"Entry VM, control", "controlBytes", "bytesBudget", "all of the above", "counters, then idle connections", "controlCounterBreak"},
 	{"Entry VM, control, planned", "plannedBytes", "bytesBudget", "the planned mechanisms", "gossip and source answers", "breakPlanned"},
--- a/dh/dhcascade/dhcascade.go
+++ b/dh/dhcascade/dhcascade.go
@@ -18,6 +18,7 @@
 package dhcascade
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"strings"
 	"sync"
@@ -245,7 +246,7 @@
 	if p.plans == nil {
 		p.plans = make(map[string]*plan)
 	}
-	if !ok && len(p.plans) >= orDefault(p.MaxPlans, 1024) {
+	if !ok && len(p.plans) >= cmp.Or(p.MaxPlans, 1024) {
 		clear(p.plans)
 	}
 	p.plans[key] = made
@@ -260,7 +261,7 @@
 		if p.cells == nil {
 			p.cells = make(map[cellKey]*cell)
 		}
-		if len(p.cells) < orDefault(p.MaxCells, 4096) {
+		if len(p.cells) < cmp.Or(p.MaxCells, 4096) {
 			p.cells[k] = c
 		}
 	}
@@ -275,7 +276,7 @@
 		if p.seen == nil {
 			p.seen = make(map[cellKey]*signals)
 		}
-		if len(p.seen) < orDefault(p.MaxCells, 4096) {
+		if len(p.seen) < cmp.Or(p.MaxCells, 4096) {
 			p.seen[k] = s
 		}
 	}
@@ -292,7 +293,7 @@
 		if p.lines == nil {
 			p.lines = make(map[cellKey]*line)
 		}
-		if len(p.lines) < orDefault(p.MaxCells, 4096) {
+		if len(p.lines) < cmp.Or(p.MaxCells, 4096) {
 			p.lines[k] = l
 		}
 	}
@@ -319,10 +320,3 @@
 	}
 	return 1.65
 }
-
-func orDefault(n, d int) int {
-	if n > 0 {
-		return n
-	}
-	return d
-}
--- a/dh/dhcascade/sampler.go
+++ b/dh/dhcascade/sampler.go
@@ -1,6 +1,7 @@
 package dhcascade
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"time"
@@ -28,6 +29,8 @@
 	Timers  dhtimer.Service
 	Planner *Planner
 	Rater   Rater
+	// Log defaults to slog.Default.
+	Log *slog.Logger
 	// Timeout bounds a rating; 0 means 10 s.
 	Timeout time.Duration
 	// Pause follows a failed rating; 0 means 1 s.
@@ -69,8 +72,8 @@
 			return ctx.Err()
 		case a := <-s.queue:
 			if err := s.rate(ctx, a); err != nil {
-				slog.Warn("rating failed", "class", a.Class, "version", a.Version, "error", err)
-				if err := dhtimer.Sleep(ctx, s.Timers, durationOr(s.Pause, time.Second)); err != nil {
+				s.log().Warn("rating failed", slog.String("class", a.Class), slog.String("version", a.Version.String()), slog.String("error", err.Error()))
+				if err := dhtimer.Sleep(ctx, s.Timers, cmp.Or(s.Pause, time.Second)); err != nil {
 					return err
 				}
 			}
@@ -78,8 +81,15 @@
 	}
 }
 
+func (s *Sampler) log() *slog.Logger {
+	if s.Log == nil {
+		return slog.Default()
+	}
+	return s.Log
+}
+
 func (s *Sampler) rate(ctx context.Context, a Sample) error {
-	ctx, cancel := dhtimer.WithTimeout(ctx, s.Timers, durationOr(s.Timeout, 10*time.Second))
+	ctx, cancel := dhtimer.WithTimeout(ctx, s.Timers, cmp.Or(s.Timeout, 10*time.Second))
 	defer cancel()
 	score, err := s.Rater.Rate(ctx, a)
 	if err != nil {
@@ -89,10 +99,3 @@
 	s.Planner.Rate(a.Rating)
 	return nil
 }
-
-func durationOr(d, other time.Duration) time.Duration {
-	if d > 0 {
-		return d
-	}
-	return other
-}
--- a/dh/dhclaim/clock.go
+++ b/dh/dhclaim/clock.go
@@ -1,6 +1,7 @@
 package dhclaim
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"strconv"
@@ -178,7 +179,7 @@
 	if err != nil {
 		return value, true
 	}
-	retention = orDefault(retention, Retention)
+	retention = cmp.Or(retention, Retention)
 	_, idempotencyKey, _ := strings.Cut(rest, "/")
 	if issueExpired(idempotencyKey, now, retention, dropMargin) {
 		return nil, false
--- a/dh/dhclaim/dhclaim.go
+++ b/dh/dhclaim/dhclaim.go
@@ -26,6 +26,7 @@
 package dhclaim
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -147,14 +148,7 @@
 	since time.Time
 }
 
-func (c *Claims) retention() time.Duration { return orDefault(c.Retention, Retention) }
-
-func orDefault(d, byDefault time.Duration) time.Duration {
-	if d <= 0 {
-		return byDefault
-	}
-	return d
-}
+func (c *Claims) retention() time.Duration { return cmp.Or(c.Retention, Retention) }
 
 func (c *Claims) maxAnswerBytes() int {
 	if c.MaxAnswerBytes <= 0 {
--- a/dh/dhclaim/take.go
+++ b/dh/dhclaim/take.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"crypto/rand"
 	"strconv"
@@ -154,7 +155,7 @@
 	defer c.mu.Unlock()
 	s, ok := c.seen[key]
 	if ok && s.take == take {
-		return now.Sub(s.since) >= orDefault(c.TakeOverAfter, TakeOverAfter)
+		return now.Sub(s.since) >= cmp.Or(c.TakeOverAfter, TakeOverAfter)
 	}
 	if !ok && len(c.seen) >= maxSeen {
 		c.forgetSeen(now)
@@ -171,7 +172,7 @@
 // forgetSeen removes claims that nobody has asked for again.
 func (c *Claims) forgetSeen(now time.Time) {
 	for key, s := range c.seen {
-		if now.Sub(s.since) > 10*orDefault(c.TakeOverAfter, TakeOverAfter) {
+		if now.Sub(s.since) > 10*cmp.Or(c.TakeOverAfter, TakeOverAfter) {
 			delete(c.seen, key)
 		}
 	}
--- a/dh/dhcold/dhcold.go
+++ b/dh/dhcold/dhcold.go
@@ -28,6 +28,7 @@
 package dhcold
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -114,7 +115,7 @@
 		present[b.ID] = true
 		r, ok := c.rows[b.ID]
 		if !ok {
-			if len(c.rows) >= orDefault(c.MaxBackends, 4096) {
+			if len(c.rows) >= cmp.Or(c.MaxBackends, 4096) {
 				continue
 			}
 			r = &row{lent: make(map[string][]loan), borrowed: make(map[string]loan)}
@@ -249,8 +250,8 @@
 	return time.Duration(float64(c.lease()+c.longest()) * (1 + 2*allowance))
 }
 
-func (c *Credits) lease() time.Duration   { return durationOr(c.Lease, 2*time.Second) }
-func (c *Credits) longest() time.Duration { return durationOr(c.Longest, 30*time.Second) }
+func (c *Credits) lease() time.Duration   { return cmp.Or(c.Lease, 2*time.Second) }
+func (c *Credits) longest() time.Duration { return cmp.Or(c.Longest, 30*time.Second) }
 
 // ownsHome reports whether this VM knows that nobody else uses its home
 // credits, other than those in its table.
@@ -384,17 +385,3 @@
 	renew := borrowed && l.until.Sub(now) < c.lease()/2
 	return l.credits + more, more > 0 || renew
 }
-
-func orDefault(n, d int) int {
-	if n > 0 {
-		return n
-	}
-	return d
-}
-
-func durationOr(d, other time.Duration) time.Duration {
-	if d > 0 {
-		return d
-	}
-	return other
-}
--- a/dh/dhdaemon/ratings.go
+++ b/dh/dhdaemon/ratings.go
@@ -31,6 +31,7 @@
 		client: dhpbconnect.NewRatingServiceClient(dhengine.NewHTTPClient(), "http://"+s.Address),
 	}
 	r.Sampler = dhcascade.NewSampler(d.Timers, planner, r, s.PerSecond, waitingRatings)
+	r.Log = d.Log
 	return r
 }
 
--- a/dh/dhdaemon/state.go
+++ b/dh/dhdaemon/state.go
@@ -16,6 +16,7 @@
 	"dandelionhoist.example/dh/dhcode"
 	"dandelionhoist.example/dh/dhdisk"
 	"dandelionhoist.example/dh/dhengine"
+	"dandelionhoist.example/dh/dhgroup"
 	"dandelionhoist.example/dh/dhjournal"
 	"dandelionhoist.example/dh/dhledger"
 	"dandelionhoist.example/dh/dhmember"
@@ -291,30 +292,52 @@
 	peers   PeerClient
 }
 
-// Fetch implements dhserver.AnswerFetcher.
+// Fetch implements dhserver.AnswerFetcher. All other VMs are asked at once, so
+// that one that does not answer delays nobody.
 func (o *otherVMs) Fetch(ctx context.Context, account, requestID string, offset int64) (*dhpb.FetchAnswerResponse, error) {
-	for _, m := range o.others() {
-		out, err := o.peers.FetchAnswer(ctx, m.Address, &dhpb.FetchAnswerRequest{Account: account, RequestId: requestID, Offset: offset})
-		if err != nil && dhcode.Of(err) != dhcode.QuorumUnreachable {
-			return nil, err
-		}
-		if err == nil && out.GetFound() {
-			return out, nil
-		}
+	out, err := o.ask(ctx, &dhpb.FetchAnswerRequest{Account: account, RequestId: requestID, Offset: offset})
+	if err != nil || out.GetFound() {
+		return out, err
 	}
-	err := dhcode.Errorf(dhcode.AnswerNotKept, "no reachable entry VM holds the answer to request %q", requestID)
+	err = dhcode.Errorf(dhcode.AnswerNotKept, "no reachable entry VM holds the answer to request %q", requestID)
 	return nil, dhcode.WithRan(err, dhcode.RanUnknown)
 }
 
 // Cancel implements dhserver.AnswerFetcher.
 func (o *otherVMs) Cancel(ctx context.Context, account, requestID string) bool {
-	for _, m := range o.others() {
-		out, err := o.peers.FetchAnswer(ctx, m.Address, &dhpb.FetchAnswerRequest{Account: account, RequestId: requestID, Cancel: true})
-		if err == nil && out.GetFound() {
-			return true
+	out, err := o.ask(ctx, &dhpb.FetchAnswerRequest{Account: account, RequestId: requestID, Cancel: true})
+	return err == nil && out.GetFound()
+}
+
+type fetched struct {
+	answer *dhpb.FetchAnswerResponse
+	err    error
+}
+
+// ask returns the answer of the VM that holds the request's answer, or nil
+// when none of the reachable ones does.
+func (o *otherVMs) ask(ctx context.Context, req *dhpb.FetchAnswerRequest) (*dhpb.FetchAnswerResponse, error) {
+	others := o.others()
+	answers := make(chan fetched, len(others))
+	group := dhgroup.New(ctx)
+	defer group.Stop()
+	for _, m := range others {
+		group.Go(func(ctx context.Context) error {
+			out, err := o.peers.FetchAnswer(ctx, m.Address, req)
+			answers <- fetched{out, err}
+			return nil
+		})
+	}
+	for range others {
+		a := <-answers
+		if a.err == nil && a.answer.GetFound() {
+			return a.answer, nil
+		}
+		if a.err != nil && dhcode.Of(a.err) != dhcode.QuorumUnreachable {
+			return nil, a.err
 		}
 	}
-	return false
+	return nil, nil
 }
 
 func (o *otherVMs) others() []dhmember.Member {
--- a/dh/dhledger/dhledger.go
+++ b/dh/dhledger/dhledger.go
@@ -19,6 +19,7 @@
 package dhledger
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -92,13 +93,6 @@
 	handing bool
 }
 
-func orDefault(d, byDefault time.Duration) time.Duration {
-	if d <= 0 {
-		return byDefault
-	}
-	return d
-}
-
 func (l *Ledger) maxWaiting() int {
 	if l.MaxWaiting <= 0 {
 		return MaxWaiting
@@ -123,7 +117,7 @@
 		return dhcode.Errorf(dhcode.BillNotSafe, "%d bills are waiting, no more are accepted", l.maxWaiting())
 	}
 	defer l.leave()
-	ctx, cancel := dhtimer.WithTimeout(ctx, l.Timers, orDefault(l.PutTimeout, PutTimeout))
+	ctx, cancel := dhtimer.WithTimeout(ctx, l.Timers, cmp.Or(l.PutTimeout, PutTimeout))
 	defer cancel()
 	p := &put{ledger: l, bill: proto.CloneOf(bill), synced: make(map[string]bool), holding: make(map[string]bool)}
 	for {
--- a/dh/dhledger/export.go
+++ b/dh/dhledger/export.go
@@ -1,6 +1,7 @@
 package dhledger
 
 import (
+	"cmp"
 	"context"
 	"errors"
 
@@ -150,7 +151,7 @@
 }
 
 func (l *Ledger) list(ctx context.Context, p Peer, after uint64, limit int) (*dhpb.ExportBillsResponse, error) {
-	ctx, cancel := dhtimer.WithTimeout(ctx, l.Timers, orDefault(l.VoterTimeout, VoterTimeout))
+	ctx, cancel := dhtimer.WithTimeout(ctx, l.Timers, cmp.Or(l.VoterTimeout, VoterTimeout))
 	defer cancel()
 	return p.Client.ListBills(ctx, &dhpb.ExportBillsRequest{After: after, Limit: int32(limit)})
 }
--- a/dh/dhledger/put.go
+++ b/dh/dhledger/put.go
@@ -1,6 +1,7 @@
 package dhledger
 
 import (
+	"cmp"
 	"context"
 
 	"dandelionhoist.example/dh/dhcode"
@@ -59,7 +60,7 @@
 	if len(peers) == 0 {
 		return
 	}
-	ctx, cancel := dhtimer.WithTimeout(ctx, p.ledger.Timers, orDefault(p.ledger.VoterTimeout, VoterTimeout))
+	ctx, cancel := dhtimer.WithTimeout(ctx, p.ledger.Timers, cmp.Or(p.ledger.VoterTimeout, VoterTimeout))
 	defer cancel()
 	answers := make(chan answer, len(peers))
 	for _, peer := range peers {
@@ -159,7 +160,7 @@
 
 // deliver returns nil when a VM has synced the bills, or holds them where that was asked.
 func (l *Ledger) deliver(ctx context.Context, client Client, r *dhpb.PutBillsRequest) error {
-	ctx, cancel := dhtimer.WithTimeout(ctx, l.Timers, orDefault(l.VoterTimeout, VoterTimeout))
+	ctx, cancel := dhtimer.WithTimeout(ctx, l.Timers, cmp.Or(l.VoterTimeout, VoterTimeout))
 	defer cancel()
 	answer, err := client.PutBills(ctx, r)
 	if err != nil {
--- a/dh/dhlimit/account.go
+++ b/dh/dhlimit/account.go
@@ -1,6 +1,7 @@
 package dhlimit
 
 import (
+	"cmp"
 	"context"
 	"math"
 	"time"
@@ -167,7 +168,7 @@
 	own := min(a.available(now), a.slots-sum(a.lent)) - a.running
 	if n := min(want.Slots, (own+1)/2); n > 0 {
 		given.Slots = n
-		until := now.Add(time.Duration(float64(slotLease)*leaseMargin) + durationOr(l.MaxRun, time.Minute))
+		until := now.Add(time.Duration(float64(slotLease)*leaseMargin) + cmp.Or(l.MaxRun, time.Minute))
 		a.lent = append(a.lent, slotLoan{n, until})
 	}
 	return given
@@ -206,7 +207,7 @@
 	}
 	l.mu.Unlock()
 
-	askCtx, cancel := dhtimer.WithTimeout(ctx, l.Timers, durationOr(l.BorrowTimeout, 20*time.Millisecond))
+	askCtx, cancel := dhtimer.WithTimeout(ctx, l.Timers, cmp.Or(l.BorrowTimeout, 20*time.Millisecond))
 	loan, err := l.Peers.Borrow(askCtx, r.Account.Name, want)
 	cancel()
 
@@ -215,7 +216,7 @@
 	defer close(done)
 	a.asking = nil
 	if err != nil || (loan.Tokens == 0 && loan.Slots == 0) {
-		a.pauseUntil = l.Timers.Now().Add(durationOr(l.BorrowPause, 100*time.Millisecond))
+		a.pauseUntil = l.Timers.Now().Add(cmp.Or(l.BorrowPause, 100*time.Millisecond))
 		return false
 	}
 	// The lease counts from before the question.
--- a/dh/dhlimit/breaker.go
+++ b/dh/dhlimit/breaker.go
@@ -1,6 +1,7 @@
 package dhlimit
 
 import (
+	"cmp"
 	"math/bits"
 	"sync"
 	"time"
@@ -101,11 +102,11 @@
 	}
 }
 
-func (b *Breakers) failures() int { return orDefault(b.Failures, 5) }
+func (b *Breakers) failures() int { return cmp.Or(b.Failures, 5) }
 
 func (b *Breakers) trip(r *breaker, now time.Time) {
 	backoff := b.Backoff
-	backoff.Base, backoff.Max = durationOr(backoff.Base, time.Second), durationOr(backoff.Max, 30*time.Second)
+	backoff.Base, backoff.Max = cmp.Or(backoff.Base, time.Second), cmp.Or(backoff.Max, 30*time.Second)
 	r.open, r.trial, r.until = true, false, now.Add(backoff.Delay(r.trials))
 }
 
@@ -117,7 +118,7 @@
 		if b.rows == nil {
 			b.rows = make(map[string]*breaker)
 		}
-		if len(b.rows) >= orDefault(b.MaxBackends, 8192) && !b.forget(now) {
+		if len(b.rows) >= cmp.Or(b.MaxBackends, 8192) && !b.forget(now) {
 			return nil
 		}
 		r = &breaker{}
--- a/dh/dhlimit/budget.go
+++ b/dh/dhlimit/budget.go
@@ -1,6 +1,7 @@
 package dhlimit
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -86,8 +87,8 @@
 // Delay returns the delay before a retry, counted from 0. It is drawn from
 // 0.5 to 1.5 times the doubled delay, so that retries of many VMs spread.
 func (b Backoff) Delay(retry int) time.Duration {
-	d := durationOr(b.Base, 50*time.Millisecond)
-	limit := durationOr(b.Max, 2*time.Second)
+	d := cmp.Or(b.Base, 50*time.Millisecond)
+	limit := cmp.Or(b.Max, 2*time.Second)
 	for range min(retry, 30) {
 		d = min(2*d, limit)
 	}
--- a/dh/dhlimit/dhlimit.go
+++ b/dh/dhlimit/dhlimit.go
@@ -28,6 +28,7 @@
 package dhlimit
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -171,7 +172,7 @@
 	if err := a.check(now, p.run(r)); err != nil {
 		return nil, a, err
 	}
-	w, err := p.enter(r, now, orDefault(l.MaxQueue, 1024))
+	w, err := p.enter(r, now, cmp.Or(l.MaxQueue, 1024))
 	if err != nil {
 		return nil, a, err
 	}
@@ -224,7 +225,7 @@
 
 func (l *Limiter) account(of dhtable.Account) *account {
 	a, ok := l.accounts[of.Name]
-	if !ok && len(l.accounts) < orDefault(l.MaxAccounts, 4096) {
+	if !ok && len(l.accounts) < cmp.Or(l.MaxAccounts, 4096) {
 		if l.accounts == nil {
 			l.accounts = make(map[string]*account)
 		}
@@ -236,11 +237,11 @@
 
 func (l *Limiter) pool(name string) *pool {
 	p, ok := l.pools[name]
-	if !ok && len(l.pools) < orDefault(l.MaxPools, 256) {
+	if !ok && len(l.pools) < cmp.Or(l.MaxPools, 256) {
 		if l.pools == nil {
 			l.pools = make(map[string]*pool)
 		}
-		p = newPool(name, durationOr(l.DefaultRun, time.Second))
+		p = newPool(name, cmp.Or(l.DefaultRun, time.Second))
 		l.pools[name] = p
 	}
 	return p
@@ -253,17 +254,3 @@
 	}
 	return dhcode.WithRan(dhcode.Wrap(code, err), dhcode.NotRun)
 }
-
-func orDefault(n, d int) int {
-	if n > 0 {
-		return n
-	}
-	return d
-}
-
-func durationOr(d, other time.Duration) time.Duration {
-	if d > 0 {
-		return d
-	}
-	return other
-}
--- a/dh/dhnode/dhnode.go
+++ b/dh/dhnode/dhnode.go
@@ -97,6 +97,8 @@
 	// digest is what gossip sends of the control state.
 	digest atomic.Pointer[digest]
 	rates  atomic.Pointer[rates]
+	// filled counts gossip messages.
+	filled atomic.Uint64
 	// fetching is set while a newer revision is being fetched.
 	fetching atomic.Bool
 }
--- a/dh/dhnode/gossip.go
+++ b/dh/dhnode/gossip.go
@@ -14,17 +14,25 @@
 // digest is the control state that gossip carries. It is immutable.
 type digest struct {
 	revision uint64
-	counters []*dhpb.VersionCounter
-	holds    []*dhpb.Hold
+	// own are the counters of this VM, counters those of all VMs.
+	own, counters []*dhpb.VersionCounter
+	holds         []*dhpb.Hold
 }
 
+// allCounters is the number of messages of which one carries the counters of
+// all VMs, for members that this VM and not their owner reaches.
+const allCounters = 8
+
 // Gossip attaches revision, counters and holds to gossip messages.
 type Gossip struct{ Node *Node }
 
 // Fill implements dhmember.Payload.
 func (g Gossip) Fill(_ dhmember.Member, msg *dhpb.GossipMessage) {
 	d := g.Node.digest.Load()
-	msg.Revision, msg.Counters, msg.Holds = d.revision, d.counters, d.holds
+	msg.Revision, msg.Counters, msg.Holds = d.revision, d.own, d.holds
+	if g.Node.filled.Add(1)%allCounters == 0 {
+		msg.Counters = d.counters
+	}
 }
 
 // Merge implements dhmember.Payload.
--- a/dh/dhnode/tick.go
+++ b/dh/dhnode/tick.go
@@ -67,9 +67,17 @@
 		prepare(now, s)
 	}
 	n.Router.Publish(s)
-	n.digest.Store(&digest{
-		revision: n.Revisions.NewestNumber(), counters: n.Evidence.Counters(), holds: n.Evidence.HoldRecords(),
-	})
+	n.storeDigest()
+}
+
+func (n *Node) storeDigest() {
+	d := &digest{revision: n.Revisions.NewestNumber(), counters: n.Evidence.Counters(), holds: n.Evidence.HoldRecords()}
+	for _, c := range d.counters {
+		if c.GetVm() == n.Settings.Name {
+			d.own = append(d.own, c)
+		}
+	}
+	n.digest.Store(d)
 }
 
 func (n *Node) tickMembers() {
--- a/dh/dhrouter/run.go
+++ b/dh/dhrouter/run.go
@@ -184,6 +184,10 @@
 }
 
 func (r *Router) admit(ctx context.Context, q *request) (func(), error) {
+	if len(r.Snapshot().Backends.Pool(q.route.Pool)) == 0 {
+		err := dhcode.Errorf(dhcode.NoBackend, "no backend server of pool %q is known", q.route.Pool)
+		return nil, dhcode.WithRetryAfter(err, time.Second)
+	}
 	return r.Limiter.Admit(ctx, dhlimit.Request{
 		Account: q.account, Class: q.route.Class, Pool: q.route.Pool, Priority: q.route.Priority,
 		Deadline: q.deadline - r.Timers.Now().Sub(q.received),
--- a/dh/dhversion/evidence.go
+++ b/dh/dhversion/evidence.go
@@ -150,7 +150,7 @@
 		e.totals = make(map[totalKey]count)
 	}
 	old, ok := e.counters[k]
-	if !ok && len(e.counters) >= orDefault(e.MaxCounters, 4096) {
+	if !ok && len(e.counters) >= cmp.Or(e.MaxCounters, 4096) {
 		e.dropped++
 		return
 	}
@@ -244,7 +244,7 @@
 		e.holds = make(map[versionKey]uint64)
 	}
 	old, ok := e.holds[k]
-	if !ok && len(e.holds) >= orDefault(e.MaxHolds, 1024) && !e.forgetHold() {
+	if !ok && len(e.holds) >= cmp.Or(e.MaxHolds, 1024) && !e.forgetHold() {
 		e.dropped++
 		return
 	}
@@ -335,10 +335,3 @@
 	c := e.sum(k, began{})
 	return Rate{Answers: c.answers, Bad: c.bad, Rated: c.rated, Low: c.low, Held: e.snapshot.Held(pool, v)}
 }
-
-func orDefault(n, d int) int {
-	if n > 0 {
-		return n
-	}
-	return d
-}
