--- a/dh/dhrouter/attempt.go
+++ b/dh/dhrouter/attempt.go
@@ -141,10 +141,12 @@
 		r.Credits.FirstToken(b.ID, first)
 	}
 	_, tokens := a.Len()
-	r.Report(Event{
-		Pool: t.route.Pool, Backend: b.ID, Version: t.choice.Version, Failed: err != nil, FirstToken: first,
-		Tokens: tokens, MaxTokens: int(t.GetMaxTokens()),
-	})
+	e := Event{Pool: t.route.Pool, Backend: b.ID, Version: t.choice.Version, Failed: err != nil, FirstToken: first, Tokens: tokens}
+	// A bound that the caller chose says nothing about the version.
+	if int(t.GetMaxTokens()) == t.route.MaxTokens {
+		e.MaxTokens = t.route.MaxTokens
+	}
+	r.Report(e)
 }
 
 // dispatch makes the claim of a keyed request durable before anything is sent.
