Take an answer as whole only with its own last chunk

Cause: a last chunk of another request or attempt ended the relay, so that a truncated answer looked whole and was billed (TestRelayNeedsItsOwnLastChunk fails for the foreign last chunk without the change). Change: relay asks that the last chunk belongs to the attempt and ends where the text ends. The break 'end an answer early' of TestCheckerNoticesBreaks dropped chunks between engine and router, which the router now notices itself; it is replaced by an engine that marks a truncated answer as whole, which the checker still has to notice.

--- a/dh/dhrouter/attempt.go
+++ b/dh/dhrouter/attempt.go
@@ -223,18 +223,22 @@
 	}
 	defer func() { _ = stream.Close() }()
 	var first time.Duration
-	last := start
+	last, whole := start, false
 	for {
 		chunk, err := stream.Next()
-		if errors.Is(err, io.EOF) {
+		if errors.Is(err, io.EOF) && whole {
 			return first, nil
 		}
+		if errors.Is(err, io.EOF) {
+			return first, dhcode.Errorf(dhcode.StreamBroken, "the answer of backend server %q ended without its last chunk", b.ID)
+		}
 		if err == nil {
 			err = a.Append(chunk)
 		}
 		if err != nil {
 			return first, err
 		}
+		whole = whole || t.completes(chunk, a)
 		now := r.Timers.Now()
 		r.observeToken(t, last, now, first == 0)
 		if first == 0 {
@@ -244,6 +248,16 @@
 	}
 }
 
+// completes reports whether a chunk is the last one of this attempt and its
+// text ends where the answer does. A last chunk of another request ends nothing.
+func (t *attempts) completes(c *dhpb.Chunk, a *dhanswer.Answer) bool {
+	if !c.GetLast() || c.GetRequestId() != t.GetRequestId() || c.GetAttempt() != t.number {
+		return false
+	}
+	end, _ := a.Len()
+	return c.GetOffset()+int64(len(c.GetText())) == int64(end)
+}
+
 func (r *Router) observeToken(t *attempts, last, now time.Time, first bool) {
 	if first {
 		r.Metrics.Observe(dhmetric.FirstToken, t.account.Name, t.route.Class, now.Sub(t.received))
--- /dev/null
+++ b/dh/dhrouter/relay_test.go
@@ -0,0 +1,65 @@
+package dhrouter
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"dandelionhoist.example/dh/dhanswer"
+	"dandelionhoist.example/dh/dhbackend"
+	"dandelionhoist.example/dh/dhcode"
+	"dandelionhoist.example/dh/dhmetric"
+	"dandelionhoist.example/dh/dhpb"
+	"dandelionhoist.example/dh/dhtimer"
+)
+
+// chunks is an engine that answers with fixed chunks.
+type chunks []*dhpb.Chunk
+
+func (c *chunks) Generate(context.Context, string, *dhpb.GenerateRequest) (Stream, error) {
+	return c, nil
+}
+
+func (c *chunks) Next() (*dhpb.Chunk, error) {
+	if len(*c) == 0 {
+		return nil, io.EOF
+	}
+	next := (*c)[0]
+	*c = (*c)[1:]
+	return next, nil
+}
+
+func (c *chunks) Close() error { return nil }
+
+// Guards against a truncated answer that looks whole, because the last chunk
+// belongs to another request or attempt or is missing (R7).
+func TestRelayNeedsItsOwnLastChunk(t *testing.T) {
+	chunk := func(request string, attempt int32, offset int64, text string, last bool) *dhpb.Chunk {
+		return &dhpb.Chunk{RequestId: request, Attempt: attempt, Offset: offset, Text: text, Last: last}
+	}
+	for _, c := range []struct {
+		name   string
+		chunks chunks
+		want   dhcode.Code
+	}{
+		{"whole", chunks{chunk("r1", 1, 0, "a ", false), chunk("r1", 1, 2, "b ", true)}, dhcode.OK},
+		{"empty last", chunks{chunk("r1", 1, 0, "a ", false), chunk("r1", 1, 2, "", true)}, dhcode.OK},
+		{"foreign last", chunks{chunk("r1", 1, 0, "a ", false), chunk("r2", 1, 2, "b ", true)}, dhcode.StreamBroken},
+		{"last of an older attempt", chunks{chunk("r1", 1, 0, "a ", false), chunk("r1", 0, 2, "b ", true)}, dhcode.StreamBroken},
+		{"repeated last of shorter text", chunks{chunk("r1", 1, 0, "a b ", false), chunk("r1", 1, 0, "a ", true)}, dhcode.StreamBroken},
+		{"no last", chunks{chunk("r1", 1, 0, "a ", false)}, dhcode.StreamBroken},
+	} {
+		timers := dhtimer.NewStepped()
+		r := &Router{Timers: timers, Metrics: dhmetric.New(4), Engine: &c.chunks}
+		answers := dhanswer.Table{Timers: timers, MaxAnswers: 1, MaxBytes: 100}
+		a, _, err := answers.Create("crew-east", "r1", 1)
+		assert.NilError(t, err)
+		a.StartAttempt(1, "oak", "v1")
+		q := &request{AskRequest: &dhpb.AskRequest{RequestId: "r1"}, received: timers.Now(), deadline: time.Second}
+		_, err = r.relay(t.Context(), &attempts{request: q, number: 1}, &dhbackend.Backend{ID: "b1"}, a)
+		assert.Equal(t, dhcode.Of(err), c.want, c.name)
+	}
+}
--- a/dh/dhsession/break_test.go
+++ b/dh/dhsession/break_test.go
@@ -145,6 +145,8 @@
 				if c.GetOffset() > 30 {
 					return nil
 				}
+				c = proto.Clone(c).(*dhpb.Chunk)
+				c.Last = c.GetOffset()+int64(len(c.GetText())) > 30
 				return c
 			})
 		},
