Use dhwire.WithKey for the keys of announcements and process tests

Cause: the announcer and the process tests each had an interceptor of their own that set the key, beside dhwire.WithKey. Change: both call dhwire.WithKey.

--- a/cmd/dandelionhoistd/process_test.go
+++ b/cmd/dandelionhoistd/process_test.go
@@ -13,7 +13,6 @@
 	"syscall"
 	"testing"
 
-	"connectrpc.com/connect"
 	"gotest.tools/v3/assert"
 
 	"dandelionhoist.example/dh/dhengine"
@@ -73,8 +72,8 @@
 	write(t, c.folder, "operators", dhtable.HashKey(operatorKey).String())
 	for range n {
 		d := &daemon{callers: freeAddress(t), operators: freeAddress(t), peers: freeAddress(t)}
-		d.router = dhpbconnect.NewRouterServiceClient(dhengine.NewHTTPClient(), "http://"+d.callers, withKey(callerKey))
-		d.operator = dhpbconnect.NewOperatorServiceClient(dhengine.NewHTTPClient(), "http://"+d.operators, withKey(operatorKey))
+		d.router = dhpbconnect.NewRouterServiceClient(dhengine.NewHTTPClient(), "http://"+d.callers, dhwire.WithKey(callerKey))
+		d.operator = dhpbconnect.NewOperatorServiceClient(dhengine.NewHTTPClient(), "http://"+d.operators, dhwire.WithKey(operatorKey))
 		c.daemons = append(c.daemons, d)
 	}
 	var names []string
@@ -118,32 +117,6 @@
 	return l.Addr().String()
 }
 
-func withKey(key string) connect.ClientOption {
-	return connect.WithInterceptors(keyInterceptor(key))
-}
-
-// keyInterceptor adds a key to unary calls and streams.
-type keyInterceptor string
-
-func (k keyInterceptor) WrapUnary(next connect.UnaryFunc) connect.UnaryFunc {
-	return func(ctx context.Context, req connect.AnyRequest) (connect.AnyResponse, error) {
-		dhwire.SetKey(req.Header(), string(k))
-		return next(ctx, req)
-	}
-}
-
-func (k keyInterceptor) WrapStreamingClient(next connect.StreamingClientFunc) connect.StreamingClientFunc {
-	return func(ctx context.Context, spec connect.Spec) connect.StreamingClientConn {
-		conn := next(ctx, spec)
-		dhwire.SetKey(conn.RequestHeader(), string(k))
-		return conn
-	}
-}
-
-func (k keyInterceptor) WrapStreamingHandler(next connect.StreamingHandlerFunc) connect.StreamingHandlerFunc {
-	return next
-}
-
 // withRatings runs a simulated rating service for daemons that are not started yet.
 func (c *cluster) withRatings(quality map[string]float64) {
 	c.t.Helper()
@@ -256,13 +229,13 @@
 }
 
 func operatorClient(d *daemon, key string) dhpbconnect.OperatorServiceClient {
-	return dhpbconnect.NewOperatorServiceClient(dhengine.NewHTTPClient(), "http://"+d.operators, withKey(key))
+	return dhpbconnect.NewOperatorServiceClient(dhengine.NewHTTPClient(), "http://"+d.operators, dhwire.WithKey(key))
 }
 
 func callerClient(d *daemon, key string) dhpbconnect.RouterServiceClient {
-	return dhpbconnect.NewRouterServiceClient(dhengine.NewHTTPClient(), "http://"+d.callers, withKey(key))
+	return dhpbconnect.NewRouterServiceClient(dhengine.NewHTTPClient(), "http://"+d.callers, dhwire.WithKey(key))
 }
 
 func announceClient(d *daemon, key string) dhpbconnect.AnnounceServiceClient {
-	return dhpbconnect.NewAnnounceServiceClient(dhengine.NewHTTPClient(), "http://"+d.peers, withKey(key))
+	return dhpbconnect.NewAnnounceServiceClient(dhengine.NewHTTPClient(), "http://"+d.peers, dhwire.WithKey(key))
 }
--- a/dh/dhengine/announcer.go
+++ b/dh/dhengine/announcer.go
@@ -12,6 +12,7 @@
 	"dandelionhoist.example/dh/dhpb"
 	"dandelionhoist.example/dh/dhpb/dhpbconnect"
 	"dandelionhoist.example/dh/dhtimer"
+	"dandelionhoist.example/dh/dhwire"
 )
 
 // An announcement is sent every announcePeriod and given up after
@@ -45,16 +46,8 @@
 	if a.Log == nil {
 		a.Log = slog.Default()
 	}
-	authorize := connect.UnaryInterceptorFunc(func(next connect.UnaryFunc) connect.UnaryFunc {
-		return func(ctx context.Context, req connect.AnyRequest) (connect.AnyResponse, error) {
-			if a.PeerKey != "" {
-				req.Header().Set("Authorization", "Bearer "+a.PeerKey)
-			}
-			return next(ctx, req)
-		}
-	})
 	for _, url := range a.Entries {
-		a.clients = append(a.clients, dhpbconnect.NewAnnounceServiceClient(a.HTTP, url, connect.WithInterceptors(authorize)))
+		a.clients = append(a.clients, dhpbconnect.NewAnnounceServiceClient(a.HTTP, url, dhwire.WithKey(a.PeerKey)))
 	}
 }
 
