Let the voter set grow and leave out known values of registers

Cause: a set of voters could only exchange one voter for another, so a deployment that starts from three known addresses could never tolerate two lost disks; and a read of a large register sent the whole value each time. Change: Add with Join makes a larger set, Find adopts the set in force without ever making one, and ReadState leaves out a value whose ballot the asker names.

--- a/dh/dhquorum/dhquorum.go
+++ b/dh/dhquorum/dhquorum.go
@@ -19,8 +19,9 @@
 //		return mine, nil
 //	})
 //
-// Set of voters: Bootstrap makes the first set, Replace and Join exchange one
-// voter, and Replacer decides when. Expired keys: see BucketKey.
+// Set of voters: Bootstrap makes the first set and Find learns the one in
+// force; Replace and Join exchange one voter, Add and Join add one, and
+// Replacer decides when. Expired keys: see BucketKey.
 package dhquorum
 
 import (
--- a/dh/dhquorum/proposer.go
+++ b/dh/dhquorum/proposer.go
@@ -47,6 +47,7 @@
 	// shared with the membership gossip.
 	Sequences Sequences
 
+	known  knownValues
 	set    atomic.Pointer[VoterSet]
 	number atomic.Uint64
 	// updates and tries count calls of Update and their runs of both phases.
--- a/dh/dhquorum/replace.go
+++ b/dh/dhquorum/replace.go
@@ -77,6 +77,40 @@
 	return p.change(ctx, base, next)
 }
 
+// Add starts the addition of a voter with a joint set, which the new voter
+// finishes with Join. Errors are those of Replace.
+func (p *Proposer) Add(ctx context.Context, member Member) (VoterSet, error) {
+	base := p.Set()
+	next, err := base.WithAddition(member)
+	if err != nil {
+		return VoterSet{}, dhcode.Wrap(dhcode.VoterEpochOld, err)
+	}
+	return p.change(ctx, base, next)
+}
+
+// Find adopts the newest voter set that any of the VMs at the addresses knows.
+// It never makes one. Code quorum-unreachable means that none was found.
+func (p *Proposer) Find(ctx context.Context, addresses []string) (VoterSet, error) {
+	var last error
+	for _, address := range addresses {
+		a, err := p.identity(ctx, address)
+		if err != nil {
+			last = err
+			continue
+		}
+		if set, err := ParseVoterSet(a.Voters); err == nil && set.Epoch >= servingEpoch {
+			p.Adopt(set)
+		}
+	}
+	if set := p.Set(); set.Epoch >= servingEpoch {
+		return set, nil
+	}
+	if last == nil {
+		last = dhcode.Errorf(dhcode.QuorumUnreachable, "no voter set is known at %d addresses", len(addresses))
+	}
+	return VoterSet{}, unreachable(last)
+}
+
 // Abort ends a replacement whose new voter does not come up. The old voters
 // stay the set.
 func (p *Proposer) Abort(ctx context.Context) (VoterSet, error) {
@@ -124,8 +158,9 @@
 // more can be decided by a majority of old voters alone. What they had decided
 // or promised before is on the new voter, which therefore stands for a
 // majority of the old ones: a majority of the next voters either contains it
-// or is a majority of the old ones. What is decided during the joint epoch is
-// on a majority of the next voters.
+// or is a majority of the old ones. That also holds for an addition, since a
+// majority of n+1 voters without the new one is one of the n old voters. What
+// is decided during the joint epoch is on a majority of the next voters.
 func (p *Proposer) Join(ctx context.Context, v *Voter) (VoterSet, error) {
 	status := v.Status()
 	joint := status.Set
--- a/dh/dhquorum/round.go
+++ b/dh/dhquorum/round.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 
 	"dandelionhoist.example/dh/dhcode"
@@ -207,19 +208,56 @@
 	return err
 }
 
+// knownValues remembers the last agreed value of each register in use, so that
+// voters do not send a large value again. The zero value is ready.
+type knownValues struct {
+	mu   sync.Mutex
+	rows map[string]knownValue
+}
+
+type knownValue struct {
+	accepted ballot
+	value    []byte
+}
+
+// maxKnownValues bounds the remembered registers. Only a few are read again and again.
+const maxKnownValues = 8
+
+func (k *knownValues) get(key string) knownValue {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.rows[key]
+}
+
+func (k *knownValues) put(key string, a answer) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if _, known := k.rows[key]; !known && len(k.rows) >= maxKnownValues {
+		return
+	}
+	if k.rows == nil {
+		k.rows = make(map[string]knownValue)
+	}
+	k.rows[key] = knownValue{accepted: a.accepted, value: a.value}
+}
+
 // readAgreed returns the value that a quorum has accepted under one ballot.
 // A value that was in force before the read began is on a majority, so that at
 // most a minority can still show an older one.
 func (p *Proposer) readAgreed(ctx context.Context, key string) ([]byte, error) {
 	set := p.Set()
-	request := &dhpb.ReadStateRequest{Prefix: key}
-	var agreed []byte
+	known := p.known.get(key)
+	request := &dhpb.ReadStateRequest{Prefix: key, Known: known.accepted.message()}
+	var agreed answer
 	_, err := p.run(ctx, set, func(ctx context.Context, m Member) answer {
 		return p.checked(ctx, set, m, func() (answer, string, uint64) {
 			a, err := p.Transport.ReadState(ctx, m.Address, request)
 			got := answer{err: err, epoch: a.GetEpoch(), voters: a.GetVoters(), ok: a.GetEpoch() == set.Epoch}
 			if rs := a.GetRegisters(); len(rs) > 0 {
 				got.accepted, got.value = ballotOf(rs[0].Accepted), rs[0].Value
+				if got.accepted == known.accepted {
+					got.value = known.value
+				}
 			}
 			// The message has no identity. A voter answers with the set's
 			// epoch only after it installed a set that contains it.
@@ -228,7 +266,7 @@
 	}, func(r *round) bool {
 		for _, a := range r.answers {
 			if r.quorum(func(o answer) bool { return o.accepted == a.accepted }) {
-				agreed = a.value
+				agreed = a
 				return true
 			}
 		}
@@ -237,7 +275,8 @@
 	if err != nil {
 		return nil, err
 	}
-	s, err := parseStored(agreed)
+	p.known.put(key, agreed)
+	s, err := parseStored(agreed.value)
 	if err != nil {
 		return nil, dhcode.Wrap(dhcode.DiskCorrupt, err)
 	}
--- a/dh/dhquorum/voter.go
+++ b/dh/dhquorum/voter.go
@@ -268,7 +268,8 @@
 }
 
 // ReadState returns a page of registers in key order. A request with limit 0
-// returns only the register whose key is the prefix.
+// returns only the register whose key is the prefix, without its value when
+// the asker knows it.
 func (v *Voter) ReadState(ctx context.Context, m *dhpb.ReadStateRequest) (*dhpb.ReadStateResponse, error) {
 	a := &dhpb.ReadStateResponse{}
 	err := v.do(ctx, func(j *dhjournal.Journal) error {
@@ -285,7 +286,11 @@
 			return v.check(m.Prefix)
 		}
 		if r := v.state.registers[m.Prefix]; r != nil {
-			a.Registers = []*dhpb.RegisterState{r.message(m.Prefix)}
+			state := r.message(m.Prefix)
+			if m.Known != nil && ballotOf(m.Known) == r.accepted {
+				state.Value = nil
+			}
+			a.Registers = []*dhpb.RegisterState{state}
 		}
 		return nil
 	})
--- a/dh/dhquorum/voterset.go
+++ b/dh/dhquorum/voterset.go
@@ -90,6 +90,15 @@
 	return VoterSet{Epoch: s.Epoch + 1, Voters: s.Voters, Next: next}, nil
 }
 
+// WithAddition returns the joint set that adds a voter.
+func (s VoterSet) WithAddition(member Member) (VoterSet, error) {
+	if s.Joint() || s.Epoch < servingEpoch || s.Contains(member.ID) || member.ID == "" {
+		return VoterSet{}, fmt.Errorf("voter %q cannot be added in epoch %d", member.ID, s.Epoch)
+	}
+	next := append(slices.Clone(s.Voters), member)
+	return VoterSet{Epoch: s.Epoch + 1, Voters: s.Voters, Next: next}, nil
+}
+
 // WithEnd returns the set after a joint one: the next voters when the new
 // voter has everything, else the old ones.
 func (s VoterSet) WithEnd(joined bool) VoterSet {
