--- a/cmd/dandelionhoistd/main.go
+++ b/cmd/dandelionhoistd/main.go
@@ -3,6 +3,11 @@
 //	dandelionhoistd run SETTINGS
 //	dandelionhoistd check-settings SETTINGS
 //	dandelionhoistd print-defaults
+//	dandelionhoistd entry
+//	dandelionhoistd control
+//
+// entry and control run on the users' platform, whose settings file is named
+// by an environment variable; see package platform.
 //
 // SIGTERM starts a graceful shutdown: the health check fails, no new work is
 // taken, running requests end and the daemon exits with 0. A second signal is
@@ -24,6 +29,7 @@
 	"dandelionhoist.example/dh/dhserver"
 	"dandelionhoist.example/dh/dhsetting"
 	"dandelionhoist.example/dh/dhtimer"
+	"dandelionhoist.example/platform"
 )
 
 func main() {
@@ -34,6 +40,8 @@
 	check := app.Command("check-settings", "Check a settings file and exit.")
 	checkFile := check.Arg("settings", "Settings file.").Required().String()
 	defaults := app.Command("print-defaults", "Print every setting with its unit and default.")
+	entry := app.Command("entry", "Serve clients on the platform until SIGTERM.")
+	control := app.Command("control", "Serve operators and backend servers on the platform until SIGTERM.")
 
 	var err error
 	switch kingpin.MustParse(app.Parse(os.Args[1:])) {
@@ -43,6 +51,10 @@
 		_, err = dhsetting.Load(*checkFile)
 	case defaults.FullCommand():
 		fmt.Print(dhsetting.Describe())
+	case entry.FullCommand():
+		err = serveOnPlatform(platform.RunEntry)
+	case control.FullCommand():
+		err = serveOnPlatform(platform.RunControl)
 	}
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "dandelionhoistd: %v\n", err)
@@ -75,6 +87,47 @@
 	return group.Wait()
 }
 
+// serveOnPlatform runs a role of the platform. A hangup reads the settings again.
+func serveOnPlatform(run func(ctx context.Context, s platform.Settings, stop, hangups <-chan struct{}) error) error {
+	settings, err := platform.Load(os.Getenv(platform.SettingsVariable))
+	if err != nil {
+		return err
+	}
+	stop, hangups := make(chan struct{}), make(chan struct{}, 1)
+	group := dhgroup.New(context.Background())
+	group.Go(func(ctx context.Context) error { return watchPlatformSignals(ctx, stop, hangups) })
+	group.Go(func(ctx context.Context) error {
+		defer group.Stop()
+		return run(ctx, settings, stop, hangups)
+	})
+	return group.Wait()
+}
+
+// watchPlatformSignals closes stop at the first signal to end, and sends on
+// hangups when none is waiting.
+func watchPlatformSignals(ctx context.Context, stop, hangups chan<- struct{}) error {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	stopped := false
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case s := <-signals:
+			switch {
+			case s == syscall.SIGHUP:
+				select {
+				case hangups <- struct{}{}:
+				default:
+				}
+			case !stopped:
+				stopped = true
+				close(stop)
+			}
+		}
+	}
+}
+
 // watchSignals closes stop at the first signal and logs further ones.
 func watchSignals(ctx context.Context, log *slog.Logger, stop chan<- struct{}) error {
 	signals := make(chan os.Signal, 4)
--- a/dh/dhbackend/dhbackend.go
+++ b/dh/dhbackend/dhbackend.go
@@ -39,7 +39,12 @@
 	ID, Address, Zone, Pool string
 	// Versions are the loaded versions.
 	Versions []dhtable.Version
-	State    State
+	// Release is the version of the whole backend server, where it is replaced
+	// as a whole; Versions then name models only.
+	Release string
+	// ColdFor is how long the cold start goes on from Seen, where it is known.
+	ColdFor time.Duration
+	State   State
 	// SustainableLoad is how many requests at once the backend server takes while cold.
 	SustainableLoad int
 	// Slots is how many requests it runs at once when ready; Running and
@@ -69,7 +74,7 @@
 		SustainableLoad: int(r.GetSustainableLoad()), Slots: int(r.GetSlots()),
 		Running: int(r.GetRunning()), Waiting: int(r.GetWaiting()), ReportAge: r.GetReportAge().AsDuration(),
 		ChecksFencing: r.GetChecksFencing(), Incarnation: r.GetIncarnation(), Sequence: r.GetSequence(),
-		Seen: now.Add(-r.GetAnnouncementAge().AsDuration()),
+		Seen: now.Add(-r.GetAnnouncementAge().AsDuration()), Release: r.GetRelease(), ColdFor: r.GetColdFor().AsDuration(),
 	}
 	for _, v := range r.GetVersions() {
 		b.Versions = append(b.Versions, dhtable.Version{Model: v.GetModel(), Name: v.GetVersion()})
@@ -115,10 +120,38 @@
 }
 
 func newer(b, old *Backend) bool {
-	if b.Incarnation != old.Incarnation {
+	switch {
+	case b.Incarnation != old.Incarnation:
 		return b.Incarnation > old.Incarnation
+	case b.Sequence != old.Sequence:
+		return b.Sequence > old.Sequence
+	}
+	// A record that has expired at a control VM keeps its number.
+	return b.State == Leaving && old.State != Leaving
+}
+
+// Retain removes the backend servers whose id is not kept.
+func (t *Table) Retain(keep func(id string) bool) {
+	for id := range t.rows {
+		if !keep(id) {
+			delete(t.rows, id)
+		}
+	}
+}
+
+// WithLoad returns a copy of b with the load that all entry VMs together have
+// placed on it, known at now and measured age before.
+func (b *Backend) WithLoad(running int, now time.Time, age time.Duration) *Backend {
+	c := *b
+	c.Running, c.Waiting, c.Seen, c.ReportAge = running, 0, now, age
+	return &c
+}
+
+// SetLoads applies the loads of all entry VMs, known at now and measured age before.
+func (t *Table) SetLoads(loads map[string]int, now time.Time, age time.Duration) {
+	for id, b := range t.rows {
+		t.rows[id] = b.WithLoad(loads[id], now, age)
 	}
-	return b.Sequence > old.Sequence
 }
 
 // Get returns a backend server by id, also one that is leaving.
--- /dev/null
+++ b/dh/dhbackend/log_test.go
@@ -0,0 +1,130 @@
+package dhbackend_test
+
+import (
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/types/known/durationpb"
+	"gotest.tools/v3/assert"
+
+	"dandelionhoist.example/dh/dhbackend"
+	"dandelionhoist.example/dh/dhcode"
+	"dandelionhoist.example/dh/dhpb"
+	"dandelionhoist.example/dh/dhtimer"
+)
+
+func newLog() (*dhbackend.Log, *dhtimer.Stepped) {
+	timers := dhtimer.NewStepped()
+	return &dhbackend.Log{Timers: timers, Lease: 4 * time.Second, KeepLeaving: time.Minute, MaxBackends: 8}, timers
+}
+
+func announcement(id, address, state string, incarnation, sequence uint64) *dhpb.BackendRecord {
+	return &dhpb.BackendRecord{Id: id, Address: address, Pool: "p", State: state, Incarnation: incarnation, Sequence: sequence}
+}
+
+func announce(t *testing.T, l *dhbackend.Log, r *dhpb.BackendRecord) dhbackend.Change {
+	t.Helper()
+	c, err := l.Announce(r)
+	assert.NilError(t, err)
+	return c
+}
+
+func usable(l *dhbackend.Log) map[string]string {
+	all := map[string]string{}
+	for _, b := range l.Backends() {
+		all[b.ID] = b.State.String()
+	}
+	return all
+}
+
+// Guards against a backend server that a delayed announcement brings back: of
+// its own start, of a dead start under the same id, or of one whose address a
+// later start has.
+func TestLateAnnouncementBringsNothingBack(t *testing.T) {
+	l, timers := newLog()
+	announce(t, l, announcement("b1", "10.0.0.1:80", "ready", 100, 5))
+	assert.Assert(t, announce(t, l, announcement("b1", "10.0.0.1:80", "leaving", 100, 6)).Left)
+	announce(t, l, announcement("b1", "10.0.0.1:80", "ready", 100, 4))
+	assert.DeepEqual(t, usable(l), map[string]string{})
+	l.Remove("b1", 100)
+	timers.Step(30 * time.Second)
+	l.Expire()
+	announce(t, l, announcement("b1", "10.0.0.1:80", "ready", 100, 9))
+	assert.DeepEqual(t, usable(l), map[string]string{})
+
+	announce(t, l, announcement("b1", "10.0.0.1:80", "cold", 200, 1))
+	assert.DeepEqual(t, usable(l), map[string]string{"b1": "cold"})
+	announce(t, l, announcement("b1", "10.0.0.1:80", "ready", 100, 10))
+	assert.DeepEqual(t, usable(l), map[string]string{"b1": "cold"})
+
+	announce(t, l, announcement("b2", "10.0.0.1:80", "ready", 300, 1))
+	assert.DeepEqual(t, usable(l), map[string]string{"b2": "ready"})
+	l.Remove("b2", 299) // of an earlier start
+	assert.DeepEqual(t, usable(l), map[string]string{"b2": "ready"})
+}
+
+// Guards against a backend server that stays lost after a cut in which it was
+// not heard, and against one that is kept although nobody hears it.
+func TestExpiryAndReturn(t *testing.T) {
+	l, timers := newLog()
+	announce(t, l, announcement("b1", "10.0.0.1:80", "ready", 100, 5))
+	timers.Step(3 * time.Second)
+	assert.Assert(t, !l.Expire())
+	timers.Step(2 * time.Second)
+	assert.Assert(t, l.Expire())
+	assert.DeepEqual(t, usable(l), map[string]string{})
+	c := announce(t, l, announcement("b1", "10.0.0.1:80", "ready", 100, 6))
+	assert.Assert(t, c.Content)
+	assert.DeepEqual(t, usable(l), map[string]string{"b1": "ready"})
+
+	old := announcement("b2", "10.0.0.2:80", "ready", 100, 1)
+	old.AnnouncementAge = durationpb.New(5 * time.Second)
+	announce(t, l, old)
+	assert.Assert(t, l.Expire())
+}
+
+// Guards against watchers that miss a change, or that get every announcement.
+func TestPositions(t *testing.T) {
+	l, _ := newLog()
+	announce(t, l, announcement("b1", "10.0.0.1:80", "ready", 100, 1))
+	records, position := l.Content(0)
+	assert.Equal(t, len(records), 1)
+	assert.Assert(t, !announce(t, l, announcement("b1", "10.0.0.1:80", "ready", 100, 2)).Content)
+	records, _ = l.Content(position)
+	assert.Equal(t, len(records), 0)
+	records, position = l.Touched(position)
+	assert.Equal(t, len(records), 1)
+	announce(t, l, announcement("b1", "10.0.0.1:80", "leaving", 100, 3))
+	records, _ = l.Content(position)
+	assert.Equal(t, records[0].GetState(), "leaving")
+}
+
+// Guards against malformed announcements that stop the registry, and against
+// one without bound.
+func TestLogRefuses(t *testing.T) {
+	l, _ := newLog()
+	_, err := l.Announce(announcement("b1", "", "ready", 1, 1))
+	assert.Equal(t, dhcode.Of(err), dhcode.RequestMalformed)
+	for i := range 9 {
+		_, err = l.Announce(announcement(string(rune('a'+i)), "10.0.0.1:80", "ready", 1, 1))
+	}
+	assert.Equal(t, dhcode.Of(err), dhcode.TableFull)
+}
+
+// Guards against an entry VM that keeps a backend server whose record expired
+// at the control VM under the same number.
+func TestTableTakesExpiredRecord(t *testing.T) {
+	table := dhbackend.Table{Lease: time.Hour, MaxBackends: 8}
+	now := time.Now()
+	ready := &dhbackend.Backend{ID: "b1", Pool: "p", State: dhbackend.Ready, Incarnation: 1, Sequence: 7, Seen: now}
+	assert.NilError(t, table.Announce(ready))
+	left := *ready
+	left.State = dhbackend.Leaving
+	assert.NilError(t, table.Announce(&left))
+	assert.Equal(t, table.View(now).Len(), 0)
+	assert.NilError(t, table.Announce(ready))
+	assert.Equal(t, table.View(now).Len(), 0)
+	table.Retain(func(string) bool { return false })
+	_, ok := table.Get("b1")
+	assert.Assert(t, !ok)
+}
--- a/dh/dhcode/class.go
+++ b/dh/dhcode/class.go
@@ -39,7 +39,7 @@
 	case RequestMalformed, RequestTooLarge, SessionTokenInvalid, IdempotencyKeyNeeded, TablesInvalid,
 		BaseRevisionUnknown, SettingsInvalid:
 		return ClassInvalid
-	case UnknownKey, RouteNotAllowed, VersionNotAllowed, NotAuthenticated:
+	case UnknownKey, RouteNotAllowed, RouteUnknown, VersionNotAllowed, NotAuthenticated:
 		return ClassNotAllowed
 	case EditConflict, EditIDReused, KeyReused, KeyExpired, VoterEpochOld, FencingTokenOld, LeaseHeldElsewhere:
 		return ClassConflict
--- a/dh/dhcode/dhcode.go
+++ b/dh/dhcode/dhcode.go
@@ -78,12 +78,13 @@
 	NotAuthenticated                 // not-authenticated
 	TableFull                        // table-full
 	BillNotSafe                      // bill-not-safe
+	RouteUnknown                     // route-unknown
 )
 
 // Codes returns all result codes in order of their numbers.
 func Codes() []Code {
-	codes := make([]Code, 0, int(BillNotSafe)+1)
-	for c := OK; c <= BillNotSafe; c++ {
+	codes := make([]Code, 0, int(RouteUnknown)+1)
+	for c := OK; c <= RouteUnknown; c++ {
 		codes = append(codes, c)
 	}
 	return codes
@@ -115,7 +116,7 @@
 	switch c {
 	case OK, SessionMoved, AnswerNotKept:
 		return DidRun
-	case UnknownKey, RouteNotAllowed, RequestMalformed, RequestTooLarge, DeadlinePast,
+	case UnknownKey, RouteNotAllowed, RouteUnknown, RequestMalformed, RequestTooLarge, DeadlinePast,
 		VersionNotAllowed, NoTables, Leaving, RateLimited, ConcurrencyLimited, QueueFull,
 		WaitTooLong, NoBackend, PoolFull, SessionTokenInvalid, IdempotencyKeyNeeded,
 		ClosedNotRun, TablesLeaseLapsed, TablesInvalid, EditConflict, EditIDReused,
--- /dev/null
+++ b/dh/dhcontrol/entries.go
@@ -0,0 +1,203 @@
+package dhcontrol
+
+import (
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"dandelionhoist.example/dh/dhpb"
+	"dandelionhoist.example/dh/dhtimer"
+	"dandelionhoist.example/dh/dhversion"
+)
+
+const (
+	// loadValid is how long the loads of an entry VM count that has not been
+	// heard again: some watch periods.
+	loadValid = 1500 * time.Millisecond
+	// entryCounted is how long an entry VM counts for shares of bounds after it
+	// was last heard. It may go on sending while it is cut off.
+	entryCounted = 15 * time.Second
+	// maxEntries bounds the entry VMs; twice the two-year size.
+	maxEntries = 4_000
+)
+
+// entries is what is known of the entry VMs: those that watch this VM, and
+// those that other control VMs tell of. It is safe for use by several goroutines.
+type entries struct {
+	timers dhtimer.Service
+
+	mu     sync.Mutex
+	direct map[string]*entry
+	// remote holds what each other control VM last told.
+	remote map[string]*remoteEntries
+}
+
+type entry struct {
+	incarnation uint64
+	heard       time.Time
+	loads       []*dhpb.BackendLoad
+	counters    []*dhpb.VersionCounter
+}
+
+type remoteEntries struct {
+	heard   time.Time
+	loads   []*dhpb.BackendLoad
+	entries []*dhpb.EntryRecord
+}
+
+// report takes what an entry VM says of itself.
+func (e *entries) report(vm string, incarnation uint64, r *dhpb.EntryReport) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.direct == nil {
+		e.direct = make(map[string]*entry)
+	}
+	if _, known := e.direct[vm]; !known && len(e.direct) >= maxEntries {
+		return
+	}
+	e.direct[vm] = &entry{incarnation: incarnation, heard: e.timers.Now(), loads: r.GetLoads(), counters: r.GetCounters()}
+}
+
+// merge takes what another control VM says of its entry VMs.
+func (e *entries) merge(control string, r *dhpb.ControlWatchResponse) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.remote == nil {
+		e.remote = make(map[string]*remoteEntries)
+	}
+	e.remote[control] = &remoteEntries{heard: e.timers.Now(), loads: r.GetLoads(), entries: r.GetEntries()}
+}
+
+// records returns the entry VMs that watch this VM, and forgets those that
+// have been gone for long.
+func (e *entries) records() []*dhpb.EntryRecord {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.timers.Now()
+	list := make([]*dhpb.EntryRecord, 0, len(e.direct))
+	for vm, d := range e.direct {
+		age := now.Sub(d.heard)
+		if age > entryCounted {
+			delete(e.direct, vm)
+			continue
+		}
+		list = append(list, &dhpb.EntryRecord{
+			Vm: vm, Incarnation: d.incarnation, Age: durationpb.New(age), Report: &dhpb.EntryReport{Counters: d.counters},
+		})
+	}
+	return list
+}
+
+// directLoads sums the loads of the entry VMs that watch this VM.
+func (e *entries) directLoads() []*dhpb.BackendLoad {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return loadList(e.sumDirect(make(map[string]int32)))
+}
+
+func (e *entries) sumDirect(sums map[string]int32) map[string]int32 {
+	now := e.timers.Now()
+	for _, d := range e.direct {
+		if now.Sub(d.heard) <= loadValid {
+			addLoads(sums, d.loads)
+		}
+	}
+	return sums
+}
+
+// allLoads sums the loads of all entry VMs.
+func (e *entries) allLoads() []*dhpb.BackendLoad {
+	return loadList(e.loadSums())
+}
+
+func (e *entries) loadSums() map[string]int32 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.timers.Now()
+	sums := e.sumDirect(make(map[string]int32))
+	for _, r := range e.remote {
+		if now.Sub(r.heard) <= loadValid {
+			addLoads(sums, r.loads)
+		}
+	}
+	return sums
+}
+
+func addLoads(sums map[string]int32, loads []*dhpb.BackendLoad) {
+	for _, l := range loads {
+		sums[l.GetId()] += l.GetRunning()
+	}
+}
+
+func loadList(sums map[string]int32) []*dhpb.BackendLoad {
+	list := make([]*dhpb.BackendLoad, 0, len(sums))
+	for id, n := range sums {
+		list = append(list, &dhpb.BackendLoad{Id: id, Running: n})
+	}
+	return list
+}
+
+// count returns the number of entry VMs that may be sending requests.
+func (e *entries) count() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.timers.Now()
+	names := make(map[string]bool)
+	for vm, d := range e.direct {
+		if now.Sub(d.heard) <= entryCounted {
+			names[vm] = true
+		}
+	}
+	for _, r := range e.remote {
+		for _, record := range r.entries {
+			if now.Sub(r.heard)+record.GetAge().AsDuration() <= entryCounted {
+				names[record.GetVm()] = true
+			}
+		}
+	}
+	return len(names)
+}
+
+// counterKey names the counters of one start of an entry VM. Counters only
+// grow, so that the larger of two is the newer.
+type counterKey struct {
+	vm          string
+	incarnation uint64
+	release     string
+}
+
+// counts sums the answers of a rollout: those of its target and those of the
+// other versions.
+func (e *entries) counts(pool, target string, number uint64) (before, after dhversion.Counts) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	newest := make(map[counterKey]*dhpb.VersionCounter)
+	add := func(vm string, incarnation uint64, counters []*dhpb.VersionCounter) {
+		for _, c := range counters {
+			k := counterKey{vm, incarnation, c.GetVersion()}
+			if c.GetPool() == pool && c.GetRolloutRevision() == number && c.GetAnswers() >= newest[k].GetAnswers() {
+				newest[k] = c
+			}
+		}
+	}
+	for vm, d := range e.direct {
+		add(vm, d.incarnation, d.counters)
+	}
+	for _, r := range e.remote {
+		for _, record := range r.entries {
+			add(record.GetVm(), record.GetIncarnation(), record.GetReport().GetCounters())
+		}
+	}
+	for k, c := range newest {
+		sum := &before
+		if k.release == target {
+			sum = &after
+		}
+		sum.Answers += c.GetAnswers()
+		sum.Bad += c.GetBad()
+		sum.Timed += c.GetRated()
+		sum.Slow += c.GetLow()
+	}
+	return before, after
+}
--- /dev/null
+++ b/dh/dhcontrol/service.go
@@ -0,0 +1,60 @@
+package dhcontrol
+
+import (
+	"context"
+	"net/http"
+
+	"dandelionhoist.example/dh/dhpb"
+	"dandelionhoist.example/dh/dhserver"
+	"dandelionhoist.example/dh/dhwire"
+)
+
+// Handler returns the services for other VMs of the system: watches, and the
+// calls of the voter.
+func (c *Control) Handler() http.Handler {
+	mux := http.NewServeMux()
+	control := dhpb.NewControlServiceServer(controlService{c})
+	mux.Handle(control.PathPrefix(), control)
+	voter := dhpb.NewPeerServiceServer(&dhserver.Peers{Voter: c})
+	// Only the voter's part of the service is offered here.
+	for _, method := range []string{"Prepare", "Accept", "ReadState"} {
+		mux.Handle(voter.PathPrefix()+method, voter)
+	}
+	return mux
+}
+
+// controlService gives errors the form of twirp.
+type controlService struct{ control *Control }
+
+// Watch implements dhpb.ControlService.
+func (s controlService) Watch(ctx context.Context, m *dhpb.ControlWatchRequest) (*dhpb.ControlWatchResponse, error) {
+	a, err := s.control.Watch(ctx, m)
+	return a, dhwire.ToTwirp(err)
+}
+
+// Prepare implements dhserver.Voter with the running voter.
+func (c *Control) Prepare(ctx context.Context, m *dhpb.PrepareRequest) (*dhpb.PrepareResponse, error) {
+	v, err := c.Voter()
+	if err != nil {
+		return nil, err
+	}
+	return v.Prepare(ctx, m)
+}
+
+// Accept implements dhserver.Voter with the running voter.
+func (c *Control) Accept(ctx context.Context, m *dhpb.AcceptRequest) (*dhpb.AcceptResponse, error) {
+	v, err := c.Voter()
+	if err != nil {
+		return nil, err
+	}
+	return v.Accept(ctx, m)
+}
+
+// ReadState implements dhserver.Voter with the running voter.
+func (c *Control) ReadState(ctx context.Context, m *dhpb.ReadStateRequest) (*dhpb.ReadStateResponse, error) {
+	v, err := c.Voter()
+	if err != nil {
+		return nil, err
+	}
+	return v.ReadState(ctx, m)
+}
--- /dev/null
+++ b/dh/dhcontrol/watch.go
@@ -0,0 +1,393 @@
+package dhcontrol
+
+import (
+	"cmp"
+	"context"
+	"log/slog"
+	"slices"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"dandelionhoist.example/dh/dhcode"
+	"dandelionhoist.example/dh/dhgroup"
+	"dandelionhoist.example/dh/dhpb"
+	"dandelionhoist.example/dh/dhtimer"
+)
+
+// maxWatchWait bounds how long a watch is kept waiting.
+const maxWatchWait = 2 * time.Second
+
+// Watch implements the twirp ControlService: it answers with what changed since the
+// position that the caller knows, at once when there is anything that the
+// caller must act on, else after the time that it wants to wait.
+func (c *Control) Watch(ctx context.Context, m *dhpb.ControlWatchRequest) (*dhpb.ControlWatchResponse, error) {
+	if m.GetVm() == "" {
+		return nil, dhcode.Errorf(dhcode.RequestMalformed, "a watch needs the name of the VM")
+	}
+	if r := m.GetControl(); r != nil {
+		c.peers.heard(r)
+	} else {
+		c.entries.report(m.GetVm(), m.GetIncarnation(), m.GetReport())
+	}
+	if m.GetEpoch() != c.Incarnation {
+		return c.answer(m), nil
+	}
+	c.peers.acknowledge(m.GetVm(), m.GetPosition())
+	wait, cancel := dhtimer.WithTimeout(ctx, c.Timers, min(m.GetWait().AsDuration(), maxWatchWait))
+	defer cancel()
+	for {
+		changed := c.onChange()
+		if c.hasNews(m) {
+			return c.answer(m), nil
+		}
+		select {
+		case <-changed:
+		case <-wait.Done():
+			return c.answer(m), nil
+		}
+	}
+}
+
+// hasNews reports whether the caller must learn something at once.
+func (c *Control) hasNews(m *dhpb.ControlWatchRequest) bool {
+	document, operations := c.state()
+	if document.GetVersion() > m.GetDocument() || operations.GetNumber() > m.GetOperations() {
+		return true
+	}
+	if m.GetPosition() == 0 && m.GetControl() == nil {
+		// The caller has an incomplete answer; the next one can wait.
+		return c.settled()
+	}
+	records, _ := c.registry.Content(m.GetPosition())
+	return len(records) > 0
+}
+
+// answer makes the answer to a watch.
+func (c *Control) answer(m *dhpb.ControlWatchRequest) *dhpb.ControlWatchResponse {
+	after := m.GetPosition()
+	a := &dhpb.ControlWatchResponse{Epoch: c.Incarnation}
+	if m.GetEpoch() != c.Incarnation {
+		after = 0
+	}
+	if m.GetControl() != nil {
+		a.Backends, a.Position = c.registry.Touched(after)
+		a.Entries, a.Loads = c.entries.records(), c.entries.directLoads()
+	} else {
+		a.Backends, a.Position = c.registry.Content(after)
+		a.Loads, a.EntryVms = c.entries.allLoads(), uint32(c.entries.count())
+		// A control VM that has just started does not know all yet.
+		a.Complete = after == 0 && c.settled()
+		if after == 0 && !a.Complete {
+			// The caller asks for all again until the answer is complete.
+			a.Position = 0
+		}
+	}
+	a.Controls = c.peers.records()
+	document, operations := c.state()
+	if document.GetVersion() > m.GetDocument() {
+		a.Document = document
+	}
+	if operations.GetNumber() > m.GetOperations() {
+		a.Operations = operations
+	}
+	age, confirmed := c.confirmedAge()
+	a.Confirmed, a.ConfirmedAge = confirmed, durationpb.New(age)
+	return a
+}
+
+// settled reports whether every living backend server has been heard since
+// the start, directly or through other control VMs.
+func (c *Control) settled() bool {
+	return c.inMajority() && c.Timers.Now().Sub(c.started) > 2*c.AnnouncePeriod+settleSlack
+}
+
+// settleSlack is added to two periods of announcements, since one may be late.
+const settleSlack = time.Second
+
+// peers are the other control VMs. It is safe for use by several goroutines.
+type peers struct {
+	control *Control
+
+	mu   sync.Mutex
+	rows map[string]*peer
+}
+
+// peer is another control VM.
+type peer struct {
+	record *dhpb.ControlRecord
+	// heard is when the VM was last heard, by itself or through others.
+	heard time.Time
+	seed  bool
+	// answered is when it last answered this VM, and acknowledged the position
+	// up to which it has this VM's registry.
+	answered     time.Time
+	acknowledged uint64
+	watched      bool
+}
+
+const (
+	// peerWait is how long a watch of another control VM waits; announcements
+	// that change nothing travel in this period.
+	peerWait = 300 * time.Millisecond
+	// peerTimeout is added to it for the answer.
+	peerTimeout = 500 * time.Millisecond
+	// peerPause spaces calls to a control VM that does not answer.
+	peerPause = 200 * time.Millisecond
+	// forgetPeer is how long a control VM is looked for that nobody hears.
+	forgetPeer = time.Minute
+	// maxPeers bounds the control VMs; the plan is for 11 at most.
+	maxPeers = 64
+)
+
+func newPeers(c *Control) *peers {
+	p := &peers{control: c, rows: make(map[string]*peer)}
+	p.setSeeds(c.Seeds)
+	return p
+}
+
+// setSeeds adds addresses from the settings.
+func (p *peers) setSeeds(seeds []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, row := range p.rows {
+		row.seed = false
+	}
+	for _, address := range seeds {
+		if row := p.row(address); row != nil {
+			row.seed = true
+		}
+	}
+}
+
+// SetSeeds takes new seeds from changed settings.
+func (c *Control) SetSeeds(seeds []string) { c.peers.setSeeds(seeds) }
+
+// row returns the row of an address other than the own, which it adds.
+func (p *peers) row(address string) *peer {
+	if address == p.control.Address {
+		return nil
+	}
+	row, ok := p.rows[address]
+	if !ok {
+		if len(p.rows) >= maxPeers {
+			return nil
+		}
+		row = &peer{record: &dhpb.ControlRecord{Address: address}, heard: p.control.Timers.Now()}
+		p.rows[address] = row
+	}
+	return row
+}
+
+// heard takes what a control VM, or another one, says of it.
+func (p *peers) heard(r *dhpb.ControlRecord) {
+	if r.GetAddress() == "" || r.GetVm() == "" {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	row := p.row(r.GetAddress())
+	if row == nil {
+		return
+	}
+	at := p.control.Timers.Now().Add(-r.GetAge().AsDuration())
+	if at.After(row.heard) {
+		row.heard = at
+	}
+	if r.GetIncarnation() >= row.record.GetIncarnation() {
+		row.record = r
+	}
+}
+
+// acknowledge notes up to which position a control VM has the registry.
+func (p *peers) acknowledge(vm string, position uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, row := range p.rows {
+		if row.record.GetVm() == vm {
+			row.acknowledged = max(row.acknowledged, position)
+		}
+	}
+}
+
+// self returns this VM's own record.
+func (p *peers) self() *dhpb.ControlRecord {
+	c := p.control
+	r := &dhpb.ControlRecord{Vm: c.Name, Address: c.Address, Zone: c.Zone, Incarnation: c.Incarnation, Age: durationpb.New(0)}
+	if v := c.voter.Load(); v != nil && v.Status().Err == nil {
+		r.VoterId = v.Status().ID
+	}
+	return r
+}
+
+// records returns this VM and the others that are known by name.
+func (p *peers) records() []*dhpb.ControlRecord {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.control.Timers.Now()
+	list := []*dhpb.ControlRecord{p.self()}
+	for _, row := range p.rows {
+		if row.record.GetVm() == "" {
+			continue
+		}
+		r := row.record
+		list = append(list, &dhpb.ControlRecord{
+			Vm: r.GetVm(), Address: r.GetAddress(), Zone: r.GetZone(), Incarnation: r.GetIncarnation(), VoterId: r.GetVoterId(),
+			Age: durationpb.New(now.Sub(row.heard)),
+		})
+	}
+	slices.SortFunc(list, func(a, b *dhpb.ControlRecord) int { return cmp.Compare(a.GetVm(), b.GetVm()) })
+	return list
+}
+
+// addresses returns the addresses of all other control VMs.
+func (p *peers) addresses() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := make([]string, 0, len(p.rows))
+	for address := range p.rows {
+		list = append(list, address)
+	}
+	slices.Sort(list)
+	return list
+}
+
+// run watches every other control VM.
+func (p *peers) run(ctx context.Context) error {
+	group := dhgroup.New(ctx)
+	for ctx.Err() == nil {
+		for _, address := range p.unwatched() {
+			group.Go(func(ctx context.Context) error { return p.watch(ctx, address) })
+		}
+		_ = dhtimer.Sleep(ctx, p.control.Timers, peerPause) // the loop ends with ctx
+	}
+	return group.Wait()
+}
+
+// unwatched returns the control VMs that no goroutine watches, and counts them as watched.
+func (p *peers) unwatched() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var list []string
+	for address, row := range p.rows {
+		if !row.watched {
+			row.watched = true
+			list = append(list, address)
+		}
+	}
+	return list
+}
+
+// watch watches one control VM until nobody has heard it for long.
+func (p *peers) watch(ctx context.Context, address string) error {
+	c := p.control
+	var epoch, position uint64
+	lost := true
+	for ctx.Err() == nil && !p.forget(address) {
+		reply, err := p.ask(ctx, address, epoch, position)
+		if err != nil {
+			if !lost {
+				c.Log.Warn("control VM lost", slog.String("control", address), slog.String("error", err.Error()))
+			}
+			lost = true
+			_ = dhtimer.Sleep(ctx, c.Timers, peerPause) // the loop ends with ctx
+			continue
+		}
+		if lost {
+			c.Log.Info("watching control VM", slog.String("control", address))
+		}
+		lost = false
+		epoch, position = reply.GetEpoch(), reply.GetPosition()
+		p.merge(address, reply)
+	}
+	return nil
+}
+
+func (p *peers) ask(ctx context.Context, address string, epoch, position uint64) (*dhpb.ControlWatchResponse, error) {
+	c := p.control
+	ctx, cancel := dhtimer.WithTimeout(ctx, c.Timers, peerWait+peerTimeout)
+	defer cancel()
+	document, operations := c.state()
+	return c.Peers.Watch(ctx, address, &dhpb.ControlWatchRequest{
+		Vm: c.Name, Incarnation: c.Incarnation, Zone: c.Zone, Epoch: epoch, Position: position,
+		Document: document.GetVersion(), Operations: operations.GetNumber(), Wait: durationpb.New(peerWait), Control: p.self(),
+	})
+}
+
+// merge takes over what another control VM answers.
+func (p *peers) merge(address string, reply *dhpb.ControlWatchResponse) {
+	c := p.control
+	p.mu.Lock()
+	if row := p.rows[address]; row != nil {
+		now := c.Timers.Now()
+		row.heard, row.answered = now, now
+	}
+	p.mu.Unlock()
+	for _, r := range reply.GetControls() {
+		p.heard(r)
+	}
+	c.entries.merge(address, reply)
+	content := false
+	for _, r := range reply.GetBackends() {
+		content = c.learn(r, "control VM") || content
+	}
+	if content {
+		c.notify()
+	}
+	// A control VM tells only of what is decided.
+	if d := reply.GetDocument(); d != nil {
+		c.applyDocument(d)
+	}
+	if o := reply.GetOperations(); o != nil {
+		c.applyOperations(o)
+	}
+}
+
+// forget reports whether a control VM is no longer looked for, and drops it.
+func (p *peers) forget(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	row := p.rows[address]
+	if row == nil {
+		return true
+	}
+	if row.seed || p.control.Timers.Now().Sub(row.heard) <= forgetPeer {
+		return false
+	}
+	delete(p.rows, address)
+	return true
+}
+
+// answeredWithin reports whether the control VM with a voter answered lately.
+func (p *peers) answeredWithin(d time.Duration) map[string]*dhpb.ControlRecord {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.control.Timers.Now()
+	alive := make(map[string]*dhpb.ControlRecord)
+	for _, row := range p.rows {
+		if row.record.GetVm() != "" && !row.answered.IsZero() && now.Sub(row.answered) <= d {
+			alive[row.record.GetAddress()] = row.record
+		}
+	}
+	return alive
+}
+
+// replicated reports whether more than half of the control VMs that answer
+// have the registry up to a position.
+func (p *peers) replicated(position uint64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.control.Timers.Now()
+	all, have := 1, 1
+	for _, row := range p.rows {
+		if row.answered.IsZero() || now.Sub(row.answered) > maxMajorityAge {
+			continue
+		}
+		all++
+		if row.acknowledged >= position {
+			have++
+		}
+	}
+	return 2*have > all
+}
--- a/dh/dhengine/client.go
+++ b/dh/dhengine/client.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net/http/httptrace"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -13,6 +12,7 @@
 	"dandelionhoist.example/dh/dhcode"
 	"dandelionhoist.example/dh/dhpb"
 	"dandelionhoist.example/dh/dhpb/dhpbconnect"
+	"dandelionhoist.example/dh/dhwire"
 )
 
 // maxClients bounds the cached connect clients; the connections themselves
@@ -67,7 +67,7 @@
 func (c *Client) Generate(ctx context.Context, address string, req *dhpb.GenerateRequest) (*Stream, error) {
 	s := &Stream{}
 	ctx, s.cancel = context.WithCancel(ctx)
-	ctx, s.sent = traceSent(ctx)
+	ctx, s.sent = dhwire.TraceSent(ctx)
 	stream, err := c.client(address).Generate(ctx, req)
 	if err != nil {
 		s.cancel()
@@ -77,15 +77,6 @@
 	return s, nil
 }
 
-// traceSent returns a context whose call sets the flag once it has a
-// connection on which it may send.
-func traceSent(ctx context.Context) (context.Context, *atomic.Bool) {
-	sent := new(atomic.Bool)
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
-	}), sent
-}
-
 // Next returns the next chunk, or io.EOF after the last one. A stream that
 // ends without its last chunk returns an error with the code stream-broken.
 func (s *Stream) Next() (*dhpb.Chunk, error) {
@@ -112,7 +103,7 @@
 
 // Cancel stops a request by id and reports whether the backend server had it.
 func (c *Client) Cancel(ctx context.Context, address, requestID string) (bool, error) {
-	ctx, sent := traceSent(ctx)
+	ctx, sent := dhwire.TraceSent(ctx)
 	response, err := c.client(address).CancelGenerate(ctx, &dhpb.CancelRequest{RequestId: requestID})
 	if err != nil {
 		return false, decodeError(err, sent.Load())
@@ -122,7 +113,7 @@
 
 // Order sends an order. A refused one is answered with Accepted false.
 func (c *Client) Order(ctx context.Context, address string, o *dhpb.OrderRequest) (*dhpb.OrderResponse, error) {
-	ctx, sent := traceSent(ctx)
+	ctx, sent := dhwire.TraceSent(ctx)
 	response, err := c.client(address).Order(ctx, o)
 	if err != nil {
 		return nil, decodeError(err, sent.Load())
@@ -135,7 +126,7 @@
 func (c *Client) CacheEvents(ctx context.Context, address string, after uint64, f func(*dhpb.CacheEvent) bool) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	ctx, sent := traceSent(ctx)
+	ctx, sent := dhwire.TraceSent(ctx)
 	stream, err := c.client(address).CacheEvents(ctx, &dhpb.CacheEventsRequest{After: after})
 	if err != nil {
 		return decodeError(err, sent.Load())
--- a/dh/dhpeer/dhpeer.go
+++ b/dh/dhpeer/dhpeer.go
@@ -37,27 +37,47 @@
 type Client struct {
 	// Key is the peer key sent with each call.
 	Key string
+	// OneCallPerConnection uses HTTP/1.1, so that a connection that has gone
+	// silent delays one call and is given up with it.
+	OneCallPerConnection bool
 
 	once    sync.Once
 	http    *http.Client
 	mu      sync.RWMutex
-	clients map[string]dhpb.PeerService
+	clients map[string]peer
 }
 
+// peer holds the clients of one VM's services.
+type peer struct {
+	dhpb.PeerService
+	control dhpb.ControlService
+}
+
+// maxIdlePerPeer is how many idle connections to one VM are kept with
+// OneCallPerConnection: calls of a quorum round and a watch run side by side.
+const maxIdlePerPeer = 8
+
 func (c *Client) init() {
 	c.once.Do(func() {
 		protocols := new(http.Protocols)
-		protocols.SetUnencryptedHTTP2(true)
+		protocols.SetUnencryptedHTTP2(!c.OneCallPerConnection)
+		protocols.SetHTTP1(c.OneCallPerConnection)
 		c.http = &http.Client{Transport: &authorized{key: c.Key, next: &http.Transport{
-			Protocols:   protocols,
-			DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext,
-			HTTP2:       &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
+			Protocols:           protocols,
+			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			HTTP2:               &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
+			MaxIdleConnsPerHost: maxIdlePerPeer,
+			IdleConnTimeout:     idleTimeout,
+			DisableCompression:  c.OneCallPerConnection,
 		}}}
-		c.clients = make(map[string]dhpb.PeerService)
+		c.clients = make(map[string]peer)
 	})
 }
 
-// authorized adds the peer key to each request.
+// idleTimeout closes connections to VMs that are no longer called.
+const idleTimeout = 30 * time.Second
+
+// authorized adds the peer key, if there is one, to each request.
 type authorized struct {
 	key  string
 	next http.RoundTripper
@@ -65,24 +85,30 @@
 
 // RoundTrip implements http.RoundTripper.
 func (a *authorized) RoundTrip(r *http.Request) (*http.Response, error) {
+	if a.key == "" {
+		return a.next.RoundTrip(r)
+	}
 	r = r.Clone(r.Context())
 	dhwire.SetKey(r.Header, a.key)
 	return a.next.RoundTrip(r)
 }
 
-func (c *Client) peer(address string) dhpb.PeerService {
+func (c *Client) peer(address string) peer {
 	c.init()
 	c.mu.RLock()
-	peer := c.clients[address]
+	p, ok := c.clients[address]
 	c.mu.RUnlock()
-	if peer != nil {
-		return peer
+	if ok {
+		return p
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	peer = dhpb.NewPeerServiceProtobufClient("http://"+address, c.http)
-	c.clients[address] = peer
-	return peer
+	p = peer{
+		PeerService: dhpb.NewPeerServiceProtobufClient("http://"+address, c.http),
+		control:     dhpb.NewControlServiceProtobufClient("http://"+address, c.http),
+	}
+	c.clients[address] = p
+	return p
 }
 
 // decode gives a code to errors of the connection.
@@ -122,6 +148,12 @@
 	return reply, decode(err)
 }
 
+// Watch asks a control VM for what is new.
+func (c *Client) Watch(ctx context.Context, address string, m *dhpb.ControlWatchRequest) (*dhpb.ControlWatchResponse, error) {
+	reply, err := c.peer(address).control.Watch(ctx, m)
+	return reply, decode(err)
+}
+
 // FetchRevision returns a decided revision that another VM knows.
 func (c *Client) FetchRevision(ctx context.Context, address string, revision uint64) (*dhpb.Revision, error) {
 	reply, err := c.peer(address).FetchRevision(ctx, &dhpb.FetchRevisionRequest{Revision: revision})
--- a/dh/dhplacement/dhplacement.go
+++ b/dh/dhplacement/dhplacement.go
@@ -62,6 +62,9 @@
 	PerFailure, FailureHalfLife time.Duration
 	// MaxBlocks bounds the known prefix cache blocks per backend server.
 	MaxBlocks int
+	// MaxWaiting is how many requests may wait for a slot of a backend server;
+	// 0 means no bound.
+	MaxWaiting float64
 }
 
 // Defaults returns the settings that docs/MEASUREMENTS.md reports on.
@@ -90,7 +93,10 @@
 	Pool    string
 	Version dhtable.Version
 	// Prefix holds the hashes of the prompt's prefixes, the shortest first.
-	Prefix       []uint64
+	Prefix []uint64
+	// PrefixTokens holds the length of each prefix; without it each is
+	// BlockTokens longer than the one before.
+	PrefixTokens []int
 	PromptTokens int
 	// MaxTokens is the limit of the answer; DefaultMaxTokens when it is 0.
 	MaxTokens int
@@ -102,6 +108,16 @@
 	// Credit reports whether a credit for a backend server in a cold start is
 	// available. Without it none is chosen.
 	Credit func(b *dhbackend.Backend) bool
+	// Permit reports whether the request may use a backend server; nil permits all.
+	Permit func(b *dhbackend.Backend) bool
+}
+
+// tokens returns the length of the first n prefixes.
+func (r *Request) tokens(n int) int {
+	if n == 0 || len(r.PrefixTokens) < n {
+		return n * BlockTokens
+	}
+	return r.PrefixTokens[n-1]
 }
 
 // Placement is a choice.
@@ -157,6 +173,9 @@
 		c.ramp = 0
 		c.choose()
 	}
+	if c.best.Backend == nil && c.refusedFull {
+		return Placement{}, dhcode.Errorf(dhcode.PoolFull, "no backend server of pool %q has a free place", r.Pool)
+	}
 	if c.best.Backend == nil && c.refusedCold {
 		return Placement{}, dhcode.Errorf(dhcode.PoolFull, "backend servers of pool %q with version %q are in a cold start without a free credit", r.Pool, r.Version)
 	}
@@ -204,6 +223,7 @@
 	best        Placement
 	bestScore   time.Duration
 	refusedCold bool
+	refusedFull bool
 }
 
 func (c *choice) choose() {
@@ -278,7 +298,7 @@
 func (c *choice) score(cand *candidate) {
 	s := &c.p.Settings
 	b := cand.backend
-	if slices.Contains(c.r.Exclude, b.ID) {
+	if slices.Contains(c.r.Exclude, b.ID) || (c.r.Permit != nil && !c.r.Permit(b)) {
 		return
 	}
 	cold := b.State == dhbackend.Cold
@@ -288,7 +308,11 @@
 	}
 	load := cand.others + float64(cand.row.inFlight.Load())
 	slots := float64(max(b.Slots, 1))
-	cached := cand.row.match(c.r.Prefix) * BlockTokens
+	if s.MaxWaiting > 0 && load+1 > slots+s.MaxWaiting {
+		c.refusedFull = true
+		return
+	}
+	cached := c.r.tokens(cand.row.match(c.r.Prefix))
 	wait := scale(s.PerWaiting, excess(load+1-slots, s.Spread))
 	running := min(load, slots)
 	uncached := max(c.r.PromptTokens-cached, 0)
--- a/dh/dhquorum/proposer.go
+++ b/dh/dhquorum/proposer.go
@@ -271,3 +271,19 @@
 	}
 	return p.Update(ctx, key, func(old []byte) ([]byte, error) { return old, nil })
 }
+
+// Peek is Read without bringing voters that do not agree to agreement: it then
+// fails with quorum-unreachable. VMs that read often use it, so that they do
+// not compete with an update that is being written.
+func (p *Proposer) Peek(ctx context.Context, key string) ([]byte, error) {
+	ctx, cancel := p.withTimeout(ctx)
+	defer cancel()
+	value, err := p.readAgreed(ctx, key)
+	if errors.Is(err, errEpoch) {
+		value, err = p.readAgreed(ctx, key)
+	}
+	if retryable(err) {
+		return nil, unreachable(err)
+	}
+	return value, err
+}
--- a/dh/dhrouter/attempt.go
+++ b/dh/dhrouter/attempt.go
@@ -5,7 +5,6 @@
 	"crypto/sha256"
 	"errors"
 	"io"
-	"slices"
 	"time"
 
 	"google.golang.org/protobuf/types/known/durationpb"
@@ -60,23 +59,71 @@
 		return err
 	}
 	t.choice, t.failed, t.prefix = choice, nil, nil
-	r.Retries.First(t.route.Pool)
-	for retry := 0; ; retry++ {
-		err := r.attempt(ctx, t, a)
-		if err == nil || retry+1 >= r.MaxAttempts || !mayRetry(ctx, t, err) {
-			return err
-		}
-		if r.Retries.Retry(t.route.Pool) != nil {
-			return err
-		}
-		if text, _ := a.Len(); text > 0 {
-			// The answer has begun, so it goes on with its version.
-			t.choice.Pinned = true
-		}
-		if dhtimer.Sleep(ctx, r.Timers, r.Backoff(retry)) != nil {
-			return err
-		}
+	return r.deliver(ctx, &generation{attempts: t, router: r, answer: a}, r.MaxAttempts)
+}
+
+// generation is the exchange of a request that came over the connect interface.
+type generation struct {
+	*attempts
+	router *Router
+	answer *dhanswer.Answer
+}
+
+func (g *generation) pool() string { return g.route.Pool }
+
+// wants implements exchange.
+func (g *generation) wants(s *Snapshot) (dhplacement.Request, error) {
+	if err := dhversion.Usable(g.router.versionInput(s, g.attempts, g.choice.Version.Model), g.choice); err != nil {
+		return dhplacement.Request{}, err
+	}
+	if g.prefix == nil {
+		g.prefix = dhengine.PrefixHashes(nil, g.choice.Version, g.GetPrompt())
+	}
+	return dhplacement.Request{
+		Pool: g.route.Pool, Version: g.choice.Version, Prefix: g.prefix, PromptTokens: dhengine.PromptTokens(g.GetPrompt()),
+		ZoneWeights: s.ZoneWeight, Exclude: g.failed, Credit: g.router.Credits.Available,
+	}, nil
+}
+
+// dispatch implements exchange.
+func (g *generation) dispatch(ctx context.Context) error { return g.router.dispatch(ctx, g.attempts) }
+
+// relay implements exchange.
+func (g *generation) relay(ctx context.Context, b *dhbackend.Backend) (time.Duration, error) {
+	g.number++
+	g.answer.StartAttempt(g.number, g.choice.Version.Model, g.choice.Version.Name)
+	bounded, cancel := g.router.bound(ctx, b.ID)
+	defer cancel()
+	return g.router.relay(bounded, g.attempts, b, g.answer)
+}
+
+// ended implements exchange.
+func (g *generation) ended(b *dhbackend.Backend, first time.Duration, err error) (Event, bool) {
+	if err != nil {
+		g.failed = append(g.failed, b.ID)
+	}
+	g.mayHaveRun = g.mayHaveRun || err == nil || dhcode.RanOf(err) != dhcode.NotRun
+	_, tokens := g.answer.Len()
+	e := Event{Pool: g.route.Pool, Backend: b.ID, Version: g.choice.Version, Failed: err != nil, FirstToken: first, Tokens: tokens}
+	// A bound that the caller chose says nothing about the version.
+	if int(g.GetMaxTokens()) == g.route.MaxTokens {
+		e.MaxTokens = g.route.MaxTokens
+	}
+	return e, true
+}
+
+// again implements exchange.
+func (g *generation) again(ctx context.Context, err error) bool {
+	return mayRetry(ctx, g.attempts, err)
+}
+
+// pause implements exchange.
+func (g *generation) pause(retry int, _ error) time.Duration {
+	if text, _ := g.answer.Len(); text > 0 {
+		// The answer has begun, so it goes on with its version.
+		g.choice.Pinned = true
 	}
+	return g.router.Backoff(retry)
 }
 
 // mayRetry reports whether another attempt after err can help and cannot make
@@ -92,31 +139,6 @@
 	return false
 }
 
-// attempt places a request on one backend server and relays its answer.
-func (r *Router) attempt(ctx context.Context, t *attempts, a *dhanswer.Answer) error {
-	s := r.Snapshot()
-	if err := dhversion.Usable(r.versionInput(s, t, t.choice.Version.Model), t.choice); err != nil {
-		return err
-	}
-	place, err := r.place(s, t)
-	if err != nil {
-		return err
-	}
-	if err := r.dispatch(ctx, t); err != nil {
-		r.Breakers.Cancel(place.backend.ID)
-		place.done(nil)
-		return err
-	}
-	t.number++
-	a.StartAttempt(t.number, t.choice.Version.Model, t.choice.Version.Name)
-	bounded, cancel := r.bound(ctx, place.backend.ID)
-	first, err := r.relay(bounded, t, place.backend, a)
-	cancel()
-	place.done(err)
-	r.ended(ctx, t, place.backend, a, first, err)
-	return err
-}
-
 // withRan keeps the refusal of a later attempt from saying "not run" of a
 // request whose earlier attempt may have run.
 func (t *attempts) withRan(err error) error {
@@ -126,29 +148,6 @@
 	return err
 }
 
-// ended records the end of an attempt that was sent.
-func (r *Router) ended(ctx context.Context, t *attempts, b *dhbackend.Backend, a *dhanswer.Answer, first time.Duration, err error) {
-	if err != nil {
-		t.failed = append(t.failed, b.ID)
-	}
-	t.mayHaveRun = t.mayHaveRun || err == nil || dhcode.RanOf(err) != dhcode.NotRun
-	if err != nil && ctx.Err() != nil {
-		r.Breakers.Cancel(b.ID)
-		return
-	}
-	r.Breakers.End(b.ID, err == nil)
-	if first > 0 {
-		r.Credits.FirstToken(b.ID, first)
-	}
-	_, tokens := a.Len()
-	e := Event{Pool: t.route.Pool, Backend: b.ID, Version: t.choice.Version, Failed: err != nil, FirstToken: first, Tokens: tokens}
-	// A bound that the caller chose says nothing about the version.
-	if int(t.GetMaxTokens()) == t.route.MaxTokens {
-		e.MaxTokens = t.route.MaxTokens
-	}
-	r.Report(e)
-}
-
 // dispatch makes the claim of a keyed request durable before anything is sent.
 func (r *Router) dispatch(ctx context.Context, t *attempts) error {
 	if t.claim == nil || t.dispatched {
@@ -171,43 +170,6 @@
 	return dhtimer.WithTimeout(ctx, r.Timers, longest)
 }
 
-// place is where an attempt runs. Done is called once when it has ended.
-type place struct {
-	backend *dhbackend.Backend
-	done    func(err error)
-}
-
-// place chooses a backend server whose circuit breaker permits the attempt
-// and, in a cold start, takes a credit.
-func (r *Router) place(s *Snapshot, t *attempts) (place, error) {
-	if t.prefix == nil {
-		t.prefix = dhengine.PrefixHashes(nil, t.choice.Version, t.GetPrompt())
-	}
-	req := dhplacement.Request{
-		Pool: t.route.Pool, Version: t.choice.Version, Prefix: t.prefix, PromptTokens: dhengine.PromptTokens(t.GetPrompt()),
-		ZoneWeights: s.ZoneWeight, Exclude: t.failed, Credit: r.Credits.Available,
-	}
-	for {
-		p, err := r.Placer.Place(s.Backends, req)
-		if err != nil {
-			return place{}, err
-		}
-		id := p.Backend.ID
-		release, ok := r.Credits.Acquire(id)
-		if ok && r.Breakers.Begin(id) {
-			r.Placer.Begin(p, req)
-			return place{backend: p.Backend, done: func(err error) {
-				release()
-				r.Placer.End(p, err == nil)
-			}}, nil
-		}
-		if ok {
-			release()
-		}
-		req.Exclude = append(slices.Clone(req.Exclude), id)
-	}
-}
-
 // relay calls a backend server and appends its chunks to the answer. It
 // returns the time to the first token.
 func (r *Router) relay(ctx context.Context, t *attempts, b *dhbackend.Backend, a *dhanswer.Answer) (time.Duration, error) {
--- a/dh/dhrouter/dhrouter.go
+++ b/dh/dhrouter/dhrouter.go
@@ -1,6 +1,10 @@
 // Package dhrouter answers requests: it admits a request, chooses a version
 // and a backend server, relays the answer, bills it and releases it.
 //
+// Two fronts share the decisions where, how often and until when a request is
+// sent (deliver): Start takes requests of the connect interface, whose answers
+// are kept and billed, and Forward passes HTTP requests on as they are.
+//
 // Traffic goroutines read an immutable Snapshot that the control loop
 // publishes; they hold no lock over I/O.
 //
@@ -11,8 +15,11 @@
 //	answer, joined, err := router.Start(account, request) // joins a request that is already running
 //	part, err := answer.Read(ctx, 0)
 //
-// The answer goes on when the caller's connection is lost; Resume and Cancel
-// find it by its request id.
+//	begun, err := router.Forward(ctx, message, w) // an HTTP request
+//
+// An answer of the connect interface goes on when the caller's connection is
+// lost; Resume and Cancel find it by its request id. A forwarded request ends
+// with its caller's connection.
 package dhrouter
 
 import (
@@ -135,6 +142,8 @@
 	// ZoneWeight is the part of its normal load that a zone takes, from 0 for
 	// a zone that is out to 1.
 	ZoneWeight map[string]float64
+	// Rollouts are the versions by pool, where backend servers run one version each.
+	Rollouts map[string]dhversion.Rollout
 }
 
 // Event reports the end of an attempt to the control loop.
@@ -145,6 +154,12 @@
 	FirstToken    time.Duration
 	// Tokens and MaxTokens are the length of a whole answer and its bound.
 	Tokens, MaxTokens int
+	// Answered is set when the backend server ended the answer itself, well or
+	// badly, Class is the request's class and Between the mean time between
+	// two events. They are known of HTTP requests only.
+	Answered bool
+	Class    string
+	Between  time.Duration
 }
 
 // Router answers requests. Exported fields are set before use.
@@ -166,6 +181,11 @@
 	Planner  Planner
 	Ratings  Ratings
 	Engine   Engine
+	// Passer, Lease and Random serve HTTP requests. A nil Lease never ends;
+	// Random returns a number in [0, 1).
+	Passer Passer
+	Lease  Lease
+	Random func() float64
 	// VM and Zone name the entry VM.
 	VM, Zone string
 	// MaxAttempts bounds the attempts of a request.
--- a/dh/dhtable/dhtable.go
+++ b/dh/dhtable/dhtable.go
@@ -87,6 +87,9 @@
 	RequestsPerSecond float64
 	Burst             int
 	Concurrency       int
+	// Rank orders the account's requests before that of their route: 0 is the
+	// most urgent. It is nil where the route decides.
+	Rank *int
 }
 
 // Route says who may ask for what and how answers are made.
@@ -107,6 +110,7 @@
 	Cascade []string
 	// Allow lists patterns "model/version" or "model/*" by client account.
 	Allow map[string][]string
+	Passing
 }
 
 // VersionEntry is a version's row in a pool.
@@ -132,6 +136,7 @@
 	Name   string
 	Kind   PoolKind
 	Models map[string]Model
+	Traits
 }
 
 // Zone is an availability zone.
@@ -148,9 +153,11 @@
 	Routes   map[string]Route
 	Pools    map[string]Pool
 	Zones    map[string]Zone
+	Intake   Intake
 
-	byKey map[KeyHash]string
-	text  []byte
+	byKey  map[KeyHash]string
+	byHost map[string][]*Route
+	text   []byte
 }
 
 // WithRevision returns a copy of t with the given revision.
--- a/dh/dhwire/dhwire.go
+++ b/dh/dhwire/dhwire.go
@@ -170,7 +170,7 @@
 		return connect.CodeAborted
 	case dhcode.KeyExpired, dhcode.ClosedNotRun, dhcode.BaseRevisionUnknown, dhcode.SessionMoved:
 		return connect.CodeFailedPrecondition
-	case dhcode.AnswerNotKept, dhcode.EditUnknown:
+	case dhcode.AnswerNotKept, dhcode.EditUnknown, dhcode.RouteUnknown:
 		return connect.CodeNotFound
 	case dhcode.DiskCorrupt, dhcode.VoterRolledBack:
 		return connect.CodeDataLoss
