Answer with the cheapest sure model and give shared prefixes a home

Change: a request starts on the route's smallest model; an answer whose model states a confidence under 45 is dropped before the caller has any of it and made by the largest. The two backend servers with the highest rendezvous weights for a shared prefix are always candidates.

--- a/dh/dhplacement/affinity.go
+++ b/dh/dhplacement/affinity.go
@@ -215,3 +215,44 @@
 		s.mu.Unlock()
 	}
 }
+
+// homes is how many backend servers are the homes of a shared prefix. All
+// entry VMs agree on them without messages, so that the prefix is read once
+// and not once for each VM.
+const homes = 2
+
+// scoreHome scores the homes of the longest shared prefix: those with the
+// highest rendezvous weights among the candidates that the request may use.
+func (c *choice) scoreHome() {
+	if c.r.Shared <= 0 || c.r.Shared > len(c.r.Prefix) {
+		return
+	}
+	prefix := c.r.Prefix[c.r.Shared-1]
+	var best [homes]*candidate
+	var weights [homes]uint64
+	for i := range c.group.zones {
+		if !c.open(i) {
+			continue
+		}
+		for _, cand := range c.group.zones[i].rows {
+			if c.r.Permit != nil && !c.r.Permit(cand.backend) {
+				continue
+			}
+			w := random(cand.row.hash ^ prefix)
+			weight := w.next()
+			for at := range best {
+				if weight > weights[at] {
+					weight, weights[at] = weights[at], weight
+					cand, best[at] = best[at], cand
+				}
+			}
+		}
+	}
+	c.home = true
+	for _, cand := range best {
+		if cand != nil {
+			c.score(cand)
+		}
+	}
+	c.home = false
+}
--- a/dh/dhplacement/dhplacement.go
+++ b/dh/dhplacement/dhplacement.go
@@ -97,6 +97,10 @@
 	// PrefixTokens holds the length of each prefix; without it each is
 	// BlockTokens longer than the one before.
 	PrefixTokens []int
+	// Shared is the number of prefixes that other requests have too. The
+	// backend servers that most entry VMs choose for the longest of them are
+	// scored as if they held it.
+	Shared       int
 	PromptTokens int
 	// MaxTokens is the limit of the answer; DefaultMaxTokens when it is 0.
 	MaxTokens int
@@ -224,6 +228,8 @@
 	bestScore   time.Duration
 	refusedCold bool
 	refusedFull bool
+	// home is set while the home of the shared prefix is scored.
+	home bool
 }
 
 func (c *choice) choose() {
@@ -247,6 +253,7 @@
 		}
 	}
 	c.scoreOwner()
+	c.scoreHome()
 	if c.best.Backend == nil {
 		c.scoreAll()
 	}
@@ -312,7 +319,11 @@
 		c.refusedFull = true
 		return
 	}
-	cached := c.r.tokens(cand.row.match(c.r.Prefix))
+	matched := cand.row.match(c.r.Prefix)
+	if c.home {
+		matched = max(matched, c.r.Shared)
+	}
+	cached := c.r.tokens(matched)
 	wait := scale(s.PerWaiting, excess(load+1-slots, s.Spread))
 	running := min(load, slots)
 	uncached := max(c.r.PromptTokens-cached, 0)
--- a/dh/dhplacement/index.go
+++ b/dh/dhplacement/index.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"dandelionhoist.example/dh/dhbackend"
 	"dandelionhoist.example/dh/dhtable"
 )
@@ -194,6 +196,7 @@
 // row is what this entry VM knows of a backend server by itself.
 type row struct {
 	id       string
+	hash     uint64 // of the id
 	inFlight atomic.Int64
 	known    blockSet
 
@@ -217,7 +220,7 @@
 func (p *Placer) row(b *dhbackend.Backend, now time.Time) *row {
 	r, ok := p.rows[b.ID]
 	if !ok {
-		r = &row{id: b.ID, incarnation: b.Incarnation}
+		r = &row{id: b.ID, hash: xxhash.Sum64String(b.ID), incarnation: b.Incarnation}
 		r.known.limit = p.Settings.MaxBlocks
 		p.rows[b.ID] = r
 	}
--- a/dh/dhrouter/forward.go
+++ b/dh/dhrouter/forward.go
@@ -39,8 +39,17 @@
 	minStall = time.Second
 )
 
-// errStalled ends an attempt whose backend server has been silent for too long.
-var errStalled = errors.New("the backend server is silent")
+var (
+	// errStalled ends an attempt whose backend server has been silent for too long.
+	errStalled = errors.New("the backend server is silent")
+	// errUnsure ends an attempt whose model is unsure of its answer.
+	errUnsure = errors.New("the model is unsure of its answer")
+)
+
+// sureFrom is the confidence in percent from which on the answer of a smaller
+// model is kept. Models are right in about half of the answers of which they
+// say 50; a little less is asked for, because the largest model costs more.
+const sureFrom = 45
 
 // forward is the exchange of an HTTP request.
 type forward struct {
@@ -131,7 +140,7 @@
 	}
 	f.model = m.Model
 	if m.AnyModel && len(f.route.Cascade) > 0 {
-		f.model = f.route.Cascade[len(f.route.Cascade)-1]
+		f.model = f.route.Cascade[0]
 	}
 	for _, p := range m.Prompt {
 		f.addPart(p)
@@ -208,7 +217,7 @@
 	on := rollout.OnTarget(f.poolName, f.session)
 	return dhplacement.Request{
 		Pool: f.poolName, Version: dhtable.Version{Model: f.model}, Prefix: f.prefix, PrefixTokens: f.prefixTokens,
-		PromptTokens: f.message.PromptTokens, MaxTokens: f.message.MaxTokens, ZoneWeights: s.ZoneWeight,
+		Shared: max(len(f.prefix)-1, 0), PromptTokens: f.message.PromptTokens, MaxTokens: f.message.MaxTokens, ZoneWeights: s.ZoneWeight,
 		Exclude: f.tried, Credit: f.router.Credits.Available,
 		Permit: func(b *dhbackend.Backend) bool { return rollout.Permits(b.Release, on) },
 	}, nil
@@ -227,7 +236,8 @@
 	ctx, stop := context.WithCancelCause(ctx)
 	defer stop(nil)
 	watch := &watchdog{router: f.router, stop: stop, patience: f.stall()}
-	watch.progress(start)
+	// The head comes with the first event, for which a longer time is allowed.
+	watch.progress(start.Add(max(f.route.Objective-f.stall(), 0)))
 	watch.start()
 	defer watch.end()
 	in, err := f.router.Passer.Pass(ctx, &Outbound{
@@ -293,6 +303,9 @@
 		f.answered = true
 		return failed(dhcode.DidRun, "backend server %q failed the request with status %d", id, in.Status)
 	case in.Events && in.Status == http.StatusOK:
+		if err := f.escalate(in); err != nil {
+			return err
+		}
 		return f.stream(in, watch)
 	}
 	body, err := readPlain(in.Body)
@@ -304,6 +317,23 @@
 	return f.write(&kept{status: in.Status, header: in.Header, body: body})
 }
 
+// escalate drops an answer of which its model is unsure, so that the route's
+// largest model makes it. The caller has nothing of it yet.
+func (f *forward) escalate(in *Inbound) error {
+	largest := len(f.route.Cascade) - 1
+	switch {
+	case !f.message.AnyModel || largest < 0 || f.model == f.route.Cascade[largest] || f.begun:
+		return nil
+	case in.Confidence < 0 || in.Confidence >= sureFrom || f.sends+1 >= f.route.MaxAttempts:
+		return nil
+	}
+	f.router.Metrics.Count("escalated", f.route.Name)
+	f.router.Log.Info("escalated", slog.String("request", f.message.ID), slog.String("route", f.route.Name),
+		slog.String("from", f.model), slog.String("to", f.route.Cascade[largest]), slog.Int("confidence", in.Confidence))
+	f.model = f.route.Cascade[largest]
+	return errUnsure
+}
+
 // readPlain reads a whole answer.
 func readPlain(body io.Reader) ([]byte, error) {
 	data, err := io.ReadAll(io.LimitReader(body, maxPlainBytes+1))
@@ -414,6 +444,9 @@
 	if err == nil {
 		return f.event(b, first, false), true
 	}
+	if errors.Is(err, errUnsure) {
+		return Event{}, false // the backend server did what it was asked for
+	}
 	f.tried = append(f.tried, b.ID)
 	f.router.Log.Info("attempt failed", slog.String("request", f.message.ID), slog.String("backend", b.ID),
 		slog.String("release", b.Release), slog.Uint64("sequence", b.Sequence), slog.Int("sends", f.sends),
@@ -441,6 +474,9 @@
 
 // again implements exchange.
 func (f *forward) again(ctx context.Context, err error) bool {
+	if errors.Is(err, errUnsure) {
+		return true
+	}
 	if ctx.Err() != nil || f.gone || f.sends >= f.route.MaxAttempts {
 		return false
 	}
