--- a/dh/dhentry/dhentry.go
+++ b/dh/dhentry/dhentry.go
@@ -98,8 +98,8 @@
 // the penalty of another zone is some round trips.
 func settings() dhplacement.Settings {
 	return dhplacement.Settings{
-		Sample: 5, PerSequence: 100 * time.Microsecond, PerPrefillToken: 15 * time.Microsecond,
-		PerWaiting: 200 * time.Millisecond, Spread: 1, Others: 1, OtherZone: 10 * time.Millisecond,
+		Sample: 5, PerSequence: 100 * time.Microsecond, PerPrefillToken: 50 * time.Microsecond,
+		PerWaiting: 200 * time.Millisecond, Spread: 1, Others: 1, OtherZone: 2 * time.Millisecond,
 		ReportHalfLife: time.Second, ColdFactor: 2, ColdBase: 100 * time.Millisecond,
 		PerFailure: time.Second, FailureHalfLife: 2 * time.Second, MaxBlocks: 2048,
 	}
--- a/dh/dhlimit/breaker.go
+++ b/dh/dhlimit/breaker.go
@@ -93,6 +93,32 @@
 	}
 }
 
+// Trip opens a breaker at once: the attempt did not reach the backend server,
+// so that others would not either.
+func (b *Breakers) Trip(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.Timers.Now()
+	r := b.row(id, now)
+	if r == nil || (r.open && !r.trial) {
+		return
+	}
+	if r.open {
+		r.trials++
+	}
+	r.history = r.history<<1&breakerWindow | 1
+	b.trip(r, now)
+}
+
+// Closed reports whether a backend server has not failed lately. Requests that
+// must not be repeated are no trials.
+func (b *Breakers) Closed(id string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r, ok := b.rows[id]
+	return !ok || !r.open
+}
+
 // Cancel ends an attempt without a result.
 func (b *Breakers) Cancel(id string) {
 	b.mu.Lock()
--- a/dh/dhplacement/affinity.go
+++ b/dh/dhplacement/affinity.go
@@ -219,7 +219,7 @@
 // homes is how many backend servers are the homes of a shared prefix. All
 // entry VMs agree on them without messages, so that the prefix is read once
 // and not once for each VM.
-const homes = 2
+const homes = 1
 
 // scoreHome scores the homes of the longest shared prefix: those with the
 // highest rendezvous weights among the candidates that the request may use.
--- a/dh/dhrouter/attempt.go
+++ b/dh/dhrouter/attempt.go
@@ -117,6 +117,9 @@
 	return mayRetry(ctx, g.attempts, err)
 }
 
+// spend implements exchange.
+func (g *generation) spend() error { return g.router.Retries.Retry(g.route.Pool) }
+
 // pause implements exchange.
 func (g *generation) pause(retry int, _ error) time.Duration {
 	if text, _ := g.answer.Len(); text > 0 {
--- a/dh/dhrouter/deliver.go
+++ b/dh/dhrouter/deliver.go
@@ -28,6 +28,8 @@
 	ended(b *dhbackend.Backend, first time.Duration, err error) (e Event, ok bool)
 	// again reports whether another attempt after err can help and is safe.
 	again(ctx context.Context, err error) bool
+	// spend takes another attempt from the retry budget.
+	spend() error
 	// pause returns the time to wait before another attempt.
 	pause(retry int, err error) time.Duration
 }
@@ -37,7 +39,7 @@
 	r.Retries.First(x.pool())
 	for retry := 0; ; retry++ {
 		err := r.attempt(ctx, x)
-		if err == nil || retry+1 >= most || !x.again(ctx, err) || r.Retries.Retry(x.pool()) != nil {
+		if err == nil || retry+1 >= most || !x.again(ctx, err) || x.spend() != nil {
 			return err
 		}
 		if pause := x.pause(retry, err); pause > 0 && dhtimer.Sleep(ctx, r.Timers, pause) != nil {
@@ -76,7 +78,11 @@
 		r.Breakers.Cancel(b.ID)
 		return
 	}
-	r.Breakers.End(b.ID, err == nil)
+	if e.Unreachable {
+		r.Breakers.Trip(b.ID)
+	} else {
+		r.Breakers.End(b.ID, err == nil)
+	}
 	if first > 0 {
 		r.Credits.FirstToken(b.ID, first)
 	}
--- a/dh/dhrouter/dhrouter.go
+++ b/dh/dhrouter/dhrouter.go
@@ -82,8 +82,12 @@
 // Breakers stops traffic to backend servers that fail.
 type Breakers interface {
 	Open(id string) bool
+	// Closed reports whether it has not failed lately.
+	Closed(id string) bool
 	Begin(id string) bool
 	End(id string, ok bool)
+	// Trip ends an attempt that did not reach the backend server.
+	Trip(id string)
 	Cancel(id string)
 }
 
@@ -154,6 +158,9 @@
 	FirstToken    time.Duration
 	// Tokens and MaxTokens are the length of a whole answer and its bound.
 	Tokens, MaxTokens int
+	// Unreachable is set when the backend server could not be reached, or was
+	// silent for too long.
+	Unreachable bool
 	// Answered is set when the backend server ended the answer itself, well or
 	// badly, Class is the request's class and Between the mean time between
 	// two events. They are known of HTTP requests only.
--- a/dh/dhrouter/forward.go
+++ b/dh/dhrouter/forward.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -34,6 +35,9 @@
 	// milliseconds.
 	minRetryAfter    = 100 * time.Millisecond
 	spreadRetryAfter = 300 * time.Millisecond
+	// firstPart is the part of the time for the whole answer in which its first
+	// event must come, so that another backend server has time for it.
+	firstPart = 0.4
 	// minStall is the least silence of a stream after which it goes on at
 	// another backend server.
 	minStall = time.Second
@@ -91,6 +95,9 @@
 	answered        bool
 	// failure is a backend server's own failure, passed on when no attempt succeeds.
 	failure *kept
+	// paid is set when the next attempt has been taken from the budget, or adds
+	// nothing to the load of backend servers.
+	paid bool
 }
 
 // kept is a whole answer.
@@ -219,7 +226,9 @@
 		Pool: f.poolName, Version: dhtable.Version{Model: f.model}, Prefix: f.prefix, PrefixTokens: f.prefixTokens,
 		Shared: max(len(f.prefix)-1, 0), PromptTokens: f.message.PromptTokens, MaxTokens: f.message.MaxTokens, ZoneWeights: s.ZoneWeight,
 		Exclude: f.tried, Credit: f.router.Credits.Available,
-		Permit: func(b *dhbackend.Backend) bool { return rollout.Permits(b.Release, on) },
+		Permit: func(b *dhbackend.Backend) bool {
+			return rollout.Permits(b.Release, on) && (f.repeatable() || f.router.Breakers.Closed(b.ID))
+		},
 	}, nil
 }
 
@@ -237,7 +246,8 @@
 	defer stop(nil)
 	watch := &watchdog{router: f.router, stop: stop, patience: f.stall()}
 	// The head comes with the first event, for which a longer time is allowed.
-	watch.progress(start.Add(max(f.route.Objective-f.stall(), 0)))
+	patience := min(f.route.Objective, time.Duration(float64(f.limit)*firstPart))
+	watch.progress(start.Add(max(patience-f.stall(), 0)))
 	watch.start()
 	defer watch.end()
 	in, err := f.router.Passer.Pass(ctx, &Outbound{
@@ -326,7 +336,10 @@
 		return nil
 	case in.Confidence < 0 || in.Confidence >= sureFrom || f.sends+1 >= f.route.MaxAttempts:
 		return nil
+	case f.router.Retries.Retry(f.poolName) != nil:
+		return nil // an unsure answer is better than none
 	}
+	f.paid = true
 	f.router.Metrics.Count("escalated", f.route.Name)
 	f.router.Log.Info("escalated", slog.String("request", f.message.ID), slog.String("route", f.route.Name),
 		slog.String("from", f.model), slog.String("to", f.route.Cascade[largest]), slog.Int("confidence", in.Confidence))
@@ -437,6 +450,7 @@
 	refused := notRun && dhcode.Of(err) == dhcode.QueueFull
 	if notRun && !refused {
 		f.unsent++
+		f.paid = true
 	} else {
 		f.sends++
 	}
@@ -448,12 +462,18 @@
 		return Event{}, false // the backend server did what it was asked for
 	}
 	f.tried = append(f.tried, b.ID)
+	if f.message.AnyModel && !f.begun && len(f.route.Cascade) > 0 {
+		// The smallest model answers soonest, which counts most by now.
+		f.model = f.route.Cascade[0]
+	}
 	f.router.Log.Info("attempt failed", slog.String("request", f.message.ID), slog.String("backend", b.ID),
 		slog.String("release", b.Release), slog.Uint64("sequence", b.Sequence), slog.Int("sends", f.sends),
 		slog.Bool("begun", f.begun), slog.String("ran", dhcode.RanOf(err).String()), slog.String("error", err.Error()))
 	f.router.Metrics.Count("attempt-failed", dhcode.Of(err).String())
+	e := f.event(b, first, true)
+	e.Unreachable = (notRun && !refused) || errors.Is(err, errStalled) || errors.Is(err, syscall.ETIMEDOUT)
 	// A refusal or a caller that has gone says nothing against the backend server.
-	return f.event(b, first, true), !refused && !f.gone
+	return e, !refused && !f.gone
 }
 
 func (f *forward) event(b *dhbackend.Backend, first time.Duration, failed bool) Event {
@@ -490,6 +510,15 @@
 	return false
 }
 
+// spend implements exchange.
+func (f *forward) spend() error {
+	if f.paid {
+		f.paid = false
+		return nil
+	}
+	return f.router.Retries.Retry(f.poolName)
+}
+
 // pause implements exchange. Another backend server is tried at once.
 func (*forward) pause(int, error) time.Duration { return 0 }
 
