End an answer for silence only when another backend server can go on

Ruled out: the caller's deadline and the route's timeout, which had seconds left. Change: the watchdog acts only when the route permits another attempt and the budget has paid for it, and waits for two wanted pauses. Result: TestForwardLeavesSilentBackendOnlyForAnother failed before and passes.

--- /dev/null
+++ b/dh/dhcontrol/cluster_test.go
@@ -0,0 +1,416 @@
+package dhcontrol_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"dandelionhoist.example/dh/dhcode"
+	"dandelionhoist.example/dh/dhcontrol"
+	"dandelionhoist.example/dh/dhdisk"
+	"dandelionhoist.example/dh/dhentry"
+	"dandelionhoist.example/dh/dhfake"
+	"dandelionhoist.example/dh/dhgroup"
+	"dandelionhoist.example/dh/dhmetric"
+	"dandelionhoist.example/dh/dhpb"
+	"dandelionhoist.example/dh/dhtable"
+	"dandelionhoist.example/dh/dhtimer"
+)
+
+// cluster is control VMs c0, c1, ... of zones z0, z1, ... on a fake network.
+type cluster struct {
+	t        *testing.T
+	timers   *dhtimer.Stepped
+	network  *dhfake.Network
+	disks    map[string]*dhdisk.Memory
+	controls map[string]*dhcontrol.Control
+	nodes    map[string]*dhfake.Node
+	entries  map[string]*dhentry.Entry
+	seeds    []string
+}
+
+// clock reads the stepped time as time since a start.
+type clock struct{ timers *dhtimer.Stepped }
+
+func (c clock) Elapsed() time.Duration { return time.Duration(c.timers.Now().UnixNano()) }
+
+// peers calls other VMs through a node of the network.
+type peers struct{ node *dhfake.Node }
+
+func (p peers) Prepare(ctx context.Context, address string, m *dhpb.PrepareRequest) (*dhpb.PrepareResponse, error) {
+	a, err := p.node.Send(ctx, address, m)
+	r, _ := a.(*dhpb.PrepareResponse)
+	return r, err
+}
+
+func (p peers) Accept(ctx context.Context, address string, m *dhpb.AcceptRequest) (*dhpb.AcceptResponse, error) {
+	a, err := p.node.Send(ctx, address, m)
+	r, _ := a.(*dhpb.AcceptResponse)
+	return r, err
+}
+
+func (p peers) ReadState(ctx context.Context, address string, m *dhpb.ReadStateRequest) (*dhpb.ReadStateResponse, error) {
+	a, err := p.node.Send(ctx, address, m)
+	r, _ := a.(*dhpb.ReadStateResponse)
+	return r, err
+}
+
+func (p peers) Watch(ctx context.Context, address string, m *dhpb.ControlWatchRequest) (*dhpb.ControlWatchResponse, error) {
+	a, err := p.node.Send(ctx, address, m)
+	r, _ := a.(*dhpb.ControlWatchResponse)
+	return r, err
+}
+
+// decode reads a document "version" or "version pool"; others are invalid.
+func decode(text []byte) (*dhtable.Tables, error) {
+	fields := strings.Fields(string(text))
+	if len(fields) == 0 {
+		return nil, dhcode.Errorf(dhcode.TablesInvalid, "the document is empty")
+	}
+	version, err := strconv.ParseUint(fields[0], 10, 64)
+	if err != nil {
+		return nil, dhcode.Wrap(dhcode.TablesInvalid, err)
+	}
+	return dhtable.New(version, nil, nil, map[string]dhtable.Pool{"p": {Name: "p"}}, text), nil
+}
+
+func (c *cluster) startControl(name string, bootstrap bool) *dhcontrol.Control {
+	if c.disks[name] == nil {
+		c.disks[name] = &dhdisk.Memory{}
+	}
+	control := &dhcontrol.Control{
+		Name: name, Zone: "z" + name[1:], Address: name, Incarnation: uint64(c.timers.Now().UnixMilli()), Seeds: c.seeds,
+		Bootstrap: bootstrap, Tolerated: 1, BackendLease: 4 * time.Second, AnnouncePeriod: 1200 * time.Millisecond,
+		Decode: decode, OpenDisk: func() (dhdisk.Disk, error) { return c.disks[name], nil },
+		Timers: c.timers, Clock: clock{c.timers}, Log: slog.New(slog.DiscardHandler), Metrics: dhmetric.New(4),
+	}
+	node := c.network.Start(name, func(ctx context.Context, _ string, message any) (any, error) {
+		switch m := message.(type) {
+		case *dhpb.PrepareRequest:
+			return control.Prepare(ctx, m)
+		case *dhpb.AcceptRequest:
+			return control.Accept(ctx, m)
+		case *dhpb.ReadStateRequest:
+			return control.ReadState(ctx, m)
+		case *dhpb.ControlWatchRequest:
+			return control.Watch(ctx, m)
+		}
+		return nil, fmt.Errorf("message %T", message)
+	})
+	control.Peers = peers{node}
+	control.Build(node.Group().Context())
+	node.Group().Go(control.Run)
+	c.controls[name], c.nodes[name] = control, node
+	return control
+}
+
+func (c *cluster) startEntry(name string) *dhentry.Entry {
+	node := c.network.Start(name, nil)
+	entry := &dhentry.Entry{
+		Name: name, Zone: "z0", Incarnation: 1, Seeds: c.seeds, KeyLease: 4500 * time.Millisecond, TrialShare: 0.1, RetryRatio: 0.1,
+		RetryMax: 10, ColdOvershoot: 1, Decode: decode, Source: peers{node}, Timers: c.timers, Clock: clock{c.timers},
+		Log: slog.New(slog.DiscardHandler), Metrics: dhmetric.New(4),
+	}
+	entry.Build(node.Group().Context())
+	node.Group().Go(entry.Run)
+	c.entries[name], c.nodes[name] = entry, node
+	return entry
+}
+
+func (c *cluster) crash(names ...string) {
+	for _, name := range names {
+		c.nodes[name].Crash()
+		if disk := c.disks[name]; disk != nil {
+			disk.Crash()
+		}
+	}
+}
+
+// step moves time.
+func (c *cluster) step(d time.Duration) {
+	end := c.timers.Now().Add(d)
+	dhfake.Drive(c.timers, d, func() bool { return !c.timers.Now().Before(end) })
+}
+
+// within steps time until done, and fails when that takes longer than limit.
+func (c *cluster) within(limit time.Duration, what string, done func() bool) {
+	c.t.Helper()
+	assert.Assert(c.t, dhfake.Drive(c.timers, limit, done), "%s within %s", what, limit)
+}
+
+// call runs f while time goes on and returns its error.
+func (c *cluster) call(f func(ctx context.Context) error) error {
+	c.t.Helper()
+	var err error
+	group := dhgroup.New(c.t.Context())
+	group.Go(func(ctx context.Context) error {
+		defer group.Stop()
+		err = f(ctx)
+		return nil
+	})
+	c.within(5*time.Second, "an answer", func() bool { return group.Context().Err() != nil })
+	return err
+}
+
+func (c *cluster) replace(name string, version uint64) error {
+	return c.call(func(ctx context.Context) error {
+		return c.controls[name].Replace(ctx, version, []byte(strconv.FormatUint(version, 10)))
+	})
+}
+
+// read returns the document that a control VM reads.
+func (c *cluster) read(name string) (string, error) {
+	var text []byte
+	err := c.call(func(ctx context.Context) (err error) {
+		text, err = c.controls[name].Read(ctx)
+		return err
+	})
+	return string(text), err
+}
+
+func (c *cluster) version(entry string) uint64 {
+	if t := c.entries[entry].Router().Snapshot().Tables; t != nil {
+		return t.Revision
+	}
+	return 0
+}
+
+func (c *cluster) usable(entry string) int {
+	return c.entries[entry].Router().Snapshot().Backends.Len()
+}
+
+func (c *cluster) announce(name, id, state string, sequence uint64, change ...func(r *dhpb.BackendRecord)) {
+	c.t.Helper()
+	r := &dhpb.BackendRecord{
+		Id: id, Address: id + ":80", Zone: "z0", Pool: "p", State: state, Release: "v1", Slots: 4, Incarnation: 1, Sequence: sequence,
+		Versions: []*dhpb.LoadedVersion{{}},
+	}
+	for _, f := range change {
+		f(r)
+	}
+	assert.NilError(c.t, c.call(func(ctx context.Context) error { return c.controls[name].Announce(ctx, r) }))
+}
+
+// run starts three control VMs and lets f work with them.
+func run(t *testing.T, f func(c *cluster)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		timers := dhtimer.NewStepped()
+		c := &cluster{
+			t: t, timers: timers, network: dhfake.NewNetwork(timers, 1), disks: map[string]*dhdisk.Memory{},
+			controls: map[string]*dhcontrol.Control{}, nodes: map[string]*dhfake.Node{}, entries: map[string]*dhentry.Entry{},
+			seeds: []string{"c0", "c1", "c2"},
+		}
+		c.network.Set(dhfake.Faults{MinDelay: time.Millisecond, MaxDelay: 2 * time.Millisecond})
+		for _, name := range c.seeds {
+			c.startControl(name, true)
+		}
+		f(c)
+		c.network.Stop()
+		dhfake.Drive(timers, time.Minute, func() bool { return false })
+	})
+}
+
+// Guards against a change that is acknowledged and lost, older content that
+// comes back, and an invalid document in force.
+func TestHighestDocumentIsInForceEverywhere(t *testing.T) {
+	run(t, func(c *cluster) {
+		c.startEntry("e0")
+		c.within(3*time.Second, "the first document", func() bool { return c.replace("c0", 5) == nil })
+		c.within(2*time.Second, "the document at the entry VM", func() bool { return c.version("e0") == 5 })
+		assert.NilError(t, c.replace("c1", 3))
+		assert.NilError(t, c.replace("c2", 9))
+		err := c.call(func(ctx context.Context) error { return c.controls["c0"].Replace(ctx, 12, []byte("twelve")) })
+		assert.Equal(t, dhcode.Of(err), dhcode.TablesInvalid)
+		for _, name := range c.seeds {
+			text, err := c.read(name)
+			assert.NilError(t, err)
+			assert.Equal(t, text, "9")
+		}
+		c.within(2*time.Second, "the second document at the entry VM", func() bool { return c.version("e0") == 9 })
+		c.crash("c0", "c1", "c2")
+		for _, name := range c.seeds {
+			c.startControl(name, false)
+		}
+		c.within(3*time.Second, "the document after a loss of power", func() bool {
+			text, err := c.read("c1")
+			return err == nil && text == "9"
+		})
+	})
+}
+
+// Guards against an old document that a VM without a majority reads out, and
+// against an entry VM that accepts keys though it cannot know of a revocation.
+func TestMinorityPromisesNothing(t *testing.T) {
+	run(t, func(c *cluster) {
+		c.startEntry("e0")
+		c.within(3*time.Second, "the first document", func() bool { return c.replace("c0", 5) == nil })
+		c.within(3*time.Second, "readiness", c.entries["e0"].Ready)
+		c.network.Partition([]string{"c0", "e0"}, []string{"c1", "c2"})
+		assert.NilError(t, c.replace("c1", 7))
+		_, err := c.read("c0")
+		assert.Equal(t, dhcode.Of(err), dhcode.QuorumUnreachable)
+		assert.Assert(t, c.replace("c0", 8) != nil)
+		c.step(4500 * time.Millisecond)
+		assert.Assert(t, !c.entries["e0"].Ready())
+		c.network.Partition()
+		c.within(3*time.Second, "the newest document at the entry VM", func() bool { return c.version("e0") >= 7 && c.entries["e0"].Ready() })
+	})
+}
+
+// Guards against a wiped or replaced VM that votes as if it remembered, and
+// against a set of voters that a second loss then breaks.
+func TestLostDisksAreReplaced(t *testing.T) {
+	for _, newcomer := range []string{"c0", "c3"} {
+		run(t, func(c *cluster) {
+			c.within(3*time.Second, "the first document", func() bool { return c.replace("c0", 5) == nil })
+			c.crash("c0")
+			c.step(time.Second)
+			c.disks["c0"] = nil
+			c.startControl(newcomer, false)
+			c.step(4 * time.Second)
+			c.crash("c1")
+			c.disks["c1"] = nil
+			c.within(3*time.Second, "the document after a second loss", func() bool {
+				text, err := c.read(newcomer)
+				return err == nil && text == "5"
+			})
+			assert.NilError(t, c.replace("c2", 6))
+		})
+	}
+}
+
+// Guards against a VM that ends or stays without a voter after a disk fault.
+func TestVoterReturnsAfterDiskFault(t *testing.T) {
+	run(t, func(c *cluster) {
+		c.within(3*time.Second, "the first document", func() bool { return c.replace("c0", 5) == nil })
+		c.disks["c0"].Set(dhdisk.Faults{Capacity: 1})
+		assert.NilError(t, c.replace("c0", 6))
+		c.step(2 * time.Second)
+		_, err := c.controls["c0"].Voter()
+		assert.Equal(t, dhcode.Of(err), dhcode.DiskFailed)
+		c.disks["c0"].Set(dhdisk.Faults{})
+		c.within(3*time.Second, "the voter", func() bool {
+			_, err := c.controls["c0"].Voter()
+			return err == nil
+		})
+		c.step(time.Second)
+		c.crash("c1")
+		assert.NilError(t, c.replace("c0", 7))
+	})
+}
+
+// Guards against a backend server that gets work after its leave was
+// acknowledged, one that is lost because the VM it reports to is cut off, and
+// one that stays after it has fallen silent.
+func TestRegistryReachesEntries(t *testing.T) {
+	run(t, func(c *cluster) {
+		c.startEntry("e0")
+		c.startEntry("e1")
+		c.within(3*time.Second, "the first document", func() bool { return c.replace("c0", 5) == nil })
+		c.step(4 * time.Second)
+		c.announce("c0", "b0", "ready", 1)
+		c.announce("c1", "b1", "cold", 1)
+		both := func(n int) func() bool { return func() bool { return c.usable("e0") == n && c.usable("e1") == n } }
+		c.within(time.Second, "two backend servers", both(2))
+		c.announce("c2", "b0", "leaving", 2)
+		c.within(500*time.Millisecond, "the leave", both(1))
+		c.announce("c1", "b0", "ready", 1)
+		c.step(time.Second)
+		assert.Assert(t, both(1)())
+
+		c.network.Partition([]string{"c0", "e0"}, []string{"c1", "c2", "e1"})
+		for i := range 8 {
+			c.announce("c1", "b1", "ready", uint64(2+i))
+			c.step(time.Second)
+		}
+		assert.Assert(t, both(1)())
+		c.network.Partition()
+		c.within(8*time.Second, "the silent backend server to be gone", both(0))
+	})
+}
+
+// Guards against a zone that is out and still gets work.
+func TestZoneOutReachesEntries(t *testing.T) {
+	run(t, func(c *cluster) {
+		c.startEntry("e0")
+		c.within(3*time.Second, "the first document", func() bool { return c.replace("c0", 5) == nil })
+		weight := func() (float64, bool) {
+			w, out := c.entries["e0"].Router().Snapshot().ZoneWeight["z0"]
+			return w, out
+		}
+		assert.NilError(t, c.call(func(ctx context.Context) error { return c.controls["c1"].TakeOut(ctx, "z0") }))
+		assert.NilError(t, c.call(func(ctx context.Context) error { return c.controls["c2"].TakeOut(ctx, "z0") }))
+		c.within(time.Second, "the zone out", func() bool {
+			w, out := weight()
+			return out && w == 0
+		})
+		assert.NilError(t, c.call(func(ctx context.Context) error { return c.controls["c0"].TakeBack(ctx, "z0") }))
+		c.within(time.Second, "the zone back", func() bool {
+			_, out := weight()
+			return !out
+		})
+	})
+}
+
+// rollout announces servers of two versions, starts a rollout and reports
+// answers of the target, of which bad in a hundred are failures, until it ends.
+func rollout(c *cluster, bad int64) dhpb.RolloutState {
+	c.within(3*time.Second, "the first document", func() bool { return c.replace("c0", 5) == nil })
+	release := func(v string) func(r *dhpb.BackendRecord) { return func(r *dhpb.BackendRecord) { r.Release = v } }
+	assert.NilError(c.t, c.call(func(ctx context.Context) error {
+		return c.controls["c1"].StartRollout(ctx, "p", "v2", 12*time.Second)
+	}))
+	state := func() (r *dhpb.RolloutRecord) {
+		assert.NilError(c.t, c.call(func(ctx context.Context) (err error) {
+			r, err = c.controls["c2"].ReadRollout(ctx, "p")
+			return err
+		}))
+		return r
+	}
+	watcher := c.network.Start("watcher", nil)
+	var answers int64
+	for i := range uint64(120) {
+		if i%10 == 0 {
+			c.announce("c0", "b1", "ready", i+1, release("v1"))
+			c.announce("c0", "b2", "ready", i+1, release("v2"))
+		}
+		r := state()
+		if r.GetState() >= dhpb.RolloutState_ROLLOUT_STATE_COMPLETED {
+			return r.GetState()
+		}
+		answers++
+		counters := []*dhpb.VersionCounter{
+			{Pool: "p", Version: "v1", RolloutRevision: r.GetNumber(), Answers: 9 * answers, Bad: answers / 20},
+			{Pool: "p", Version: "v2", RolloutRevision: r.GetNumber(), Answers: answers, Bad: answers * bad / 100},
+		}
+		err := c.call(func(ctx context.Context) error {
+			_, err := peers{watcher}.Watch(ctx, "c0", &dhpb.ControlWatchRequest{Vm: "watcher", Report: &dhpb.EntryReport{Counters: counters}})
+			return err
+		})
+		assert.NilError(c.t, err)
+		c.step(90 * time.Millisecond)
+	}
+	return state().GetState()
+}
+
+// Guards against a bad version that stays, and a good one that is withdrawn or
+// not brought in within the time of the order.
+func TestRolloutsEnd(t *testing.T) {
+	run(t, func(c *cluster) {
+		assert.Equal(t, rollout(c, 0), dhpb.RolloutState_ROLLOUT_STATE_COMPLETED)
+	})
+	run(t, func(c *cluster) {
+		assert.Equal(t, rollout(c, 50), dhpb.RolloutState_ROLLOUT_STATE_REVERTED)
+		// The same order again is the known rollout.
+		err := c.call(func(ctx context.Context) error { return c.controls["c0"].StartRollout(ctx, "p", "v2", 12*time.Second) })
+		assert.NilError(t, err)
+	})
+}
--- a/dh/dhrouter/forward.go
+++ b/dh/dhrouter/forward.go
@@ -38,6 +38,9 @@
 	// firstPart is the part of the time for the whole answer in which its first
 	// event must come, so that another backend server has time for it.
 	firstPart = 0.4
+	// stallPauses is how many wanted pauses a stream may be silent. After one it
+	// is late, and a busy backend server goes on sooner than another one begins.
+	stallPauses = 2
 	// minStall is the least silence of a stream after which it goes on at
 	// another backend server.
 	minStall = time.Second
@@ -244,7 +247,7 @@
 	f.backend, f.answered, f.events = b, false, 0
 	ctx, stop := context.WithCancelCause(ctx)
 	defer stop(nil)
-	watch := &watchdog{router: f.router, stop: stop, patience: f.stall()}
+	watch := &watchdog{router: f.router, pool: f.poolName, stop: stop, patience: f.stall()}
 	// The head comes with the first event, for which a longer time is allowed.
 	patience := min(f.route.Objective, time.Duration(float64(f.limit)*firstPart))
 	watch.progress(start.Add(max(patience-f.stall(), 0)))
@@ -275,17 +278,18 @@
 }
 
 // stall returns the silence after which an attempt is given up, or 0 when the
-// request cannot go on elsewhere.
+// request cannot go on elsewhere: then silence is no reason to end it.
 func (f *forward) stall() time.Duration {
-	if !f.repeatable() || !f.route.Stream {
+	if !f.repeatable() || !f.route.Stream || f.sends+1 >= f.route.MaxAttempts {
 		return 0
 	}
-	return max(f.route.Pause, minStall)
+	return max(stallPauses*f.route.Pause, minStall)
 }
 
 // cause replaces the error of an attempt that the watchdog ended.
-func (*forward) cause(ctx context.Context, err error) error {
+func (f *forward) cause(ctx context.Context, err error) error {
 	if errors.Is(context.Cause(ctx), errStalled) {
+		f.paid = true // by the watchdog
 		return dhcode.WithRan(dhcode.Wrap(dhcode.StreamBroken, errStalled), dhcode.RanUnknown)
 	}
 	return err
@@ -571,10 +575,11 @@
 	f.router.Log.LogAttrs(context.Background(), slog.LevelWarn, "refused", attrs...)
 }
 
-// watchdog ends an attempt whose backend server has been silent for too long.
-// Its timer runs once per patience, not once per event.
+// watchdog ends an attempt whose backend server has been silent for too long,
+// once the retry budget has paid for another one. Its timer runs once per patience, not once per event.
 type watchdog struct {
 	router   *Router
+	pool     string
 	stop     context.CancelCauseFunc
 	patience time.Duration
 	seen     atomic.Int64
@@ -594,11 +599,16 @@
 		return
 	}
 	silent := time.Duration(now.UnixNano() - w.seen.Load())
-	if silent >= w.patience {
-		w.stop(errStalled)
+	if silent < w.patience {
+		w.router.Timers.After(w.patience-silent, w.check)
 		return
 	}
-	w.router.Timers.After(w.patience-silent, w.check)
+	if w.router.Retries.Retry(w.pool) != nil {
+		// Without another attempt the answer may still come.
+		w.router.Timers.After(w.patience, w.check)
+		return
+	}
+	w.stop(errStalled)
 }
 
 func (w *watchdog) end() { w.ended.Store(true) }
--- /dev/null
+++ b/dh/dhrouter/forward_test.go
@@ -0,0 +1,351 @@
+package dhrouter
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"dandelionhoist.example/dh/dhbackend"
+	"dandelionhoist.example/dh/dhcode"
+	"dandelionhoist.example/dh/dhcold"
+	"dandelionhoist.example/dh/dhfake"
+	"dandelionhoist.example/dh/dhgroup"
+	"dandelionhoist.example/dh/dhlimit"
+	"dandelionhoist.example/dh/dhmetric"
+	"dandelionhoist.example/dh/dhplacement"
+	"dandelionhoist.example/dh/dhtable"
+	"dandelionhoist.example/dh/dhtimer"
+	"dandelionhoist.example/dh/dhversion"
+)
+
+// passer answers each send with the next function; the last one answers all further sends.
+type passer struct {
+	answers []func(ctx context.Context, o *Outbound) (*Inbound, error)
+	sent    []*Outbound
+}
+
+func (p *passer) Pass(ctx context.Context, o *Outbound) (*Inbound, error) {
+	p.sent = append(p.sent, o)
+	return p.answers[min(len(p.sent), len(p.answers))-1](ctx, o)
+}
+
+// text is a body that each answer reads anew.
+type text string
+
+// reply answers with a status and a body, which is a text or a reader.
+func reply(status int, body any, change ...func(in *Inbound)) func(context.Context, *Outbound) (*Inbound, error) {
+	return func(_ context.Context, o *Outbound) (*Inbound, error) {
+		in := &Inbound{
+			Status: status, Header: http.Header{"Seal": {o.Backend.ID}}, RequestID: o.ID, Sealed: true, Confidence: -1,
+		}
+		switch b := body.(type) {
+		case text:
+			in.Body = io.NopCloser(strings.NewReader(string(b)))
+		case io.Reader:
+			in.Body = io.NopCloser(b)
+		}
+		for _, f := range change {
+			f(in)
+		}
+		return in, nil
+	}
+}
+
+func events(in *Inbound)                       { in.Events = true }
+func notRun(in *Inbound)                       { in.NotRun, in.Sealed = true, false }
+func confidence(percent int) func(in *Inbound) { return func(in *Inbound) { in.Confidence = percent } }
+
+func fails(ran dhcode.Ran) func(context.Context, *Outbound) (*Inbound, error) {
+	return func(context.Context, *Outbound) (*Inbound, error) {
+		return nil, dhcode.WithRan(dhcode.Errorf(dhcode.BackendFailed, "connection reset"), ran)
+	}
+}
+
+// silent is a body that never ends unless its request does.
+type silent struct{ ctx context.Context }
+
+func (s silent) Read([]byte) (int, error) {
+	<-s.ctx.Done()
+	return 0, s.ctx.Err()
+}
+
+// broken is a body whose connection is reset after some text.
+func broken(text string) io.Reader {
+	return io.MultiReader(strings.NewReader(text), errReader{errors.New("connection reset")})
+}
+
+type errReader struct{ err error }
+
+func (e errReader) Read([]byte) (int, error) { return 0, e.err }
+
+type fixedLease bool
+
+func (l fixedLease) Valid() bool { return bool(l) }
+
+// forwarder is a router with three backend servers of pool "p" and routes of
+// each kind under host "h".
+type forwarder struct {
+	*Router
+	timers *dhtimer.Stepped
+	passer *passer
+}
+
+func newForwarder(t *testing.T, answers ...func(context.Context, *Outbound) (*Inbound, error)) *forwarder {
+	t.Helper()
+	timers := dhtimer.NewStepped()
+	f := &forwarder{timers: timers, passer: &passer{answers: answers}}
+	f.Router = &Router{
+		Timers: timers, Group: dhgroup.New(t.Context()), Log: slog.New(slog.DiscardHandler), Metrics: dhmetric.New(4),
+		Placer:  &dhplacement.Placer{Timers: timers, Zone: "a", Settings: dhplacement.Defaults()},
+		Credits: &dhcold.Rates{Timers: timers, VM: "vm"}, Retries: &dhlimit.Budget{Ratio: 9, Max: 100},
+		Breakers: &dhlimit.Breakers{Timers: timers}, Passer: f.passer, Lease: fixedLease(true),
+		Random: func() float64 { return 0.5 }, VM: "vm", Zone: "a", Report: func(Event) {},
+	}
+	var table dhbackend.Table
+	table.Lease, table.MaxBackends = time.Hour, 8
+	for i := range 3 {
+		b := &dhbackend.Backend{
+			ID: fmt.Sprint("b", i), Address: "10.0.0.1:80", Zone: "a", Pool: "p", Release: "v1", State: dhbackend.Ready, Slots: 4,
+			Versions: []dhtable.Version{{}, {Model: "small"}, {Model: "large"}}, Seen: timers.Now(),
+		}
+		assert.NilError(t, table.Announce(b))
+	}
+	f.Publish(&Snapshot{Tables: testTables(), Backends: table.View(timers.Now())})
+	return f
+}
+
+func testTables() *dhtable.Tables {
+	route := func(name string, change func(r *dhtable.Route)) dhtable.Route {
+		r := dhtable.Route{Name: name, Class: name, Pool: "p", Deadline: 20 * time.Second, Passing: dhtable.Passing{
+			Match: dhtable.Match{Host: "h", PathPrefix: "/" + name + "/"}, MaxAttempts: 3, Objective: 2 * time.Second, Pause: time.Second,
+		}}
+		change(&r)
+		return r
+	}
+	routes := map[string]dhtable.Route{
+		"order":  route("order", func(*dhtable.Route) {}),
+		"look":   route("look", func(r *dhtable.Route) { r.Repeatable = true }),
+		"public": route("public", func(r *dhtable.Route) { r.Public = true }),
+		"plan": route("plan", func(r *dhtable.Route) {
+			r.Stream, r.Resumable, r.Cascade = true, true, []string{"small", "large"}
+		}),
+	}
+	accounts := map[string]dhtable.Account{"crew": {Name: "crew", KeyHashes: []dhtable.KeyHash{dhtable.HashKey("key")}}}
+	return dhtable.New(1, accounts, routes, map[string]dhtable.Pool{"p": {Name: "p"}}, nil)
+}
+
+// ask forwards a request on a route and steps time until it has ended.
+func (f *forwarder) ask(t *testing.T, route string, change ...func(m *Message)) (*httptest.ResponseRecorder, bool, error) {
+	t.Helper()
+	m := &Message{ID: "r1", Method: "POST", Host: "h", Path: "/" + route + "/1", Target: "/" + route + "/1", Header: http.Header{}, Key: "key"}
+	if route == "plan" {
+		m.AnyModel, m.Model = true, "*"
+	}
+	for _, c := range change {
+		c(m)
+	}
+	w := httptest.NewRecorder()
+	var begun bool
+	var err error
+	group := dhgroup.New(t.Context())
+	group.Go(func(ctx context.Context) error {
+		defer group.Stop()
+		begun, err = f.Forward(ctx, m, w)
+		return nil
+	})
+	assert.Assert(t, dhfake.Drive(f.timers, time.Minute, func() bool { return group.Context().Err() != nil }))
+	return w, begun, err
+}
+
+const (
+	event1 = "id: 1\ndata: a\n\n"
+	event2 = "id: 2\ndata: b\n\n"
+	event3 = "id: 3\ndata: c\n\n"
+)
+
+// Guards against a request that runs twice though it must not, one that is not
+// tried again though it may be, and a refusal that says "not run" of one that
+// may have run.
+func TestForwardRepeatsOnlyWhatItMay(t *testing.T) {
+	ok := reply(200, text("done"))
+	for _, c := range []struct {
+		name, route string
+		first       func(context.Context, *Outbound) (*Inbound, error)
+		sends       int
+		code        dhcode.Code
+		ran         dhcode.Ran
+	}{
+		{"order not sent", "order", fails(dhcode.NotRun), 2, dhcode.OK, 0},
+		{"order refused by the backend server", "order", reply(503, text(""), notRun), 2, dhcode.OK, 0},
+		{"order with a broken connection", "order", fails(dhcode.RanUnknown), 1, dhcode.BackendFailed, dhcode.RanUnknown},
+		{"order with a broken answer", "order", reply(200, broken("do")), 1, dhcode.BackendFailed, dhcode.DidRun},
+		{"look with a broken connection", "look", fails(dhcode.RanUnknown), 2, dhcode.OK, 0},
+		{"look with a broken answer", "look", reply(200, broken("do")), 2, dhcode.OK, 0},
+		{"look without signature", "look", reply(200, text("x"), func(in *Inbound) { in.Sealed = false }), 2, dhcode.OK, 0},
+		{"answer to another request", "look", reply(200, text("x"), func(in *Inbound) { in.RequestID = "r0" }), 2, dhcode.OK, 0},
+		{"order that gets another's answer", "order", reply(200, text("x"), func(in *Inbound) { in.RequestID = "r0" }), 1, dhcode.BackendFailed, dhcode.RanUnknown},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newForwarder(t, c.first, ok)
+				w, begun, err := f.ask(t, c.route)
+				assert.Equal(t, len(f.passer.sent), c.sends)
+				assert.Equal(t, dhcode.Of(err), c.code)
+				if err != nil {
+					assert.Equal(t, dhcode.RanOf(err), c.ran)
+					assert.Assert(t, !begun && w.Body.Len() == 0)
+					return
+				}
+				assert.Equal(t, w.Body.String(), "done")
+				assert.Equal(t, w.Header().Get("Seal"), f.passer.sent[c.sends-1].Backend.ID)
+			})
+		})
+	}
+}
+
+// Guards against a backend server's own failure that is replaced by another
+// one, and against more sends than the route permits.
+func TestForwardPassesFailureOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newForwarder(t, reply(500, text("oops")))
+		w, _, err := f.ask(t, "look")
+		assert.NilError(t, err)
+		assert.Equal(t, w.Code, 500)
+		assert.Equal(t, w.Body.String(), "oops")
+		assert.Equal(t, len(f.passer.sent), 3)
+		f = newForwarder(t, reply(503, text(""), notRun))
+		_, _, err = f.ask(t, "order")
+		assert.Equal(t, dhcode.RanOf(err), dhcode.NotRun)
+		assert.Assert(t, dhcode.RetryAfterOf(err) > 0)
+		assert.Equal(t, len(f.passer.sent), 3)
+	})
+}
+
+// Guards against a gap, a repeated event or a mixed head in a stream that goes
+// on at another backend server.
+func TestForwardResumesStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newForwarder(t, reply(200, broken(event1+event2[:8]), events), reply(200, text(event1+event2+event3), events))
+		w, _, err := f.ask(t, "plan")
+		assert.NilError(t, err)
+		assert.Equal(t, w.Body.String(), event1+event2+event3)
+		assert.Equal(t, w.Header().Get("Seal"), f.passer.sent[0].Backend.ID)
+		assert.Assert(t, !f.passer.sent[0].HasLast && f.passer.sent[1].HasLast)
+		assert.Equal(t, f.passer.sent[1].LastEvent, int64(1))
+		assert.Assert(t, f.passer.sent[1].Backend.ID != f.passer.sent[0].Backend.ID)
+	})
+}
+
+// Guards against a silent backend server that holds a stream, and against a
+// stream that is cut off for silence when it cannot go on elsewhere (found at
+// goldencrust-hq, hunt-77db-3).
+func TestForwardLeavesSilentBackendOnlyForAnother(t *testing.T) {
+	hang := func(ctx context.Context, o *Outbound) (*Inbound, error) {
+		return reply(200, io.MultiReader(strings.NewReader(event1), silent{ctx}), events)(ctx, o)
+	}
+	synctest.Test(t, func(t *testing.T) {
+		f := newForwarder(t, hang, reply(200, text(event2), events))
+		start := f.timers.Now()
+		w, _, err := f.ask(t, "plan")
+		assert.NilError(t, err)
+		assert.Equal(t, w.Body.String(), event1+event2)
+		assert.Assert(t, f.timers.Now().Sub(start) <= 3*time.Second)
+
+		for _, budget := range []*dhlimit.Budget{{Ratio: 9, Max: 100}, {Ratio: 0.01, Max: 0.5}} {
+			f = newForwarder(t, hang)
+			f.Retries = budget
+			start = f.timers.Now()
+			_, begun, err := f.ask(t, "plan")
+			assert.Equal(t, dhcode.Of(err), dhcode.DeadlineExceeded)
+			assert.Assert(t, begun)
+			assert.Assert(t, len(f.passer.sent) <= 3)
+			assert.Assert(t, f.timers.Now().Sub(start) >= 20*time.Second)
+		}
+	})
+}
+
+// Guards against an unsure answer that reaches the caller although the largest
+// model could answer, and against one that is dropped without a budget for
+// another (found at stmaurice-coupe, scale-1).
+func TestForwardEscalatesWithinBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		unsure := reply(200, text(event1), events, confidence(10))
+		f := newForwarder(t, unsure, reply(200, text(event2), events, confidence(20)))
+		w, _, err := f.ask(t, "plan")
+		assert.NilError(t, err)
+		assert.Equal(t, w.Body.String(), event2)
+		assert.Equal(t, f.passer.sent[0].Model+" "+f.passer.sent[1].Model, "small large")
+
+		f = newForwarder(t, unsure)
+		f.Retries = &dhlimit.Budget{Ratio: 0.01, Max: 0.5}
+		w, _, err = f.ask(t, "plan")
+		assert.NilError(t, err)
+		assert.Equal(t, w.Body.String(), event1)
+
+		f = newForwarder(t, reply(200, text(event1), events, confidence(90)))
+		_, _, err = f.ask(t, "plan")
+		assert.NilError(t, err)
+		assert.Equal(t, len(f.passer.sent), 1)
+	})
+}
+
+// Guards against a key that is accepted while it may have been revoked, and
+// against requests that no configuration allows.
+func TestForwardChecksKeyAndRoute(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newForwarder(t, reply(200, text("done")))
+		_, _, err := f.ask(t, "order", func(m *Message) { m.Key = "other" })
+		assert.Equal(t, dhcode.Of(err), dhcode.UnknownKey)
+		_, _, err = f.ask(t, "order", func(m *Message) { m.Path = "/nothing/1" })
+		assert.Equal(t, dhcode.Of(err), dhcode.RouteUnknown)
+		f.Lease = fixedLease(false)
+		_, _, err = f.ask(t, "order")
+		assert.Equal(t, dhcode.Of(err), dhcode.TablesLeaseLapsed)
+		assert.Equal(t, dhcode.RanOf(err), dhcode.NotRun)
+		assert.Equal(t, len(f.passer.sent), 0)
+		_, _, err = f.ask(t, "public")
+		assert.NilError(t, err)
+		f.Publish(&Snapshot{Backends: f.Snapshot().Backends})
+		_, _, err = f.ask(t, "public")
+		assert.Equal(t, dhcode.Of(err), dhcode.NoTables)
+	})
+}
+
+// Guards against work on a version that a rollout has not opened to the
+// session, in a zone that is out, or on a changed configuration.
+func TestForwardFollowsSnapshot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newForwarder(t, reply(200, text("done")))
+		s := *f.Snapshot()
+		s.Rollouts = map[string]dhversion.Rollout{"p": {Only: "v2"}}
+		f.Publish(&s)
+		_, _, err := f.ask(t, "look")
+		assert.Equal(t, dhcode.Of(err), dhcode.NoBackend)
+		s.Rollouts, s.ZoneWeight = nil, map[string]float64{"a": 0}
+		f.Publish(&s)
+		_, _, err = f.ask(t, "look")
+		assert.Equal(t, dhcode.Of(err), dhcode.NoBackend)
+		assert.Assert(t, dhcode.RetryAfterOf(err) > 0)
+		assert.Equal(t, len(f.passer.sent), 0)
+	})
+}
+
+// Guards against more time for a backend server than the caller has left.
+func TestForwardPassesTimeLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newForwarder(t, fails(dhcode.NotRun), reply(200, text("done")))
+		_, _, err := f.ask(t, "look", func(m *Message) { m.Left = 1500 * time.Millisecond })
+		assert.NilError(t, err)
+		assert.Assert(t, f.passer.sent[0].Left <= 1500*time.Millisecond && f.passer.sent[0].Left > 0)
+	})
+}
