Test the platform's roles as processes and its translation

The process tests start three control and two entry VMs with settings of the platform's format, register stand-in replicas, and check plain, at-most-once and streamed requests, a stream that goes on elsewhere, a wrong and a revoked key, a zone taken out, a rollout, reading back and a planned stop under load (11.5 s). They found that a request with any model was refused by a pool of a plain service; such a pool now ignores the model.

--- /dev/null
+++ b/cmd/dandelionhoistd/platform_test.go
@@ -0,0 +1,428 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"dandelionhoist.example/dh/dhgroup"
+	"dandelionhoist.example/dh/dhtimer"
+	"dandelionhoist.example/platform"
+)
+
+// fleet is control and entry VMs as processes with settings of the platform's
+// format, each on a loopback IP of its own, and replicas in this process.
+type fleet struct {
+	t        *testing.T
+	folder   string
+	group    *dhgroup.Group
+	timers   dhtimer.System
+	controls []*platformProcess
+	entries  []*platformProcess
+	replicas []*replica
+	client   *http.Client
+}
+
+type platformProcess struct {
+	role, ip, settings string
+	command            *exec.Cmd
+	exited             chan struct{}
+	exit               error
+	mu                 sync.Mutex
+	log                strings.Builder
+}
+
+// The ports of every VM, and the beats of replicas in milliseconds.
+const (
+	portFront    = 8227
+	portReady    = 8220
+	portControl  = 8229
+	portInternal = 7340
+	testBeatMs   = 200
+)
+
+func newFleet(t *testing.T, controls, entries int) *fleet {
+	f := &fleet{t: t, folder: t.TempDir(), group: dhgroup.New(t.Context())}
+	f.client = &http.Client{Transport: &http.Transport{}}
+	pid := os.Getpid()
+	ip := func(n int) string { return fmt.Sprintf("127.%d.%d.%d", 1+pid>>16&0x3f, pid>>8&0xff, (pid&0x0f)<<4+n) }
+	var seeds []string
+	for i := range min(controls, 3) {
+		seeds = append(seeds, fmt.Sprintf("%q", net.JoinHostPort(ip(1+i), strconv.Itoa(portControl))))
+	}
+	for i := range controls + entries {
+		p := &platformProcess{role: "control", ip: ip(1 + i)}
+		extra := fmt.Sprintf("DataDir = %q\n", filepath.Join(f.folder, fmt.Sprint("data", i)))
+		listen := fmt.Sprintf("Control = \"%s:%d\"", p.ip, portControl)
+		if i >= controls {
+			p.role, extra = "entry", ""
+			listen = fmt.Sprintf("Frontend = \"%s:%d\"\nReady = \"%s:%d\"", p.ip, portFront, p.ip, portReady)
+		}
+		p.settings = write(t, f.folder, fmt.Sprintf("boot-%d.toml", i), fmt.Sprintf(
+			"NodeName = \"vm-%d\"\nIp = %q\nZone = \"z%d\"\nInternalPorts = [%d, %d]\nSeeds = [%s]\nBootstrap = true\nHeartbeatMs = %d\n%s"+
+				"[Listen]\n%s\n[FaultTolerance]\nMachines = 1\n[Bounds]\nGraceS = 8\nRevokeMs = 5000\nRetryBudgetRatio = 0.9\nRetrySlack = 50\n",
+			i, p.ip, i%2, portInternal, portInternal+9, strings.Join(seeds, ", "), testBeatMs, extra, listen))
+		if p.role == "control" {
+			f.controls = append(f.controls, p)
+		} else {
+			f.entries = append(f.entries, p)
+		}
+		f.start(p)
+	}
+	return f
+}
+
+func (f *fleet) start(p *platformProcess) {
+	f.t.Helper()
+	p.exited = make(chan struct{})
+	p.command = exec.Command(os.Args[0], p.role)
+	p.command.Env = append(os.Environ(), runMain+"=1", platform.SettingsVariable+"="+p.settings)
+	output, err := p.command.StdoutPipe()
+	assert.NilError(f.t, err)
+	p.command.Stderr = p.command.Stdout
+	assert.NilError(f.t, p.command.Start())
+	f.group.Go(func(context.Context) error {
+		defer close(p.exited)
+		for lines := bufio.NewScanner(output); lines.Scan(); {
+			p.mu.Lock()
+			p.log.WriteString(lines.Text() + "\n")
+			p.mu.Unlock()
+		}
+		p.exit = p.command.Wait()
+		return nil
+	})
+	f.t.Cleanup(func() { _ = p.command.Process.Kill() })
+}
+
+// until asks again until done; the test's own time limit ends it.
+func (f *fleet) until(what string, done func() bool) {
+	f.t.Helper()
+	for !done() {
+		if dhtimer.Sleep(f.t.Context(), f.timers, 10*time.Millisecond) != nil {
+			f.t.Fatalf("the test ended before: %s", what)
+		}
+	}
+}
+
+// call sends a call to a control VM and returns status and body.
+func (f *fleet) call(control int, method, path, body string) (int, string) {
+	f.t.Helper()
+	url := fmt.Sprintf("http://%s:%d/dandelionhoist/%s", f.controls[control].ip, portControl, path)
+	r, err := http.NewRequestWithContext(f.t.Context(), method, url, strings.NewReader(body))
+	assert.NilError(f.t, err)
+	response, err := f.client.Do(r)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	assert.NilError(f.t, err)
+	return response.StatusCode, string(text)
+}
+
+// replica is a stand-in for a backend server: a plain service and an engine.
+type replica struct {
+	id, service, zone, version string
+	server                     *httptest.Server
+	born                       int64
+	sequence                   atomic.Int64
+	state                      atomic.Value
+	runs                       sync.Map // request id to *atomic.Int64
+	// breakAfter ends a stream in the middle of the event after this one.
+	breakAfter atomic.Int64
+	// hold, when set, keeps requests until it is closed.
+	hold atomic.Pointer[chan struct{}]
+}
+
+const lastEvent = 5
+
+func (f *fleet) addReplica(id, service, zone, version string) *replica {
+	f.t.Helper()
+	r := &replica{id: id, service: service, zone: zone, version: version, born: f.timers.Now().UnixMilli()}
+	r.state.Store("ready")
+	r.server = httptest.NewServer(r)
+	f.t.Cleanup(r.server.Close)
+	f.replicas = append(f.replicas, r)
+	f.group.Go(func(ctx context.Context) error {
+		for i := 0; dhtimer.Sleep(ctx, f.timers, testBeatMs*time.Millisecond) == nil; i++ {
+			if r.state.Load() != "gone" {
+				f.beat(i%len(f.controls), r)
+			}
+		}
+		return nil
+	})
+	return r
+}
+
+func (f *fleet) beat(control int, r *replica) int {
+	body, err := json.Marshal(map[string]any{
+		"Service": r.service, "Address": r.server.Listener.Addr().String(), "Zone": r.zone, "Version": r.version, "Slots": 8,
+		"State": r.state.Load(), "ColdLeftMs": 0, "Sequence": r.sequence.Add(1), "born": r.born,
+		"Models": map[bool]any{true: []map[string]string{{"Name": "m0"}}, false: nil}[r.service == "llm"],
+	})
+	if err != nil {
+		panic(err) // only strings and numbers
+	}
+	url := fmt.Sprintf("http://%s:%d/dandelionhoist/Instances.Heartbeat/%s", f.controls[control].ip, portControl, r.id)
+	response, err := f.client.Post(url, "application/json", bytes.NewReader(body))
+	if err != nil {
+		return 0
+	}
+	_ = response.Body.Close()
+	return response.StatusCode
+}
+
+// ran returns how often a request ran on all replicas.
+func (f *fleet) ran(id string) int64 {
+	n := int64(0)
+	for _, r := range f.replicas {
+		if count, ok := r.runs.Load(id); ok {
+			n += count.(*atomic.Int64).Load()
+		}
+	}
+	return n
+}
+
+// ServeHTTP implements http.Handler.
+func (r *replica) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+	id := request.Header.Get("Attempt-Id")
+	if request.Header.Get("Expect-Instance") != r.id {
+		w.Header().Set("Instance-Id", r.id)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	count, _ := r.runs.LoadOrStore(id, new(atomic.Int64))
+	count.(*atomic.Int64).Add(1)
+	if hold := r.hold.Load(); hold != nil {
+		<-*hold
+	}
+	w.Header().Set("Attempt-Id", id)
+	w.Header().Set("Server-Seal", "seal-of-"+r.id)
+	if r.service != "llm" {
+		_, _ = fmt.Fprintf(w, "%s for %s", r.id, request.Header.Get("Tenant"))
+		return
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("Confidence", "90")
+	last, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
+	for n := last + 1; n <= lastEvent; n++ {
+		if limit := r.breakAfter.Load(); limit > 0 && int64(n) > limit {
+			_, _ = fmt.Fprintf(w, "id: %d\nda", n)
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, request.Header.Get("Model"))
+		_ = http.NewResponseController(w).Flush()
+	}
+}
+
+// reply is what a client got.
+type reply struct {
+	status int
+	body   string
+	seal   string
+	err    error
+}
+
+var requestNumber atomic.Int64
+
+// ask sends a request to an entry VM and returns its id and the answer.
+func (f *fleet) ask(ctx context.Context, entry int, method, path, key string) (string, reply) {
+	id := fmt.Sprintf("%016x", requestNumber.Add(1))
+	url := fmt.Sprintf("http://%s:%d%s", f.entries[entry].ip, portFront, path)
+	r, err := http.NewRequestWithContext(ctx, method, url, nil)
+	if err != nil {
+		return id, reply{err: err}
+	}
+	r.Host = "shop.example"
+	r.Header.Set("Attempt-Id", id)
+	r.Header.Set("Authorization", "Bearer "+key)
+	r.Header.Set("Deadline-Ms", "20000")
+	r.Header.Set("Model", "*")
+	response, err := f.client.Do(r)
+	if err != nil {
+		return id, reply{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return id, reply{status: response.StatusCode, body: string(body), seal: response.Header.Get("Server-Seal"), err: err}
+}
+
+func (f *fleet) expect(entry int, method, path, key string, status int) (string, reply) {
+	f.t.Helper()
+	id, got := f.ask(f.t.Context(), entry, method, path, key)
+	assert.NilError(f.t, got.err)
+	assert.Equal(f.t, got.status, status, got.body)
+	return id, got
+}
+
+func testConfiguration(version int, keys string) string {
+	return fmt.Sprintf(`{"Version":%d,"Routes":[
+ {"Name":"plan","Host":"shop.example","PathPrefix":"/plan/","RouteKind":"streaming","TimeoutMs":20000,"SloMs":2000,"Sizes":["m0"],"Service":"llm","MaxAttempts":3,"Resumable":true,"ItlTargetMs":1000},
+ {"Name":"order","Host":"shop.example","PathPrefix":"/order/","RouteKind":"non_idempotent","TimeoutMs":8000,"Service":"app","MaxAttempts":1},
+ {"Name":"look","Host":"shop.example","PathPrefix":"/look/","RouteKind":"idempotent","TimeoutMs":8000,"Service":"app","MaxAttempts":2}],
+ "Services":[{"Name":"llm","MaxConns":100,"Engine":{"Models":[{"Name":"m0"}]}},{"Name":"app"}],
+ "Limits":{"MaxBodyBytes":100000},"Tenants":[{"Name":"crew","ApiKeys":[%s]}]}`, version, keys)
+}
+
+// Guards against a path through control VM, entry VM and replica that does not
+// hold together as processes: registration, configuration, plain and
+// at-most-once requests, streams that go on elsewhere, keys, zones, rollouts.
+func TestPlatformWholePath(t *testing.T) {
+	f := newFleet(t, 3, 2)
+	f.until("the first configuration is acknowledged", func() bool {
+		status, _ := f.call(0, "POST", "Config.Replace", testConfiguration(3, `"key-1","key-2"`))
+		return status == http.StatusOK
+	})
+	first := f.addReplica("i-1", "llm", "z0", "v1")
+	f.addReplica("i-2", "llm", "z1", "v1")
+	f.addReplica("i-3", "app", "z0", "v1")
+	for entry := range f.entries {
+		f.until("both pools serve", func() bool {
+			_, plan := f.ask(t.Context(), entry, "POST", "/plan/1", "key-1")
+			_, look := f.ask(t.Context(), entry, "GET", "/look/1", "key-1")
+			return plan.status == http.StatusOK && look.status == http.StatusOK
+		})
+	}
+
+	id, order := f.expect(0, "POST", "/order/1", "key-1", http.StatusOK)
+	assert.Equal(t, order.body, "i-3 for crew")
+	assert.Equal(t, order.seal, "seal-of-i-3")
+	assert.Equal(t, f.ran(id), int64(1))
+	f.expect(0, "POST", "/order/1", "stolen", http.StatusUnauthorized)
+	f.expect(1, "POST", "/nothing/1", "key-1", http.StatusNotFound)
+
+	var whole strings.Builder
+	for n := 1; n <= lastEvent; n++ {
+		fmt.Fprintf(&whole, "id: %d\ndata: m0\n\n", n)
+	}
+	first.breakAfter.Store(2)
+	for range 6 { // some of them begin on the replica that breaks off
+		_, plan := f.expect(0, "POST", "/plan/1", "key-1", http.StatusOK)
+		assert.Equal(t, plan.body, whole.String())
+	}
+	first.breakAfter.Store(0)
+
+	status, _ := f.call(1, "POST", "Config.Replace", `{"Version":9,"Routes":[{"Name":"x"`)
+	assert.Equal(t, status, http.StatusBadRequest)
+	status, _ = f.call(1, "POST", "Config.Replace", testConfiguration(8, `"key-2"`))
+	assert.Equal(t, status, http.StatusOK)
+	f.until("the revoked key is refused everywhere", func() bool {
+		_, a := f.ask(t.Context(), 0, "GET", "/look/1", "key-1")
+		_, b := f.ask(t.Context(), 1, "GET", "/look/1", "key-1")
+		return a.status == http.StatusUnauthorized && b.status == http.StatusUnauthorized
+	})
+	status, text := f.call(2, "GET", "Config.Read", "")
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, text, testConfiguration(8, `"key-2"`))
+
+	status, _ = f.call(0, "POST", "Evacuations.Start/z0", "")
+	assert.Equal(t, status, http.StatusOK)
+	f.until("the zone's only order service gets nothing", func() bool {
+		_, got := f.ask(t.Context(), 0, "POST", "/order/1", "key-2")
+		return got.status == http.StatusServiceUnavailable
+	})
+	status, _ = f.call(2, "POST", "Evacuations.Finish/z0", "")
+	assert.Equal(t, status, http.StatusOK)
+	f.until("the zone is back", func() bool {
+		_, got := f.ask(t.Context(), 0, "POST", "/order/1", "key-2")
+		return got.status == http.StatusOK
+	})
+
+	status, _ = f.call(0, "POST", "Rollouts.Start", `{"Service":"llm","Target":"v2","DurationS":3}`)
+	assert.Equal(t, status, http.StatusOK)
+	f.addReplica("i-4", "llm", "z0", "v2")
+	f.addReplica("i-5", "llm", "z1", "v2")
+	f.until("the rollout is completed", func() bool {
+		f.ask(t.Context(), 0, "POST", "/plan/1", "key-2")
+		_, text := f.call(1, "GET", "Rollouts.Read/llm", "")
+		return strings.Contains(text, "completed")
+	})
+	f.until("the new version answers", func() bool {
+		_, got := f.ask(t.Context(), 0, "POST", "/plan/1", "key-2")
+		return got.seal == "seal-of-i-4" || got.seal == "seal-of-i-5"
+	})
+	for _, p := range append(f.controls, f.entries...) {
+		assert.NilError(t, p.command.Process.Signal(syscall.SIGHUP))
+	}
+	f.stopAll()
+}
+
+func (f *fleet) stopAll() {
+	f.t.Helper()
+	for _, p := range append(f.entries, f.controls...) {
+		assert.NilError(f.t, p.command.Process.Signal(syscall.SIGTERM))
+	}
+	for _, p := range append(f.entries, f.controls...) {
+		wait(f.t, p.exited)
+		assert.NilError(f.t, p.exit, "%s", p.log.String())
+	}
+}
+
+// Guards against a planned stop that cuts a request: the entry VM is not ready
+// at once, running requests end, and those on open connections are answered.
+func TestPlatformStopUnderLoad(t *testing.T) {
+	f := newFleet(t, 1, 1)
+	f.until("the first configuration is acknowledged", func() bool {
+		status, _ := f.call(0, "POST", "Config.Replace", testConfiguration(3, `"key-1"`))
+		return status == http.StatusOK
+	})
+	app := f.addReplica("i-3", "app", "z0", "v1")
+	f.until("the pool serves", func() bool {
+		_, got := f.ask(t.Context(), 0, "GET", "/look/1", "key-1")
+		return got.status == http.StatusOK
+	})
+	hold := make(chan struct{})
+	app.hold.Store(&hold)
+	const running = 8
+	replies := make(chan reply, running)
+	for range running {
+		f.group.Go(func(ctx context.Context) error {
+			_, got := f.ask(ctx, 0, "POST", "/order/1", "key-1")
+			replies <- got
+			return nil
+		})
+	}
+	started := func() (n int) {
+		app.runs.Range(func(any, any) bool { n++; return true })
+		return n
+	}
+	before := started()
+	f.until("all requests run", func() bool { return started() >= before+running || started() > running })
+	entry := f.entries[0]
+	assert.NilError(t, entry.command.Process.Signal(syscall.SIGTERM))
+	f.until("the VM is not ready", func() bool {
+		response, err := f.client.Get(fmt.Sprintf("http://%s:%d/dandelionhoist/readyz", entry.ip, portReady))
+		if err != nil {
+			return false
+		}
+		_ = response.Body.Close()
+		return response.StatusCode == http.StatusServiceUnavailable
+	})
+	close(hold)
+	for range running {
+		got := <-replies
+		assert.NilError(t, got.err)
+		assert.Equal(t, got.status, http.StatusOK)
+	}
+	wait(t, entry.exited)
+	assert.NilError(t, entry.exit)
+}
--- a/dh/dhrouter/forward.go
+++ b/dh/dhrouter/forward.go
@@ -223,10 +223,14 @@
 	if err := f.allow(s); err != nil {
 		return dhplacement.Request{}, err
 	}
+	version := dhtable.Version{Model: f.model}
+	if s.Tables.Pools[f.poolName].Kind == dhtable.Service {
+		version = dhtable.Version{} // plain services have no models
+	}
 	rollout := s.Rollouts[f.poolName]
 	on := rollout.OnTarget(f.poolName, f.session)
 	return dhplacement.Request{
-		Pool: f.poolName, Version: dhtable.Version{Model: f.model}, Prefix: f.prefix, PrefixTokens: f.prefixTokens,
+		Pool: f.poolName, Version: version, Prefix: f.prefix, PrefixTokens: f.prefixTokens,
 		Shared: max(len(f.prefix)-1, 0), PromptTokens: f.message.PromptTokens, MaxTokens: f.message.MaxTokens, ZoneWeights: s.ZoneWeight,
 		Exclude: f.tried, Credit: f.router.Credits.Available,
 		Permit: func(b *dhbackend.Backend) bool {
