Wait for the start of a VM, keep unsure answers under overload, separate models by pace

In bursts the large model's first event came after the wanted time. A batch goes on at the mean pace of its requests (small model: 23 ms an event alone, 35 ms beside the large one).

--- a/dh/dhplacement/dhplacement.go
+++ b/dh/dhplacement/dhplacement.go
@@ -62,6 +62,13 @@
 	PerFailure, FailureHalfLife time.Duration
 	// MaxBlocks bounds the known prefix cache blocks per backend server.
 	MaxBlocks int
+	// LaneShare is the part of each zone's backend servers on which small
+	// models run by preference; the others run large ones. A batch goes on at
+	// the mean pace of its requests, so that a small model beside large ones
+	// is about as slow as they are.
+	LaneShare float64
+	// OffLane is the penalty of a backend server of the other lane.
+	OffLane time.Duration
 	// MaxWaiting is how many requests may wait for a slot of a backend server;
 	// 0 means no bound.
 	MaxWaiting float64
@@ -88,6 +95,16 @@
 	expectedPercent  = 60
 )
 
+// Lane groups models that run at about the same pace.
+type Lane int
+
+// The lanes.
+const (
+	AnyLane   Lane = iota // any
+	SmallLane             // small
+	LargeLane             // large
+)
+
 // Request is what a choice depends on.
 type Request struct {
 	Pool    string
@@ -102,6 +119,8 @@
 	// scored as if they held it.
 	Shared       int
 	PromptTokens int
+	// Lane is the lane of the request's model.
+	Lane Lane
 	// MaxTokens is the limit of the answer; DefaultMaxTokens when it is 0.
 	MaxTokens int
 	// ZoneWeights gives the share of requests that may use a zone: 0 for a
@@ -337,6 +356,9 @@
 	if !c.pool.zones[cand.zone].local {
 		score += s.OtherZone
 	}
+	if c.r.Lane != AnyLane && cand.lane != AnyLane && c.r.Lane != cand.lane {
+		score += s.OffLane
+	}
 	if c.best.Backend == nil || score < c.bestScore {
 		c.bestScore = score
 		c.best = Placement{Backend: b, Cold: cold, CachedTokens: cached, Load: load, Wait: wait, row: cand.row}
--- a/dh/dhplacement/index.go
+++ b/dh/dhplacement/index.go
@@ -1,7 +1,9 @@
 package dhplacement
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -70,6 +72,7 @@
 	backend *dhbackend.Backend
 	row     *row
 	zone    int
+	lane    Lane
 	others  float64
 }
 
@@ -146,6 +149,7 @@
 			z.rows = append(z.rows, c)
 		}
 	}
+	po.assignLanes(p.Settings.LaneShare)
 	for _, g := range po.groups {
 		for i := range g.zones {
 			g.zones[i].strides = coprimes(len(g.zones[i].rows))
@@ -154,6 +158,38 @@
 	return po
 }
 
+// assignLanes gives the small lane its share of the backend servers of each
+// zone and release, in an order that all entry VMs agree on. A single backend
+// server has no lane.
+func (po *pool) assignLanes(share float64) {
+	if share <= 0 {
+		return
+	}
+	type place struct {
+		zone    int
+		release string
+	}
+	members := make(map[place][]*candidate)
+	for i := range po.candidates {
+		c := &po.candidates[i]
+		at := place{c.zone, c.backend.Release}
+		members[at] = append(members[at], c)
+	}
+	for _, list := range members {
+		if len(list) < 2 {
+			continue
+		}
+		slices.SortFunc(list, func(a, b *candidate) int { return cmp.Compare(a.row.hash, b.row.hash) })
+		small := max(int(math.Round(share*float64(len(list)))), 1)
+		for i, c := range list {
+			c.lane = LargeLane
+			if i < small {
+				c.lane = SmallLane
+			}
+		}
+	}
+}
+
 // zone returns the index of a zone, which it adds when it is new.
 func (po *pool) zone(name, own string) int {
 	for i := range po.zones {
--- /dev/null
+++ b/dh/dhrouter/delays_test.go
@@ -0,0 +1,83 @@
+package dhrouter
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"dandelionhoist.example/dh/dhbackend"
+	"dandelionhoist.example/dh/dhcode"
+)
+
+// Guards against a delay that is kept for ever, so that a recovered model is
+// not asked again.
+func TestDelaysAreForgotten(t *testing.T) {
+	var d delays
+	now := time.Now()
+	for range 20 {
+		d.observe("p", "large", 4*time.Second, now)
+	}
+	assert.Assert(t, d.expected("p", "large", now) > 3*time.Second)
+	assert.Assert(t, d.expected("p", "large", now.Add(10*time.Second)) < 200*time.Millisecond)
+	assert.Equal(t, d.expected("p", "small", now), time.Duration(0))
+}
+
+// Guards against large answers that are asked for under an overload of the
+// large model, where they come late and delay the others (pattern: burst of
+// long prompts).
+func TestOverloadKeepsUnsureAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newForwarder(t, reply(200, text(event1), events, confidence(20)))
+		for range 20 {
+			f.delays.observe("p", "large", 2*time.Second, f.timers.Now())
+		}
+		w, _, err := f.ask(t, "plan")
+		assert.NilError(t, err)
+		assert.Equal(t, w.Body.String(), event1)
+		assert.Equal(t, len(f.passer.sent), 1)
+		f.timers.Step(10 * time.Second)
+		_, _, err = f.ask(t, "plan")
+		assert.NilError(t, err)
+		assert.Equal(t, f.passer.sent[len(f.passer.sent)-1].Model, "large")
+	})
+}
+
+// Guards against requests that are refused by a VM that has just started and
+// learns its tables a moment later (pattern: all VMs restart at once).
+func TestRequestsWaitForStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newForwarder(t, reply(200, strings.NewReader("done")))
+		ready := f.Snapshot()
+		var table dhbackend.Table
+		f.Publish(&Snapshot{Backends: table.View(f.timers.Now())})
+		f.timers.After(400*time.Millisecond, func(time.Time) {
+			f.Publish(&Snapshot{Tables: ready.Tables, Backends: table.View(f.timers.Now())})
+		})
+		f.timers.After(900*time.Millisecond, func(time.Time) { f.Publish(ready) })
+		_, _, err := f.ask(t, "look")
+		assert.NilError(t, err)
+
+		f.Publish(&Snapshot{Backends: table.View(f.timers.Now())})
+		start := f.timers.Now()
+		_, _, err = f.ask(t, "look")
+		assert.Equal(t, dhcode.Of(err), dhcode.NoTables)
+		assert.Assert(t, f.timers.Now().Sub(start) <= startWait+startPoll)
+		f.timers.Step(5 * time.Second)
+		start = f.timers.Now()
+		_, _, err = f.ask(t, "look")
+		assert.Equal(t, dhcode.Of(err), dhcode.NoTables)
+		assert.Equal(t, f.timers.Now(), start)
+		_, err = f.Forward(cancelled(t), &Message{ID: "r1", Host: "h", Path: "/look/1"}, nil)
+		assert.Assert(t, err != nil)
+	})
+}
+
+func cancelled(t *testing.T) context.Context {
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	return ctx
+}
--- a/dh/dhrouter/dhrouter.go
+++ b/dh/dhrouter/dhrouter.go
@@ -203,10 +203,27 @@
 	NewRequestID func() string
 
 	snapshot atomic.Pointer[Snapshot]
+	// started is the time of the first Publish.
+	started atomic.Pointer[time.Time]
+	delays  delays
 }
 
 // Publish makes s the snapshot that traffic reads.
-func (r *Router) Publish(s *Snapshot) { r.snapshot.Store(s) }
+func (r *Router) Publish(s *Snapshot) {
+	if r.started.Load() == nil {
+		now := r.Timers.Now()
+		r.started.CompareAndSwap(nil, &now)
+	}
+	r.snapshot.Store(s)
+}
+
+// began returns the time of the first Publish.
+func (r *Router) began() time.Time {
+	if t := r.started.Load(); t != nil {
+		return *t
+	}
+	return r.Timers.Now()
+}
 
 // Snapshot returns the newest snapshot.
 func (r *Router) Snapshot() *Snapshot {
--- a/dh/dhrouter/forward.go
+++ b/dh/dhrouter/forward.go
@@ -58,6 +58,9 @@
 // say 50; a little less is asked for, because the largest model costs more.
 const sureFrom = 45
 
+// rankWeight is how much sooner each lower rank keeps unsure answers.
+const rankWeight = 0.25
+
 // forward is the exchange of an HTTP request.
 type forward struct {
 	router   *Router
@@ -116,6 +119,7 @@
 // and say whether the request ran.
 func (r *Router) Forward(ctx context.Context, m *Message, w http.ResponseWriter) (begun bool, err error) {
 	f := &forward{router: r, message: m, w: w, received: r.Timers.Now(), last: m.LastEvent, hasLast: m.HasLast}
+	f.awaitStart(ctx)
 	if err = f.admit(r.Snapshot()); err == nil {
 		limited, cancel := dhtimer.WithTimeout(ctx, r.Timers, f.limit)
 		err = r.deliver(limited, f, f.route.MaxAttempts+unsentTries)
@@ -126,6 +130,43 @@
 	return f.begun, err
 }
 
+const (
+	// startWait is how long a request waits on a VM that has just started for
+	// tables and backend servers, which come within a period of announcements;
+	// a refused caller would return to the same state.
+	startWait = 1500 * time.Millisecond
+	// startPeriod is the time after the start in which requests wait, and
+	// startPoll the time between two looks.
+	startPeriod = 4 * time.Second
+	startPoll   = 50 * time.Millisecond
+)
+
+// awaitStart waits on a VM that has just started until it can serve the
+// request, for a bounded time.
+func (f *forward) awaitStart(ctx context.Context) {
+	r, m := f.router, f.message
+	for !f.canStart(r.Snapshot()) {
+		now := r.Timers.Now()
+		waited := now.Sub(f.received)
+		if now.Sub(r.began()) > startPeriod || waited >= startWait || (m.Left > 0 && waited >= m.Left/2) {
+			return
+		}
+		if dhtimer.Sleep(ctx, r.Timers, startPoll) != nil {
+			return
+		}
+	}
+}
+
+// canStart reports whether the tables are known, and a backend server if the
+// request has a route.
+func (f *forward) canStart(s *Snapshot) bool {
+	if s.Tables == nil {
+		return false
+	}
+	route, ok := s.Tables.Find(f.message.Host, f.message.Path)
+	return !ok || len(s.Backends.Pool(route.Target(0))) > 0
+}
+
 // admit decides on what the snapshot says whether the request may run at all.
 func (f *forward) admit(s *Snapshot) error {
 	m := f.message
@@ -231,7 +272,7 @@
 	on := rollout.OnTarget(f.poolName, f.session)
 	return dhplacement.Request{
 		Pool: f.poolName, Version: version, Prefix: f.prefix, PrefixTokens: f.prefixTokens,
-		Shared: max(len(f.prefix)-1, 0), PromptTokens: f.message.PromptTokens, MaxTokens: f.message.MaxTokens, ZoneWeights: s.ZoneWeight,
+		Shared: max(len(f.prefix)-1, 0), Lane: f.lane(), PromptTokens: f.message.PromptTokens, MaxTokens: f.message.MaxTokens, ZoneWeights: s.ZoneWeight,
 		Exclude: f.tried, Credit: f.router.Credits.Available,
 		Permit: func(b *dhbackend.Backend) bool {
 			return rollout.Permits(b.Release, on) && (f.repeatable() || f.router.Breakers.Closed(b.ID))
@@ -239,6 +280,17 @@
 	}, nil
 }
 
+// lane returns where the request's model runs beside models of its pace.
+func (f *forward) lane() dhplacement.Lane {
+	switch n := len(f.route.Cascade); {
+	case n < 2:
+		return dhplacement.AnyLane
+	case f.model == f.route.Cascade[n-1]:
+		return dhplacement.LargeLane
+	}
+	return dhplacement.SmallLane
+}
+
 // dispatch implements exchange. Nothing must be durable before a send.
 func (*forward) dispatch(context.Context) error { return nil }
 
@@ -262,10 +314,16 @@
 		Model: f.model, Rank: f.rank, LastEvent: f.last, HasLast: f.hasLast,
 	})
 	if err != nil {
+		now := f.router.Timers.Now()
+		if dhcode.RanOf(err) != dhcode.NotRun {
+			f.router.delays.observe(f.poolName, f.model, now.Sub(start), now)
+		}
 		return 0, f.cause(ctx, err)
 	}
 	defer func() { _ = in.Body.Close() }() // the connection is given up when the answer was not read to its end
-	watch.progress(f.router.Timers.Now())
+	head := f.router.Timers.Now()
+	watch.progress(head)
+	f.router.delays.observe(f.poolName, f.model, head.Sub(start), head)
 	if err := f.take(in, watch); err != nil {
 		return f.first(start), f.cause(ctx, err)
 	}
@@ -335,6 +393,20 @@
 	return f.write(&kept{status: in.Status, header: in.Header, body: body})
 }
 
+// sureFrom returns the confidence from which on an answer is kept. It falls to
+// 0 as the delay of the larger model grows from half of the wanted time to all
+// of it: under overload an unsure answer in time is worth more than a late one,
+// and each large answer delays all others. Less urgent requests give way first.
+func (f *forward) sureFrom(larger string) int {
+	wanted := min(f.route.Objective, time.Duration(float64(f.limit)*firstPart))
+	if wanted <= 0 {
+		return sureFrom
+	}
+	expected := f.router.delays.expected(f.poolName, larger, f.router.Timers.Now())
+	load := float64(expected) / float64(wanted) * (1 + rankWeight*float64(f.rank))
+	return int(sureFrom * min(max(2*(1-load), 0), 1))
+}
+
 // escalate drops an answer of which its model is unsure, so that the route's
 // largest model makes it. The caller has nothing of it yet.
 func (f *forward) escalate(in *Inbound) error {
@@ -342,7 +414,7 @@
 	switch {
 	case !f.message.AnyModel || largest < 0 || f.model == f.route.Cascade[largest] || f.begun:
 		return nil
-	case in.Confidence < 0 || in.Confidence >= sureFrom || f.sends+1 >= f.route.MaxAttempts:
+	case in.Confidence < 0 || in.Confidence >= f.sureFrom(f.route.Cascade[largest]) || f.sends+1 >= f.route.MaxAttempts:
 		return nil
 	case f.router.Retries.Retry(f.poolName) != nil:
 		return nil // an unsure answer is better than none
