--- a/cmd/dandelionhoist/commands.go
+++ b/cmd/dandelionhoist/commands.go
@@ -29,6 +29,7 @@
 	add("watch", "Show the status again whenever it changes.", p.watchCommand)
 	add("explain", "Show which version and backend server a request would get, and why.", p.explainCommand)
 	add("bills", "Print bills in the order of the ledger.", p.billsCommand)
+	add("trace", "Print what logs say of one request, in order of time.", p.traceCommand)
 	return commands
 }
 
--- /dev/null
+++ b/cmd/dandelionhoist/trace.go
@@ -0,0 +1,72 @@
+package main
+
+import (
+	"bufio"
+	"cmp"
+	"context"
+	"fmt"
+	"os"
+	"regexp"
+	"slices"
+	"strings"
+
+	"github.com/alecthomas/kingpin/v2"
+)
+
+// maxLogLine bounds a line of a log.
+const maxLogLine = 1 << 20
+
+// logTime finds the time of a line that slog has written.
+var logTime = regexp.MustCompile(`\btime=(\S+)`)
+
+// logLine is a line of a log with its time, which orders it among others.
+type logLine struct{ time, text string }
+
+func (p *program) traceCommand(clause *kingpin.CmdClause) command {
+	request := clause.Arg("request", "Id of the request.").Required().String()
+	files := clause.Arg("log", "Log files of all VMs.").Required().Strings()
+	return func(context.Context) error {
+		var found []logLine
+		for _, file := range *files {
+			lines, err := requestLines(file, *request)
+			if err != nil {
+				return exitUsage(err)
+			}
+			found = append(found, lines...)
+		}
+		if len(found) == 0 {
+			return usageError("no line of %d logs is about request %q", len(*files), *request)
+		}
+		// Clocks of VMs differ by little; equal times keep the order of the files.
+		slices.SortStableFunc(found, func(a, b logLine) int { return cmp.Compare(a.time, b.time) })
+		for _, line := range found {
+			fmt.Fprintln(p.Out, line.text)
+		}
+		return nil
+	}
+}
+
+// requestLines returns the lines of a log that bear the request's id.
+func requestLines(file, request string) ([]logLine, error) {
+	f, err := os.Open(file)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = f.Close() }() // it was only read
+	field := " request=" + request + " "
+	var lines []logLine
+	scanner := bufio.NewScanner(f)
+	scanner.Buffer(nil, maxLogLine)
+	for scanner.Scan() {
+		text := scanner.Text()
+		if !strings.Contains(text+" ", field) {
+			continue
+		}
+		line := logLine{text: text}
+		if m := logTime.FindStringSubmatch(text); m != nil {
+			line.time = m[1]
+		}
+		lines = append(lines, line)
+	}
+	return lines, scanner.Err()
+}
--- a/dh/dhrouter/attempt.go
+++ b/dh/dhrouter/attempt.go
@@ -89,7 +89,8 @@
 func (g *generation) dispatch(ctx context.Context) error { return g.router.dispatch(ctx, g.attempts) }
 
 // relay implements exchange.
-func (g *generation) relay(ctx context.Context, b *dhbackend.Backend) (time.Duration, error) {
+func (g *generation) relay(ctx context.Context, p dhplacement.Placement) (time.Duration, error) {
+	b := p.Backend
 	g.number++
 	g.answer.StartAttempt(g.number, g.choice.Version.Model, g.choice.Version.Name)
 	bounded, cancel := g.router.bound(ctx, b.ID)
--- a/dh/dhrouter/deliver.go
+++ b/dh/dhrouter/deliver.go
@@ -22,7 +22,7 @@
 	dispatch(ctx context.Context) error
 	// relay sends the request to a backend server and passes the answer on. It
 	// returns the time to the first token, or 0 when there was none.
-	relay(ctx context.Context, b *dhbackend.Backend) (first time.Duration, err error)
+	relay(ctx context.Context, p dhplacement.Placement) (first time.Duration, err error)
 	// ended notes the result of relay. It returns what to report of the backend
 	// server, and whether there is anything to report.
 	ended(b *dhbackend.Backend, first time.Duration, err error) (e Event, ok bool)
@@ -60,13 +60,13 @@
 		return err
 	}
 	if err := x.dispatch(ctx); err != nil {
-		r.Breakers.Cancel(place.backend.ID)
+		r.Breakers.Cancel(place.Backend.ID)
 		place.done(nil)
 		return err
 	}
-	first, err := x.relay(ctx, place.backend)
+	first, err := x.relay(ctx, place.Placement)
 	place.done(err)
-	r.ended(ctx, x, place.backend, first, err)
+	r.ended(ctx, x, place.Backend, first, err)
 	return err
 }
 
@@ -91,8 +91,8 @@
 
 // place is where an attempt runs. Done is called once when it has ended.
 type place struct {
-	backend *dhbackend.Backend
-	done    func(err error)
+	dhplacement.Placement
+	done func(err error)
 }
 
 // place chooses a backend server whose circuit breaker permits the attempt
@@ -107,7 +107,7 @@
 		release, ok := r.Credits.Acquire(id)
 		if ok && r.Breakers.Begin(id) {
 			r.Placer.Begin(p, req)
-			return place{backend: p.Backend, done: func(err error) {
+			return place{Placement: p, done: func(err error) {
 				release()
 				r.Placer.End(p, err == nil)
 			}}, nil
--- a/dh/dhrouter/forward.go
+++ b/dh/dhrouter/forward.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"log/slog"
+	"math"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -295,12 +296,14 @@
 func (*forward) dispatch(context.Context) error { return nil }
 
 // relay implements exchange.
-func (f *forward) relay(ctx context.Context, b *dhbackend.Backend) (time.Duration, error) {
+func (f *forward) relay(ctx context.Context, p dhplacement.Placement) (time.Duration, error) {
+	b := p.Backend
 	if err := f.checkLease(); !f.route.Public && err != nil {
 		return 0, err
 	}
 	start := f.router.Timers.Now()
 	f.backend, f.answered, f.events = b, false, 0
+	f.logPlaced(p, start)
 	ctx, stop := context.WithCancelCause(ctx)
 	defer stop(nil)
 	watch := &watchdog{router: f.router, pool: f.poolName, stop: stop, patience: f.stall()}
@@ -622,6 +625,18 @@
 	return err
 }
 
+// logPlaced writes what decided where the request is sent. Age is that of the
+// load; sequence is the backend server's announcement that is known.
+func (f *forward) logPlaced(p dhplacement.Placement, now time.Time) {
+	b := p.Backend
+	f.router.Log.LogAttrs(context.Background(), slog.LevelInfo, "placed", slog.String("request", f.message.ID),
+		slog.String("route", f.route.Name), slog.Uint64("tables", f.router.Snapshot().Tables.Revision),
+		slog.String("backend", b.ID), slog.String("zone", b.Zone), slog.String("release", b.Release), slog.String("state", b.State.String()),
+		slog.Uint64("sequence", b.Sequence), slog.Duration("age", now.Sub(b.Seen)+b.ReportAge), slog.Float64("load", math.Round(p.Load*10)/10),
+		slog.Int("cached-tokens", p.CachedTokens), slog.String("model", f.model), slog.Int("rank", f.rank),
+		slog.Duration("left", f.limit-now.Sub(f.received)), slog.Int("send", f.sends+1))
+}
+
 // log writes the line that ends the request.
 func (f *forward) log(err error) {
 	now := f.router.Timers.Now()
