--- a/dh/dhentry/dhentry.go
+++ b/dh/dhentry/dhentry.go
@@ -49,6 +49,8 @@
 	KeyLease time.Duration
 	// TrialShare is the part of the sessions that try the target of a rollout.
 	TrialShare float64
+	// SessionFor is how long after a request its session goes on.
+	SessionFor time.Duration
 	// RetryRatio and RetryMax bound the retries of this VM.
 	RetryRatio, RetryMax float64
 	// ColdOvershoot and ColdSlack widen the bound of cold backend servers.
@@ -98,11 +100,11 @@
 // the penalty of another zone is some round trips.
 func settings() dhplacement.Settings {
 	return dhplacement.Settings{
-		Sample: 5, PerSequence: 100 * time.Microsecond, PerPrefillToken: 50 * time.Microsecond,
+		Sample: 5, PerSequence: 40 * time.Microsecond, PerPrefillToken: 100 * time.Microsecond,
 		PerWaiting: 200 * time.Millisecond, Spread: 1, Others: 1, OtherZone: 2 * time.Millisecond,
 		ReportHalfLife: time.Second, ColdFactor: 2, ColdBase: 100 * time.Millisecond,
 		PerFailure: time.Second, FailureHalfLife: 2 * time.Second, MaxBlocks: 2048,
-		LaneShare: 0.2, OffLane: 500 * time.Millisecond,
+		LaneShare: 0.3, OffLane: 500 * time.Millisecond,
 	}
 }
 
@@ -124,6 +126,7 @@
 		Retries: &dhlimit.Budget{Ratio: e.RetryRatio, Max: e.RetryMax}, Breakers: &dhlimit.Breakers{Timers: e.Timers},
 		Passer: e.Passer, Lease: e.lease, Random: rand.Float64, VM: e.Name, Zone: e.Zone, Report: e.report,
 	}
+	e.router.KeepSessions(e.SessionFor)
 	e.follower = &dhwatch.Follower{
 		VM: e.Name, Incarnation: e.Incarnation, Zone: e.Zone, Seeds: e.Seeds, Source: e.Source, Timers: e.Timers, Log: e.Log,
 		Lease: e.lease, Report: e.entryReport, Received: e.received,
--- a/dh/dhplacement/affinity.go
+++ b/dh/dhplacement/affinity.go
@@ -235,7 +235,7 @@
 			continue
 		}
 		for _, cand := range c.group.zones[i].rows {
-			if c.r.Permit != nil && !c.r.Permit(cand.backend) {
+			if (c.r.Permit != nil && !c.r.Permit(cand.backend)) || !c.inLane(cand) {
 				continue
 			}
 			w := random(cand.row.hash ^ prefix)
--- a/dh/dhplacement/dhplacement.go
+++ b/dh/dhplacement/dhplacement.go
@@ -356,7 +356,7 @@
 	if !c.pool.zones[cand.zone].local {
 		score += s.OtherZone
 	}
-	if c.r.Lane != AnyLane && cand.lane != AnyLane && c.r.Lane != cand.lane {
+	if !c.inLane(cand) {
 		score += s.OffLane
 	}
 	if c.best.Backend == nil || score < c.bestScore {
@@ -365,6 +365,11 @@
 	}
 }
 
+// inLane reports whether a candidate runs models of the request's pace.
+func (c *choice) inLane(cand *candidate) bool {
+	return c.r.Lane == AnyLane || cand.lane == AnyLane || c.r.Lane == cand.lane
+}
+
 // excess returns the expected part of x above 0 when x is uncertain by spread.
 func excess(x, spread float64) float64 {
 	if spread <= 0 || x > 10*spread {
--- a/dh/dhrouter/dhrouter.go
+++ b/dh/dhrouter/dhrouter.go
@@ -204,10 +204,15 @@
 
 	snapshot atomic.Pointer[Snapshot]
 	// started is the time of the first Publish.
-	started atomic.Pointer[time.Time]
-	delays  delays
+	started  atomic.Pointer[time.Time]
+	delays   delays
+	sessions sessions
 }
 
+// KeepSessions sets how long after a request its session is remembered, for
+// HTTP requests. It is called before use.
+func (r *Router) KeepSessions(d time.Duration) { r.sessions.keep = d }
+
 // Publish makes s the snapshot that traffic reads.
 func (r *Router) Publish(s *Snapshot) {
 	if r.started.Load() == nil {
--- a/dh/dhrouter/forward.go
+++ b/dh/dhrouter/forward.go
@@ -21,6 +21,7 @@
 	"dandelionhoist.example/dh/dhplacement"
 	"dandelionhoist.example/dh/dhtable"
 	"dandelionhoist.example/dh/dhtimer"
+	"dandelionhoist.example/dh/dhversion"
 )
 
 const (
@@ -190,29 +191,32 @@
 	if m.Left > 0 {
 		f.limit = min(f.limit, m.Left)
 	}
-	f.model = m.Model
 	if m.AnyModel && len(f.route.Cascade) > 0 {
-		f.model = f.route.Cascade[0]
-	}
-	for _, p := range m.Prompt {
-		f.addPart(p)
+		f.setModel(f.route.Cascade[0])
+	} else {
+		f.setModel(m.Model)
 	}
 	return nil
 }
 
-// addPart extends the request's prefixes. The hash of a prefix covers the
-// parts before it, since a cached part serves only behind the same parts.
-func (f *forward) addPart(p PromptPart) {
-	before, tokens := uint64(0), 0
-	if n := len(f.prefix); n > 0 {
-		before, tokens = f.prefix[n-1], f.prefixTokens[n-1]
+// setModel chooses the model and computes the request's prefixes for it. The
+// hash of a prefix covers the model and the parts before it, since a cached
+// part serves the same model only, and only behind the same parts.
+func (f *forward) setModel(model string) {
+	if f.model == model && f.prefix != nil {
+		return
+	}
+	f.model = model
+	f.prefix, f.prefixTokens = f.prefix[:0], f.prefixTokens[:0]
+	before, tokens := xxhash.Sum64String(model), 0
+	var buffer [40]byte
+	for _, p := range f.message.Prompt {
+		data := strconv.AppendUint(buffer[:0], before, 16)
+		data = append(data, '/')
+		data = strconv.AppendUint(data, p.ID, 16)
+		before, tokens = xxhash.Sum64(data), tokens+p.Tokens
+		f.prefix, f.prefixTokens = append(f.prefix, before), append(f.prefixTokens, tokens)
 	}
-	var buffer [16]byte
-	data := strconv.AppendUint(buffer[:0], before, 16)
-	data = append(data, '/')
-	data = strconv.AppendUint(data, p.ID, 16)
-	f.prefix = append(f.prefix, xxhash.Sum64(data))
-	f.prefixTokens = append(f.prefixTokens, tokens+p.Tokens)
 }
 
 // allow checks route and key on a snapshot. It runs again before each attempt,
@@ -270,7 +274,7 @@
 		version = dhtable.Version{} // plain services have no models
 	}
 	rollout := s.Rollouts[f.poolName]
-	on := rollout.OnTarget(f.poolName, f.session)
+	on := f.onTarget(rollout)
 	return dhplacement.Request{
 		Pool: f.poolName, Version: version, Prefix: f.prefix, PrefixTokens: f.prefixTokens,
 		Shared: max(len(f.prefix)-1, 0), Lane: f.lane(), PromptTokens: f.message.PromptTokens, MaxTokens: f.message.MaxTokens, ZoneWeights: s.ZoneWeight,
@@ -281,6 +285,18 @@
 	}, nil
 }
 
+// onTarget reports whether the request runs on the target of a rollout. A
+// session that runs on another release stays there during the trial.
+func (f *forward) onTarget(rollout dhversion.Rollout) bool {
+	if rollout.Share < 1 && f.message.Session != "" {
+		release, ok := f.router.sessions.get(f.poolName, f.session, f.router.Timers.Now())
+		if ok && release != rollout.Target {
+			return false
+		}
+	}
+	return rollout.OnTarget(f.poolName, f.session)
+}
+
 // lane returns where the request's model runs beside models of its pace.
 func (f *forward) lane() dhplacement.Lane {
 	switch n := len(f.route.Cascade); {
@@ -303,6 +319,9 @@
 	}
 	start := f.router.Timers.Now()
 	f.backend, f.answered, f.events = b, false, 0
+	if f.message.Session != "" {
+		f.router.sessions.put(f.poolName, f.session, b.Release, start)
+	}
 	f.logPlaced(p, start)
 	ctx, stop := context.WithCancelCause(ctx)
 	defer stop(nil)
@@ -426,7 +445,7 @@
 	f.router.Metrics.Count("escalated", f.route.Name)
 	f.router.Log.Info("escalated", slog.String("request", f.message.ID), slog.String("route", f.route.Name),
 		slog.String("from", f.model), slog.String("to", f.route.Cascade[largest]), slog.Int("confidence", in.Confidence))
-	f.model = f.route.Cascade[largest]
+	f.setModel(f.route.Cascade[largest])
 	return errUnsure
 }
 
@@ -547,7 +566,7 @@
 	f.tried = append(f.tried, b.ID)
 	if f.message.AnyModel && !f.begun && len(f.route.Cascade) > 0 {
 		// The smallest model answers soonest, which counts most by now.
-		f.model = f.route.Cascade[0]
+		f.setModel(f.route.Cascade[0])
 	}
 	f.router.Log.Info("attempt failed", slog.String("request", f.message.ID), slog.String("backend", b.ID),
 		slog.String("release", b.Release), slog.Uint64("sequence", b.Sequence), slog.Int("sends", f.sends),
@@ -633,10 +652,18 @@
 		slog.String("route", f.route.Name), slog.Uint64("tables", f.router.Snapshot().Tables.Revision),
 		slog.String("backend", b.ID), slog.String("zone", b.Zone), slog.String("release", b.Release), slog.String("state", b.State.String()),
 		slog.Uint64("sequence", b.Sequence), slog.Duration("age", now.Sub(b.Seen)+b.ReportAge), slog.Float64("load", math.Round(p.Load*10)/10),
-		slog.Int("cached-tokens", p.CachedTokens), slog.String("model", f.model), slog.Int("rank", f.rank),
+		slog.Int("cached-tokens", p.CachedTokens), slog.String("prefix", f.sharedPrefix()), slog.String("model", f.model), slog.Int("rank", f.rank),
 		slog.Duration("left", f.limit-now.Sub(f.received)), slog.Int("send", f.sends+1))
 }
 
+// sharedPrefix names the longest prefix that other requests may share.
+func (f *forward) sharedPrefix() string {
+	if n := len(f.prefix); n > 1 {
+		return strconv.FormatUint(f.prefix[n-2], 16)
+	}
+	return ""
+}
+
 // log writes the line that ends the request.
 func (f *forward) log(err error) {
 	now := f.router.Timers.Now()
--- /dev/null
+++ b/dh/dhrouter/sessions_test.go
@@ -0,0 +1,68 @@
+package dhrouter
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"dandelionhoist.example/dh/dhbackend"
+	"dandelionhoist.example/dh/dhtable"
+	"dandelionhoist.example/dh/dhversion"
+)
+
+// Guards against a session that is moved to the target of a rollout during its
+// trial because it began before (found at goldencrust-hq-grown, quiet-1: PINNED).
+func TestSessionStaysDuringTrial(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newForwarder(t, reply(200, text("done")))
+		f.KeepSessions(5 * time.Second)
+		var table dhbackend.Table
+		table.Lease, table.MaxBackends = time.Hour, 8
+		for _, release := range []string{"v1", "v2"} {
+			assert.NilError(t, table.Announce(&dhbackend.Backend{
+				ID: "b-" + release, Address: "10.0.0.1:80", Zone: "a", Pool: "p", Release: release, State: dhbackend.Ready, Slots: 4,
+				Versions: []dhtable.Version{{}}, Seen: f.timers.Now(),
+			}))
+		}
+		release := func(session string) string {
+			_, _, err := f.ask(t, "look", func(m *Message) { m.Session, m.ID = session, "r-"+session })
+			assert.NilError(t, err)
+			return strings.TrimPrefix(f.passer.sent[len(f.passer.sent)-1].Backend.ID, "b-")
+		}
+		publish := func(r dhversion.Rollout) {
+			f.Publish(&Snapshot{
+				Tables: testTables(), Backends: table.View(f.timers.Now()), Rollouts: map[string]dhversion.Rollout{"p": r},
+			})
+		}
+		publish(dhversion.Rollout{Only: "v1"})
+		for i := range 50 {
+			assert.Equal(t, release(fmt.Sprint("old", i)), "v1")
+		}
+		f.timers.Step(2 * time.Second)
+		publish(dhversion.Rollout{Target: "v2", Share: 0.5})
+		moved := 0
+		for i := range 50 {
+			assert.Equal(t, release(fmt.Sprint("old", i)), "v1")
+			if release(fmt.Sprint("new", i)) == "v2" {
+				moved++
+			}
+		}
+		assert.Assert(t, moved > 10 && moved < 40)
+		f.timers.Step(11 * time.Second)
+		moved = 0
+		for i := range 50 {
+			if release(fmt.Sprint("old", i)) == "v2" {
+				moved++
+			}
+		}
+		assert.Assert(t, moved > 10, "sessions that have ended begin anew")
+		publish(dhversion.Rollout{Target: "v2", Share: 1})
+		for i := range 50 {
+			assert.Equal(t, release(fmt.Sprint("new", i)), "v2")
+		}
+	})
+}
