Begin a rollout's trial with its backend servers and size it by traffic

Change: the share of a trial is at most the target's part of the ready backend servers, and small enough for about six requests a second. TestTrialBeginsWithTheTargetsBackends and TestTrialShareFallsWithTraffic pass.

--- a/dh/dhcontrol/cluster_test.go
+++ b/dh/dhcontrol/cluster_test.go
@@ -88,7 +88,7 @@
 	control := &dhcontrol.Control{
 		Name: name, Zone: "z" + name[1:], Address: name, Incarnation: uint64(c.timers.Now().UnixMilli()), Seeds: c.seeds,
 		Bootstrap: bootstrap, Tolerated: 1, BackendLease: 4 * time.Second, AnnouncePeriod: 1200 * time.Millisecond,
-		Decode: decode, OpenDisk: func() (dhdisk.Disk, error) { return c.disks[name], nil },
+		Exposure: 0.1, Decode: decode, OpenDisk: func() (dhdisk.Disk, error) { return c.disks[name], nil },
 		Timers: c.timers, Clock: clock{c.timers}, Log: slog.New(slog.DiscardHandler), Metrics: dhmetric.New(4),
 	}
 	node := c.network.Start(name, func(ctx context.Context, _ string, message any) (any, error) {
@@ -114,7 +114,7 @@
 func (c *cluster) startEntry(name string) *dhentry.Entry {
 	node := c.network.Start(name, nil)
 	entry := &dhentry.Entry{
-		Name: name, Zone: "z0", Incarnation: 1, Seeds: c.seeds, KeyLease: 4500 * time.Millisecond, TrialShare: 0.1, RetryRatio: 0.1,
+		Name: name, Zone: "z0", Incarnation: 1, Seeds: c.seeds, KeyLease: 4500 * time.Millisecond, RetryRatio: 0.1,
 		RetryMax: 10, ColdOvershoot: 1, Decode: decode, Source: peers{node}, Timers: c.timers, Clock: clock{c.timers},
 		Log: slog.New(slog.DiscardHandler), Metrics: dhmetric.New(4),
 	}
@@ -414,3 +414,57 @@
 		assert.NilError(t, err)
 	})
 }
+
+// Guards against sessions that are sent to the target of a rollout before it
+// has a backend server, where they were refused (found at stmaurice-coupe,
+// inc-ae48), and against more of them than its backend servers' part.
+func TestTrialBeginsWithTheTargetsBackends(t *testing.T) {
+	run(t, func(c *cluster) {
+		c.startEntry("e0")
+		c.within(3*time.Second, "the first document", func() bool { return c.replace("c0", 5) == nil })
+		release := func(v string) func(r *dhpb.BackendRecord) { return func(r *dhpb.BackendRecord) { r.Release = v } }
+		for i := range 19 {
+			c.announce("c0", fmt.Sprint("old", i), "ready", 1, release("v1"))
+		}
+		assert.NilError(t, c.call(func(ctx context.Context) error {
+			return c.controls["c1"].StartRollout(ctx, "p", "v2", 30*time.Second)
+		}))
+		share := func() float64 { return c.entries["e0"].Router().Snapshot().Rollouts["p"].Share }
+		target := func() string { return c.entries["e0"].Router().Snapshot().Rollouts["p"].Target }
+		c.within(time.Second, "the rollout", func() bool { return target() == "v2" })
+		assert.Equal(t, share(), 0.0)
+		c.announce("c0", "new0", "ready", 1, release("v2"))
+		c.within(time.Second, "the first backend server of the target", func() bool { return c.usable("e0") == 20 })
+		assert.Equal(t, share(), 0.05)
+		for i := 1; i < 4; i++ {
+			c.announce("c0", fmt.Sprint("new", i), "ready", 1, release("v2"))
+		}
+		c.within(time.Second, "more of them", func() bool { return c.usable("e0") == 23 })
+		assert.Equal(t, share(), 0.1)
+	})
+}
+
+// Guards against a trial that moves many running sessions of a large
+// deployment (found at goldencrust-hq-grown, quiet-1: PINNED).
+func TestTrialShareFallsWithTraffic(t *testing.T) {
+	for rate, want := range map[float64]float64{0: 0.1, 30: 0.1, 300: 0.02, 6000: 0.01} {
+		run(t, func(c *cluster) {
+			c.within(3*time.Second, "the first document", func() bool { return c.replace("c0", 5) == nil })
+			watcher := c.network.Start("watcher", nil)
+			assert.NilError(t, c.call(func(ctx context.Context) error {
+				_, err := peers{watcher}.Watch(ctx, "c0", &dhpb.ControlWatchRequest{Vm: "watcher", Report: &dhpb.EntryReport{
+					Rates: []*dhpb.PoolRate{{Pool: "p", PerSecond: rate}},
+				}})
+				return err
+			}))
+			c.step(800 * time.Millisecond)
+			assert.NilError(t, c.call(func(ctx context.Context) error { return c.controls["c1"].StartRollout(ctx, "p", "v2", time.Minute) }))
+			var r *dhpb.RolloutRecord
+			assert.NilError(t, c.call(func(ctx context.Context) (err error) {
+				r, err = c.controls["c2"].ReadRollout(ctx, "p")
+				return err
+			}))
+			assert.Equal(t, r.GetShare(), want)
+		})
+	}
+}
--- a/dh/dhcontrol/entries.go
+++ b/dh/dhcontrol/entries.go
@@ -38,6 +38,7 @@
 	heard       time.Time
 	loads       []*dhpb.BackendLoad
 	counters    []*dhpb.VersionCounter
+	rates       []*dhpb.PoolRate
 }
 
 type remoteEntries struct {
@@ -56,7 +57,7 @@
 	if _, known := e.direct[vm]; !known && len(e.direct) >= maxEntries {
 		return
 	}
-	e.direct[vm] = &entry{incarnation: incarnation, heard: e.timers.Now(), loads: r.GetLoads(), counters: r.GetCounters()}
+	e.direct[vm] = &entry{incarnation: incarnation, heard: e.timers.Now(), loads: r.GetLoads(), counters: r.GetCounters(), rates: r.GetRates()}
 }
 
 // merge takes what another control VM says of its entry VMs.
@@ -83,7 +84,7 @@
 			continue
 		}
 		list = append(list, &dhpb.EntryRecord{
-			Vm: vm, Incarnation: d.incarnation, Age: durationpb.New(age), Report: &dhpb.EntryReport{Counters: d.counters},
+			Vm: vm, Incarnation: d.incarnation, Age: durationpb.New(age), Report: &dhpb.EntryReport{Counters: d.counters, Rates: d.rates},
 		})
 	}
 	return list
@@ -159,6 +160,37 @@
 	return len(names)
 }
 
+// rate sums the requests a second that entry VMs get for a pool.
+func (e *entries) rate(pool string) float64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	sum := 0.0
+	add := func(rates []*dhpb.PoolRate) {
+		for _, r := range rates {
+			if r.GetPool() == pool {
+				sum += r.GetPerSecond()
+			}
+		}
+	}
+	now := e.timers.Now()
+	for _, d := range e.direct {
+		if now.Sub(d.heard) <= loadValid {
+			add(d.rates)
+		}
+	}
+	for _, r := range e.remote {
+		if now.Sub(r.heard) > loadValid {
+			continue
+		}
+		for _, record := range r.entries {
+			if record.GetAge().AsDuration() <= loadValid {
+				add(record.GetReport().GetRates())
+			}
+		}
+	}
+	return sum
+}
+
 // counterKey names the counters of one start of an entry VM. Counters only
 // grow, so that the larger of two is the newer.
 type counterKey struct {
--- a/dh/dhcontrol/operators.go
+++ b/dh/dhcontrol/operators.go
@@ -80,7 +80,7 @@
 	if pool == "" || target == "" || duration <= 0 {
 		return dhcode.Errorf(dhcode.RequestMalformed, "a rollout needs a pool, a version and a duration above 0")
 	}
-	started := c.Timers.Now().UnixMilli()
+	started, share := c.Timers.Now().UnixMilli(), c.trialShare(pool)
 	return c.operate(ctx, "rollout", pool+" to "+target, func(o *dhpb.Operations) error {
 		r := findRollout(o, pool)
 		if r == nil {
@@ -94,12 +94,33 @@
 			return dhcode.Errorf(dhcode.LeaseHeldElsewhere, "the rollout of pool %q to %q is in progress", pool, r.GetTarget())
 		}
 		r.Target, r.State, r.Duration = target, dhpb.RolloutState_ROLLOUT_STATE_TRIAL, durationpb.New(duration)
-		r.Number, r.StartedAt = o.GetNumber()+1, started
+		r.Number, r.StartedAt, r.Share = o.GetNumber()+1, started, share
 		r.Reverted = slices.DeleteFunc(r.Reverted, func(v string) bool { return v == target })
 		return nil
 	})
 }
 
+const (
+	// trialRate is how many requests a second try the target of a rollout: the
+	// evidence against a version of which half of the answers are bad comes in
+	// within two seconds.
+	trialRate = 6.0
+	// minTrialShare bounds the share where there is much traffic.
+	minTrialShare = 0.01
+)
+
+// trialShare returns the part of the sessions that try the target of a
+// rollout. Each session in it that began before is moved by the trial, also
+// when entry VMs do not know of it, so that the share is as small as the
+// evidence permits.
+func (c *Control) trialShare(pool string) float64 {
+	rate := c.entries.rate(pool)
+	if rate <= 0 {
+		return c.Exposure
+	}
+	return min(max(trialRate/rate, minTrialShare), c.Exposure)
+}
+
 // ReadRollout returns the newest rollout of a pool, or nil when there was none.
 func (c *Control) ReadRollout(ctx context.Context, pool string) (*dhpb.RolloutRecord, error) {
 	value, err := c.proposer.Read(ctx, operationsKey)
--- a/dh/dhentry/dhentry.go
+++ b/dh/dhentry/dhentry.go
@@ -47,8 +47,6 @@
 	// KeyLease is how long a key may be accepted after a majority has
 	// confirmed the tables.
 	KeyLease time.Duration
-	// TrialShare is the part of the sessions that try the target of a rollout.
-	TrialShare float64
 	// SessionFor is how long after a request its session goes on.
 	SessionFor time.Duration
 	// RetryRatio and RetryMax bound the retries of this VM.
@@ -68,7 +66,7 @@
 	group    *dhgroup.Group
 	router   *dhrouter.Router
 	placer   *dhplacement.Placer
-	rates    *dhcold.Rates
+	cold     *dhcold.Rates
 	lease    *dhwatch.Lease
 	follower *dhwatch.Follower
 	counts   *counts
@@ -119,10 +117,10 @@
 	e.operations = &dhpb.Operations{}
 	e.counts = newCounts(e.Name, e.Incarnation)
 	e.lease = &dhwatch.Lease{Clock: e.Clock, For: e.KeyLease}
-	e.rates = &dhcold.Rates{Timers: e.Timers, VM: e.Name}
+	e.cold = &dhcold.Rates{Timers: e.Timers, VM: e.Name}
 	e.placer = &dhplacement.Placer{Timers: e.Timers, Zone: e.Zone, Settings: settings(), Seed: rand.Uint64()}
 	e.router = &dhrouter.Router{
-		Timers: e.Timers, Group: e.group, Log: e.Log, Metrics: e.Metrics, Placer: e.placer, Credits: e.rates,
+		Timers: e.Timers, Group: e.group, Log: e.Log, Metrics: e.Metrics, Placer: e.placer, Credits: e.cold,
 		Retries: &dhlimit.Budget{Ratio: e.RetryRatio, Max: e.RetryMax}, Breakers: &dhlimit.Breakers{Timers: e.Timers},
 		Passer: e.Passer, Lease: e.lease, Random: rand.Float64, VM: e.Name, Zone: e.Zone, Report: e.report,
 	}
@@ -253,7 +251,7 @@
 // publish makes the next snapshot.
 func (e *Entry) publish() {
 	view := e.table.View(e.Timers.Now())
-	s := &dhrouter.Snapshot{Tables: e.tables, Backends: view, Rollouts: e.rollouts()}
+	s := &dhrouter.Snapshot{Tables: e.tables, Backends: view, Rollouts: e.rollouts(view)}
 	if out := e.operations.GetZonesOut(); len(out) > 0 {
 		s.ZoneWeight = make(map[string]float64, len(out))
 		for _, zone := range out {
@@ -268,21 +266,24 @@
 			}
 		}
 	}
-	e.rates.Update(view.All(), bound)
+	e.cold.Update(view.All(), bound)
 	e.placer.Update(view)
 	e.router.Publish(s)
 }
 
 // rollouts returns what the operations say of the pools' versions.
-func (e *Entry) rollouts() map[string]dhversion.Rollout {
+func (e *Entry) rollouts(view *dhbackend.View) map[string]dhversion.Rollout {
 	all := make(map[string]dhversion.Rollout, len(e.operations.GetRollouts()))
 	for _, r := range e.operations.GetRollouts() {
 		v := dhversion.Rollout{Barred: r.GetReverted()}
 		switch r.GetState() {
 		case dhpb.RolloutState_ROLLOUT_STATE_TRIAL:
-			v.Target, v.Share = r.GetTarget(), e.TrialShare
+			v.Target, v.Share = r.GetTarget(), min(r.GetShare(), targetPart(view, r))
 		case dhpb.RolloutState_ROLLOUT_STATE_SHIFT:
 			v.Target, v.Share = r.GetTarget(), 1
+			if targetPart(view, r) == 0 {
+				v.Share = 0
+			}
 		case dhpb.RolloutState_ROLLOUT_STATE_COMPLETED:
 			v.Only = r.GetTarget()
 		}
@@ -291,12 +292,25 @@
 	return all
 }
 
+// targetPart returns the part of a pool's backend servers that run the target
+// of its rollout. The trial begins with the first of them.
+func targetPart(view *dhbackend.View, r *dhpb.RolloutRecord) float64 {
+	all := view.Pool(r.GetPool())
+	targets := 0
+	for _, b := range all {
+		if b.Release == r.GetTarget() && b.State == dhbackend.Ready {
+			targets++
+		}
+	}
+	return float64(targets) / float64(max(len(all), 1))
+}
+
 // report counts the end of an attempt.
 func (e *Entry) report(event dhrouter.Event) { e.counts.add(event) }
 
 // entryReport is what control VMs are told.
 func (e *Entry) entryReport() *dhpb.EntryReport {
-	r := &dhpb.EntryReport{Counters: e.counts.counters()}
+	r := &dhpb.EntryReport{Counters: e.counts.counters(), Rates: e.rates()}
 	for _, b := range e.router.Snapshot().Backends.All() {
 		if n := e.placer.InFlight(b.ID); n > 0 {
 			r.Loads = append(r.Loads, &dhpb.BackendLoad{Id: b.ID, Running: int32(n)})
@@ -304,3 +318,12 @@
 	}
 	return r
 }
+
+// rates returns the requests a second by pool.
+func (e *Entry) rates() []*dhpb.PoolRate {
+	var list []*dhpb.PoolRate
+	for pool, rate := range e.router.Arrivals() {
+		list = append(list, &dhpb.PoolRate{Pool: pool, PerSecond: rate})
+	}
+	return list
+}
--- a/dh/dhrouter/dhrouter.go
+++ b/dh/dhrouter/dhrouter.go
@@ -207,6 +207,7 @@
 	started  atomic.Pointer[time.Time]
 	delays   delays
 	sessions sessions
+	arrivals arrivals
 }
 
 // KeepSessions sets how long after a request its session is remembered, for
--- a/dh/dhrouter/forward.go
+++ b/dh/dhrouter/forward.go
@@ -191,6 +191,7 @@
 	if m.Left > 0 {
 		f.limit = min(f.limit, m.Left)
 	}
+	f.router.arrivals.add(f.poolName, f.received)
 	if m.AnyModel && len(f.route.Cascade) > 0 {
 		f.setModel(f.route.Cascade[0])
 	} else {
@@ -286,12 +287,12 @@
 }
 
 // onTarget reports whether the request runs on the target of a rollout. A
-// session that runs on another release stays there during the trial.
+// session stays on its release during the trial.
 func (f *forward) onTarget(rollout dhversion.Rollout) bool {
 	if rollout.Share < 1 && f.message.Session != "" {
 		release, ok := f.router.sessions.get(f.poolName, f.session, f.router.Timers.Now())
-		if ok && release != rollout.Target {
-			return false
+		if ok {
+			return release == rollout.Target && rollout.Share > 0
 		}
 	}
 	return rollout.OnTarget(f.poolName, f.session)
@@ -649,7 +650,8 @@
 func (f *forward) logPlaced(p dhplacement.Placement, now time.Time) {
 	b := p.Backend
 	f.router.Log.LogAttrs(context.Background(), slog.LevelInfo, "placed", slog.String("request", f.message.ID),
-		slog.String("route", f.route.Name), slog.Uint64("tables", f.router.Snapshot().Tables.Revision),
+		slog.String("session", f.message.Session), slog.String("route", f.route.Name),
+		slog.Uint64("tables", f.router.Snapshot().Tables.Revision),
 		slog.String("backend", b.ID), slog.String("zone", b.Zone), slog.String("release", b.Release), slog.String("state", b.State.String()),
 		slog.Uint64("sequence", b.Sequence), slog.Duration("age", now.Sub(b.Seen)+b.ReportAge), slog.Float64("load", math.Round(p.Load*10)/10),
 		slog.Int("cached-tokens", p.CachedTokens), slog.String("prefix", f.sharedPrefix()), slog.String("model", f.model), slog.Int("rank", f.rank),
