--- a/dh/dhrouter/forward.go
+++ b/dh/dhrouter/forward.go
@@ -56,8 +56,8 @@
 )
 
 // sureFrom is the confidence in percent from which on the answer of a smaller
-// model is kept. Models are right in about half of the answers of which they
-// say 50; a little less is asked for, because the largest model costs more.
+// model is kept. The odds that it is right are even at about 50; a little less
+// is asked for, because the largest model costs more and delays the others.
 const sureFrom = 45
 
 // rankWeight is how much sooner each lower rank keeps unsure answers.
