Save up retries by traffic and try backend servers again sooner

Breakers stayed open for up to 30 s after a cut of 5 s. Change: a pool saves up what the window of the retry rule permits beyond what its requests earn, and the VM's part of the slack; breakers stay open for 2 s at most. TestBudgetSavesUpByTraffic holds the sum to the bound.

--- a/dh/dhcontrol/cluster_test.go
+++ b/dh/dhcontrol/cluster_test.go
@@ -115,7 +115,7 @@
 	node := c.network.Start(name, nil)
 	entry := &dhentry.Entry{
 		Name: name, Zone: "z0", Incarnation: 1, Seeds: c.seeds, KeyLease: 4500 * time.Millisecond, RetryRatio: 0.1,
-		RetryMax: 10, ColdOvershoot: 1, Decode: decode, Source: peers{node}, Timers: c.timers, Clock: clock{c.timers},
+		RetrySlack: 10, RetryWindow: 10 * time.Second, ColdOvershoot: 1, Decode: decode, Source: peers{node}, Timers: c.timers, Clock: clock{c.timers},
 		Log: slog.New(slog.DiscardHandler), Metrics: dhmetric.New(4),
 	}
 	entry.Build(node.Group().Context())
--- a/dh/dhentry/dhentry.go
+++ b/dh/dhentry/dhentry.go
@@ -49,8 +49,10 @@
 	KeyLease time.Duration
 	// SessionFor is how long after a request its session goes on.
 	SessionFor time.Duration
-	// RetryRatio and RetryMax bound the retries of this VM.
-	RetryRatio, RetryMax float64
+	// RetryRatio is the accepted part of extra load by retries in any
+	// RetryWindow, beside RetrySlack retries of all entry VMs together.
+	RetryRatio, RetrySlack float64
+	RetryWindow            time.Duration
 	// ColdOvershoot and ColdSlack widen the bound of cold backend servers.
 	ColdOvershoot, ColdSlack float64
 	// Decode reads a document.
@@ -67,6 +69,7 @@
 	router   *dhrouter.Router
 	placer   *dhplacement.Placer
 	cold     *dhcold.Rates
+	budget   *dhlimit.Budget
 	lease    *dhwatch.Lease
 	follower *dhwatch.Follower
 	counts   *counts
@@ -94,6 +97,19 @@
 	maxBackends  = 10_000
 )
 
+const (
+	// earnedPart of the accepted retries is earned with each request. The rest
+	// is saved up for a burst of failures, as far as the window permits.
+	earnedPart = 0.7
+	// savedPart of the rest and of the slack is used, since the number of entry
+	// VMs and the rate of requests are known with a delay.
+	savedPart = 0.8
+)
+
+// breakerBackoff is short: a partition or a crash of a backend server often
+// ends within seconds, and a trial costs one attempt.
+var breakerBackoff = dhlimit.Backoff{Base: 500 * time.Millisecond, Max: 2 * time.Second}
+
 // settings of the placement. The costs of a token are those of a large engine,
 // the penalty of another zone is some round trips.
 func settings() dhplacement.Settings {
@@ -119,9 +135,10 @@
 	e.lease = &dhwatch.Lease{Clock: e.Clock, For: e.KeyLease}
 	e.cold = &dhcold.Rates{Timers: e.Timers, VM: e.Name}
 	e.placer = &dhplacement.Placer{Timers: e.Timers, Zone: e.Zone, Settings: settings(), Seed: rand.Uint64()}
+	e.budget = &dhlimit.Budget{Ratio: e.RetryRatio * earnedPart, Max: 1}
 	e.router = &dhrouter.Router{
 		Timers: e.Timers, Group: e.group, Log: e.Log, Metrics: e.Metrics, Placer: e.placer, Credits: e.cold,
-		Retries: &dhlimit.Budget{Ratio: e.RetryRatio, Max: e.RetryMax}, Breakers: &dhlimit.Breakers{Timers: e.Timers},
+		Retries: e.budget, Breakers: &dhlimit.Breakers{Timers: e.Timers, Backoff: breakerBackoff},
 		Passer: e.Passer, Lease: e.lease, Random: rand.Float64, VM: e.Name, Zone: e.Zone, Report: e.report,
 	}
 	e.router.KeepSessions(e.SessionFor)
@@ -267,10 +284,21 @@
 		}
 	}
 	e.cold.Update(view.All(), bound)
+	e.updateBudget()
 	e.placer.Update(view)
 	e.router.Publish(s)
 }
 
+// updateBudget bounds what each pool may save up: this VM's part of the slack,
+// and what the requests of a window permit beyond what they earn.
+func (e *Entry) updateBudget() {
+	slack := e.RetrySlack / float64(max(e.vms, 1))
+	for pool, rate := range e.router.Arrivals() {
+		rest := e.RetryRatio * (1 - earnedPart) * rate * e.RetryWindow.Seconds()
+		e.budget.SetMax(pool, max(savedPart*(slack+rest), 1))
+	}
+}
+
 // rollouts returns what the operations say of the pools' versions.
 func (e *Entry) rollouts(view *dhbackend.View) map[string]dhversion.Rollout {
 	all := make(map[string]dhversion.Rollout, len(e.operations.GetRollouts()))
--- a/dh/dhlimit/budget.go
+++ b/dh/dhlimit/budget.go
@@ -20,6 +20,20 @@
 
 	mu     sync.Mutex
 	earned map[string]float64
+	limits map[string]float64
+}
+
+// SetMax sets Max for one pool. A pool with more traffic may save up more
+// where the accepted extra load is counted over a window.
+func (b *Budget) SetMax(pool string, most float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.limits == nil {
+		b.limits = make(map[string]float64)
+	}
+	if _, known := b.limits[pool]; known || len(b.limits) < maxBudgets {
+		b.limits[pool] = most
+	}
 }
 
 // First counts a first attempt.
@@ -36,12 +50,15 @@
 	if _, ok := b.earned[pool]; !ok && len(b.earned) >= maxBudgets {
 		return
 	}
-	b.earned[pool] = min(b.earned[pool]+ratio, b.max())
+	b.earned[pool] = min(b.earned[pool]+ratio, b.max(pool))
 }
 
 const maxBudgets = 256
 
-func (b *Budget) max() float64 {
+func (b *Budget) max(pool string) float64 {
+	if most, ok := b.limits[pool]; ok {
+		return most
+	}
 	if b.Max > 0 {
 		return b.Max
 	}
@@ -61,12 +78,23 @@
 // requests are hedged, and only from the upper half of the budget, so that
 // hedges leave retries enough.
 func (b *Budget) Hedge(pool string, repeatable bool) bool {
-	return repeatable && b.spend(pool, max(1, b.max()/2))
+	return repeatable && b.spendFrom(pool, 2)
+}
+
+// spendFrom spends one retry if at least one part in so many of the bound is left.
+func (b *Budget) spendFrom(pool string, part float64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.take(pool, max(1, b.max(pool)/part))
 }
 
 func (b *Budget) spend(pool string, least float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	return b.take(pool, least)
+}
+
+func (b *Budget) take(pool string, least float64) bool {
 	// Ten times 0.1 add up to slightly less than 1.
 	if b.earned[pool] < least-1e-9 {
 		return false
--- a/dh/dhlimit/dhlimit_test.go
+++ b/dh/dhlimit/dhlimit_test.go
@@ -154,3 +154,33 @@
 	assert.Equal(t, dhcode.Of(err), dhcode.WaitTooLong)
 	assert.Assert(t, dhcode.RetryAfterOf(err) < time.Minute)
 }
+
+// Guards against a pool with much traffic that may save up no more than one
+// with little, so that a burst of failures finds its budget spent (found at
+// stmaurice-coupe, core-and-cut: a stream was not resumed), and against
+// retries beyond the accepted load in any window.
+func TestBudgetSavesUpByTraffic(t *testing.T) {
+	const ratio, earned, window = 0.9, 0.6, 100
+	b := dhlimit.Budget{Ratio: earned, Max: 1}
+	b.SetMax("busy", (ratio-earned)*window)
+	for range 10 * window {
+		b.First("busy")
+		b.First("quiet")
+	}
+	spend := func(pool string) (n int) {
+		for b.Retry(pool) == nil {
+			n++
+		}
+		return n
+	}
+	assert.Equal(t, spend("quiet"), 1)
+	spent := spend("busy")
+	assert.Equal(t, spent, 30)
+	for range window {
+		b.First("busy")
+		if b.Retry("busy") == nil {
+			spent++
+		}
+	}
+	assert.Assert(t, spent <= ratio*window, "%d retries with %d requests", spent, window)
+}
