--- a/dh/dhlog/dhlog.go
+++ b/dh/dhlog/dhlog.go
@@ -14,6 +14,7 @@
 package dhlog
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"io"
@@ -80,14 +81,37 @@
 	return nil
 }
 
+// chunkBytes is the size of one write. Pipes take up to so much at once, and
+// some readers of logs cut off longer ones.
+const chunkBytes = 4 << 10
+
+// chunkLen returns the length of the lines at the start of data that fit into
+// one write; a longer line is written alone.
+func chunkLen(data []byte) int {
+	if len(data) <= chunkBytes {
+		return len(data)
+	}
+	if n := bytes.LastIndexByte(data[:chunkBytes], '\n'); n >= 0 {
+		return n + 1
+	}
+	if n := bytes.IndexByte(data, '\n'); n >= 0 {
+		return n + 1
+	}
+	return len(data)
+}
+
 // Flush writes what is buffered. Only one goroutine may call it at a time.
 func (w *Writer) Flush() {
 	w.mu.Lock()
 	data := w.pending
 	w.pending = w.spare[:0]
 	w.mu.Unlock()
-	if len(data) > 0 {
-		_, _ = w.Out.Write(data) // there is nowhere to report it
+	for rest := data; len(rest) > 0; {
+		n := chunkLen(rest)
+		if _, err := w.Out.Write(rest[:n]); err != nil {
+			break // there is nowhere to report it
+		}
+		rest = rest[n:]
 	}
 	w.mu.Lock()
 	w.spare = data[:0]
--- a/dh/dhlog/dhlog_test.go
+++ b/dh/dhlog/dhlog_test.go
@@ -63,3 +63,35 @@
 	close(out.release)
 	<-flushed
 }
+
+// chunks notes each write.
+type chunks struct{ writes []string }
+
+func (c *chunks) Write(p []byte) (int, error) {
+	c.writes = append(c.writes, string(p))
+	return len(p), nil
+}
+
+// Guards against lines that a reader cuts off because one write holds too many
+// of them (found in the output of the users' bench, which keeps 8 KB of each).
+func TestWritesEndWithLines(t *testing.T) {
+	out := &chunks{}
+	w := &dhlog.Writer{Out: out, Timers: dhtimer.NewStepped()}
+	var all strings.Builder
+	for i := range 40 {
+		line := strings.Repeat("x", 50*(i%7)+1) + "\n"
+		if i == 20 {
+			line = strings.Repeat("y", 6000) + "\n"
+		}
+		all.WriteString(line)
+		_, err := w.Write([]byte(line))
+		assert.NilError(t, err)
+	}
+	w.Flush()
+	assert.Equal(t, strings.Join(out.writes, ""), all.String())
+	assert.Assert(t, len(out.writes) > 2)
+	for _, write := range out.writes {
+		assert.Assert(t, strings.HasSuffix(write, "\n"))
+		assert.Assert(t, len(write) <= 4096 || strings.Count(write, "\n") == 1)
+	}
+}
