--- a/dh/dhcold/rate.go
+++ b/dh/dhcold/rate.go
@@ -25,9 +25,9 @@
 // a second apart may arrive closer together.
 const rateSafety = 0.8
 
-// settleVMs is how long a started VM uses no cold backend server, since the
+// settleTime is how long a started VM uses no cold backend server, since the
 // others do not count it yet.
-const settleVMs = 3 * time.Second
+const settleTime = 3 * time.Second
 
 // Rates are one entry VM's permissions to send requests to cold backend
 // servers whose bound is a number of requests a second. Each VM uses an equal
@@ -104,7 +104,7 @@
 	for len(row.sent) > 0 && now.Sub(row.sent[0]) >= time.Second {
 		row.sent = row.sent[1:]
 	}
-	return now.Sub(r.started) >= settleVMs && len(row.sent) < row.limit
+	return now.Sub(r.started) >= settleTime && len(row.sent) < row.limit
 }
 
 // Acquire permits a request; release does nothing, since the bound is on the
--- a/dh/dhrouter/forward.go
+++ b/dh/dhrouter/forward.go
@@ -3,12 +3,9 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"log/slog"
-	"math"
 	"net/http"
 	"strconv"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -16,8 +13,6 @@
 
 	"dandelionhoist.example/dh/dhbackend"
 	"dandelionhoist.example/dh/dhcode"
-	"dandelionhoist.example/dh/dhevent"
-	"dandelionhoist.example/dh/dhmetric"
 	"dandelionhoist.example/dh/dhplacement"
 	"dandelionhoist.example/dh/dhtable"
 	"dandelionhoist.example/dh/dhtimer"
@@ -55,14 +50,6 @@
 	errUnsure = errors.New("the model is unsure of its answer")
 )
 
-// sureFrom is the confidence in percent from which on the answer of a smaller
-// model is kept. The odds that it is right are even at about 50; a little less
-// is asked for, because the largest model costs more and delays the others.
-const sureFrom = 45
-
-// rankWeight is how much sooner each lower rank keeps unsure answers.
-const rankWeight = 0.25
-
 // forward is the exchange of an HTTP request.
 type forward struct {
 	router   *Router
@@ -108,13 +95,6 @@
 	paid bool
 }
 
-// kept is a whole answer.
-type kept struct {
-	status int
-	header http.Header
-	body   []byte
-}
-
 // Forward answers an HTTP request: it finds the route, passes the request on
 // to a backend server and the answer to w. An error means that w got no whole
 // answer; begun is set when it got a part of one. Errors carry a result code
@@ -312,241 +292,6 @@
 // dispatch implements exchange. Nothing must be durable before a send.
 func (*forward) dispatch(context.Context) error { return nil }
 
-// relay implements exchange.
-func (f *forward) relay(ctx context.Context, p dhplacement.Placement) (time.Duration, error) {
-	b := p.Backend
-	if err := f.checkLease(); !f.route.Public && err != nil {
-		return 0, err
-	}
-	start := f.router.Timers.Now()
-	f.backend, f.answered, f.events = b, false, 0
-	if f.message.Session != "" {
-		f.router.sessions.put(f.poolName, f.session, b.Release, start)
-	}
-	f.logPlaced(p, start)
-	ctx, stop := context.WithCancelCause(ctx)
-	defer stop(nil)
-	watch := &watchdog{router: f.router, pool: f.poolName, stop: stop, patience: f.stall()}
-	// The head comes with the first event, for which a longer time is allowed.
-	patience := min(f.route.Objective, time.Duration(float64(f.limit)*firstPart))
-	watch.progress(start.Add(max(patience-f.stall(), 0)))
-	watch.start()
-	defer watch.end()
-	in, err := f.router.Passer.Pass(ctx, &Outbound{
-		Message: f.message, Backend: b, Account: f.account, Left: f.limit - start.Sub(f.received),
-		Model: f.model, Rank: f.rank, LastEvent: f.last, HasLast: f.hasLast,
-	})
-	if err != nil {
-		now := f.router.Timers.Now()
-		if dhcode.RanOf(err) != dhcode.NotRun {
-			f.router.delays.observe(f.poolName, f.model, now.Sub(start), now)
-		}
-		return 0, f.cause(ctx, err)
-	}
-	defer func() { _ = in.Body.Close() }() // the connection is given up when the answer was not read to its end
-	head := f.router.Timers.Now()
-	watch.progress(head)
-	f.router.delays.observe(f.poolName, f.model, head.Sub(start), head)
-	if err := f.take(in, watch); err != nil {
-		return f.first(start), f.cause(ctx, err)
-	}
-	return f.first(start), nil
-}
-
-// first returns the time from a start to the first event, or to the end of an
-// answer without events; 0 when there was none.
-func (f *forward) first(start time.Time) time.Duration {
-	if f.events == 0 {
-		return 0
-	}
-	return max(f.firstAt.Sub(start), 1)
-}
-
-// stall returns the silence after which an attempt is given up, or 0 when the
-// request cannot go on elsewhere: then silence is no reason to end it.
-func (f *forward) stall() time.Duration {
-	if !f.repeatable() || !f.route.Stream || f.sends+1 >= f.route.MaxAttempts {
-		return 0
-	}
-	return max(stallPauses*f.route.Pause, minStall)
-}
-
-// cause replaces the error of an attempt that the watchdog ended.
-func (f *forward) cause(ctx context.Context, err error) error {
-	if errors.Is(context.Cause(ctx), errStalled) {
-		f.paid = true // by the watchdog
-		return dhcode.WithRan(dhcode.Wrap(dhcode.StreamBroken, errStalled), dhcode.RanUnknown)
-	}
-	return err
-}
-
-// take passes an answer on, or returns why it is none.
-func (f *forward) take(in *Inbound, watch *watchdog) error {
-	failed := func(ran dhcode.Ran, format string, args ...any) error {
-		return dhcode.WithRan(dhcode.Errorf(dhcode.BackendFailed, format, args...), ran)
-	}
-	id := f.backend.ID
-	switch {
-	case in.RequestID != f.message.ID && (in.RequestID != "" || !in.NotRun):
-		return failed(dhcode.RanUnknown, "backend server %q answers request %q instead", id, in.RequestID)
-	case in.NotRun:
-		err := dhcode.Errorf(dhcode.QueueFull, "backend server %q refused the request with status %d", id, in.Status)
-		return dhcode.WithRan(err, dhcode.NotRun)
-	case !in.Sealed:
-		return failed(dhcode.RanUnknown, "backend server %q answers with status %d without its signature", id, in.Status)
-	case in.Status >= http.StatusInternalServerError:
-		body, err := readPlain(in.Body)
-		if err == nil {
-			f.failure = &kept{status: in.Status, header: in.Header, body: body}
-		}
-		f.answered = true
-		return failed(dhcode.DidRun, "backend server %q failed the request with status %d", id, in.Status)
-	case in.Events && in.Status == http.StatusOK:
-		if err := f.escalate(in); err != nil {
-			return err
-		}
-		return f.stream(in, watch)
-	}
-	body, err := readPlain(in.Body)
-	if err != nil {
-		return failed(dhcode.DidRun, "answer of backend server %q broke off: %v", id, err)
-	}
-	f.answered = true
-	f.observe(f.router.Timers.Now())
-	return f.write(&kept{status: in.Status, header: in.Header, body: body})
-}
-
-// sureFrom returns the confidence from which on an answer is kept. It falls to
-// 0 as the delay of the larger model grows from half of the wanted time to all
-// of it: under overload an unsure answer in time is worth more than a late one,
-// and each large answer delays all others. Less urgent requests give way first.
-func (f *forward) sureFrom(larger string) int {
-	wanted := min(f.route.Objective, time.Duration(float64(f.limit)*firstPart))
-	if wanted <= 0 {
-		return sureFrom
-	}
-	expected := f.router.delays.expected(f.poolName, larger, f.router.Timers.Now())
-	load := float64(expected) / float64(wanted) * (1 + rankWeight*float64(f.rank))
-	return int(sureFrom * min(max(2*(1-load), 0), 1))
-}
-
-// escalate drops an answer of which its model is unsure, so that the route's
-// largest model makes it. The caller has nothing of it yet.
-func (f *forward) escalate(in *Inbound) error {
-	largest := len(f.route.Cascade) - 1
-	switch {
-	case !f.message.AnyModel || largest < 0 || f.model == f.route.Cascade[largest] || f.begun:
-		return nil
-	case in.Confidence < 0 || in.Confidence >= f.sureFrom(f.route.Cascade[largest]) || f.sends+1 >= f.route.MaxAttempts:
-		return nil
-	case f.router.Retries.Retry(f.poolName) != nil:
-		return nil // an unsure answer is better than none
-	}
-	f.paid = true
-	f.router.Metrics.Count("escalated", f.route.Name)
-	f.router.Log.Info("escalated", slog.String("request", f.message.ID), slog.String("route", f.route.Name),
-		slog.String("from", f.model), slog.String("to", f.route.Cascade[largest]), slog.Int("confidence", in.Confidence))
-	f.setModel(f.route.Cascade[largest])
-	return errUnsure
-}
-
-// readPlain reads a whole answer.
-func readPlain(body io.Reader) ([]byte, error) {
-	data, err := io.ReadAll(io.LimitReader(body, maxPlainBytes+1))
-	if err == nil && len(data) > maxPlainBytes {
-		err = dhcode.Errorf(dhcode.RequestTooLarge, "the answer has more than %d bytes", maxPlainBytes)
-	}
-	return data, err
-}
-
-// write gives a whole answer to the caller.
-func (f *forward) write(k *kept) error {
-	f.begin(k.status, k.header, len(k.body))
-	if _, err := f.w.Write(k.body); err != nil {
-		return f.lost(err)
-	}
-	return nil
-}
-
-// begin writes the head of the answer; length is -1 for a stream.
-func (f *forward) begin(status int, header http.Header, length int) {
-	out := f.w.Header()
-	for name, values := range header {
-		out[name] = values
-	}
-	if length >= 0 {
-		out.Set("Content-Length", strconv.Itoa(length))
-	}
-	f.begun, f.status = true, status
-	f.w.WriteHeader(status)
-}
-
-func (f *forward) lost(err error) error {
-	f.gone = true
-	return dhcode.WithRan(dhcode.Wrap(dhcode.Cancelled, err), dhcode.RanUnknown)
-}
-
-// stream passes events on as they come. Events that the caller has are left
-// out, so that a stream that goes on elsewhere repeats none.
-func (f *forward) stream(in *Inbound, watch *watchdog) error {
-	events := dhevent.NewReader(in.Body)
-	defer events.Release()
-	flush := http.NewResponseController(f.w)
-	for {
-		e, err := events.Next()
-		if errors.Is(err, io.EOF) {
-			return f.finish(in, flush)
-		}
-		if err != nil {
-			return dhcode.WithRan(dhcode.Wrap(dhcode.StreamBroken, err), dhcode.DidRun)
-		}
-		now := f.router.Timers.Now()
-		watch.progress(now)
-		f.observe(now)
-		if e.HasID && f.hasLast && e.ID <= f.last {
-			continue
-		}
-		if !f.begun {
-			f.begin(in.Status, in.Header, -1)
-		}
-		if _, err := f.w.Write(e.Raw); err != nil {
-			return f.lost(err)
-		}
-		if e.HasID {
-			f.last, f.hasLast = e.ID, true
-		}
-		if !events.More() {
-			if err := flush.Flush(); err != nil {
-				return f.lost(err)
-			}
-		}
-	}
-}
-
-// finish ends a stream that its backend server has ended.
-func (f *forward) finish(in *Inbound, flush *http.ResponseController) error {
-	f.answered = true
-	if !f.begun {
-		f.begin(in.Status, in.Header, -1)
-	}
-	if err := flush.Flush(); err != nil {
-		return f.lost(err)
-	}
-	return nil
-}
-
-// observe counts an event for the pace of the answer.
-func (f *forward) observe(now time.Time) {
-	if f.events == 0 {
-		f.firstAt = now
-		if !f.begun {
-			f.router.Metrics.Observe(dhmetric.FirstToken, f.account, f.route.Class, now.Sub(f.received))
-		}
-	}
-	f.events++
-	f.lastAt = now
-}
-
 // ended implements exchange.
 func (f *forward) ended(b *dhbackend.Backend, first time.Duration, err error) (Event, bool) {
 	notRun := err != nil && dhcode.RanOf(err) == dhcode.NotRun
@@ -644,91 +389,3 @@
 	}
 	return err
 }
-
-// logPlaced writes what decided where the request is sent. Age is that of the
-// load; sequence is the backend server's announcement that is known.
-func (f *forward) logPlaced(p dhplacement.Placement, now time.Time) {
-	b := p.Backend
-	f.router.Log.LogAttrs(context.Background(), slog.LevelInfo, "placed", slog.String("request", f.message.ID),
-		slog.String("session", f.message.Session), slog.String("route", f.route.Name),
-		slog.Uint64("tables", f.router.Snapshot().Tables.Revision),
-		slog.String("backend", b.ID), slog.String("zone", b.Zone), slog.String("release", b.Release), slog.String("state", b.State.String()),
-		slog.Uint64("sequence", b.Sequence), slog.Duration("age", now.Sub(b.Seen)+b.ReportAge), slog.Float64("load", math.Round(p.Load*10)/10),
-		slog.Int("cached-tokens", p.CachedTokens), slog.String("prefix", f.sharedPrefix()), slog.String("model", f.model), slog.Int("rank", f.rank),
-		slog.Duration("left", f.limit-now.Sub(f.received)), slog.Int("send", f.sends+1))
-}
-
-// sharedPrefix names the longest prefix that other requests may share.
-func (f *forward) sharedPrefix() string {
-	if n := len(f.prefix); n > 1 {
-		return strconv.FormatUint(f.prefix[n-2], 16)
-	}
-	return ""
-}
-
-// log writes the line that ends the request.
-func (f *forward) log(err error) {
-	now := f.router.Timers.Now()
-	took := now.Sub(f.received)
-	name := ""
-	if f.route != nil {
-		name = f.route.Name
-	}
-	attrs := []slog.Attr{
-		slog.String("request", f.message.ID), slog.String("account", f.account), slog.String("route", name),
-		slog.String("pool", f.poolName), slog.Int("sends", f.sends), slog.Duration("took", took),
-	}
-	if f.backend != nil {
-		attrs = append(attrs, slog.String("backend", f.backend.ID), slog.String("release", f.backend.Release))
-	}
-	if err == nil {
-		f.router.Metrics.Observe(dhmetric.WholeAnswer, f.account, f.route.Class, took)
-		f.router.Metrics.Count("answered", name)
-		attrs = append(attrs, slog.Int("status", f.status), slog.String("model", f.model), slog.Int("events", f.events))
-		f.router.Log.LogAttrs(context.Background(), slog.LevelInfo, "answered", attrs...)
-		return
-	}
-	code := dhcode.Of(err)
-	f.router.Metrics.Count("refused", code.String())
-	attrs = append(attrs, slog.String("code", code.String()), slog.String("ran", dhcode.RanOf(err).String()),
-		slog.Bool("begun", f.begun), slog.Duration("retry-after", dhcode.RetryAfterOf(err)), slog.String("error", err.Error()))
-	f.router.Log.LogAttrs(context.Background(), slog.LevelWarn, "refused", attrs...)
-}
-
-// watchdog ends an attempt whose backend server has been silent for too long,
-// once the retry budget has paid for another one. Its timer runs once per patience, not once per event.
-type watchdog struct {
-	router   *Router
-	pool     string
-	stop     context.CancelCauseFunc
-	patience time.Duration
-	seen     atomic.Int64
-	ended    atomic.Bool
-}
-
-func (w *watchdog) progress(now time.Time) { w.seen.Store(now.UnixNano()) }
-
-func (w *watchdog) start() {
-	if w.patience > 0 {
-		w.router.Timers.After(w.patience, w.check)
-	}
-}
-
-func (w *watchdog) check(now time.Time) {
-	if w.ended.Load() {
-		return
-	}
-	silent := time.Duration(now.UnixNano() - w.seen.Load())
-	if silent < w.patience {
-		w.router.Timers.After(w.patience-silent, w.check)
-		return
-	}
-	if w.router.Retries.Retry(w.pool) != nil {
-		// Without another attempt the answer may still come.
-		w.router.Timers.After(w.patience, w.check)
-		return
-	}
-	w.stop(errStalled)
-}
-
-func (w *watchdog) end() { w.ended.Store(true) }
--- /dev/null
+++ b/dh/dhrouter/forward_log.go
@@ -0,0 +1,63 @@
+package dhrouter
+
+import (
+	"context"
+	"log/slog"
+	"math"
+	"strconv"
+	"time"
+
+	"dandelionhoist.example/dh/dhcode"
+	"dandelionhoist.example/dh/dhmetric"
+	"dandelionhoist.example/dh/dhplacement"
+)
+
+// logPlaced writes what decided where the request is sent. Age is that of the
+// load; sequence is the backend server's announcement that is known.
+func (f *forward) logPlaced(p dhplacement.Placement, now time.Time) {
+	b := p.Backend
+	f.router.Log.LogAttrs(context.Background(), slog.LevelInfo, "placed", slog.String("request", f.message.ID),
+		slog.String("session", f.message.Session), slog.String("route", f.route.Name),
+		slog.Uint64("tables", f.router.Snapshot().Tables.Revision),
+		slog.String("backend", b.ID), slog.String("zone", b.Zone), slog.String("release", b.Release), slog.String("state", b.State.String()),
+		slog.Uint64("sequence", b.Sequence), slog.Duration("age", now.Sub(b.Seen)+b.ReportAge), slog.Float64("load", math.Round(p.Load*10)/10),
+		slog.Int("cached-tokens", p.CachedTokens), slog.String("prefix", f.sharedPrefix()), slog.String("model", f.model), slog.Int("rank", f.rank),
+		slog.Duration("left", f.limit-now.Sub(f.received)), slog.Int("send", f.sends+1))
+}
+
+// sharedPrefix names the longest prefix that other requests may share.
+func (f *forward) sharedPrefix() string {
+	if n := len(f.prefix); n > 1 {
+		return strconv.FormatUint(f.prefix[n-2], 16)
+	}
+	return ""
+}
+
+// log writes the line that ends the request.
+func (f *forward) log(err error) {
+	now := f.router.Timers.Now()
+	took := now.Sub(f.received)
+	name := ""
+	if f.route != nil {
+		name = f.route.Name
+	}
+	attrs := []slog.Attr{
+		slog.String("request", f.message.ID), slog.String("account", f.account), slog.String("route", name),
+		slog.String("pool", f.poolName), slog.Int("sends", f.sends), slog.Duration("took", took),
+	}
+	if f.backend != nil {
+		attrs = append(attrs, slog.String("backend", f.backend.ID), slog.String("release", f.backend.Release))
+	}
+	if err == nil {
+		f.router.Metrics.Observe(dhmetric.WholeAnswer, f.account, f.route.Class, took)
+		f.router.Metrics.Count("answered", name)
+		attrs = append(attrs, slog.Int("status", f.status), slog.String("model", f.model), slog.Int("events", f.events))
+		f.router.Log.LogAttrs(context.Background(), slog.LevelInfo, "answered", attrs...)
+		return
+	}
+	code := dhcode.Of(err)
+	f.router.Metrics.Count("refused", code.String())
+	attrs = append(attrs, slog.String("code", code.String()), slog.String("ran", dhcode.RanOf(err).String()),
+		slog.Bool("begun", f.begun), slog.Duration("retry-after", dhcode.RetryAfterOf(err)), slog.String("error", err.Error()))
+	f.router.Log.LogAttrs(context.Background(), slog.LevelWarn, "refused", attrs...)
+}
--- /dev/null
+++ b/dh/dhrouter/forward_relay.go
@@ -0,0 +1,223 @@
+package dhrouter
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"dandelionhoist.example/dh/dhcode"
+	"dandelionhoist.example/dh/dhevent"
+	"dandelionhoist.example/dh/dhmetric"
+	"dandelionhoist.example/dh/dhplacement"
+)
+
+// kept is a whole answer.
+type kept struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// relay implements exchange.
+func (f *forward) relay(ctx context.Context, p dhplacement.Placement) (time.Duration, error) {
+	b := p.Backend
+	if err := f.checkLease(); !f.route.Public && err != nil {
+		return 0, err
+	}
+	start := f.router.Timers.Now()
+	f.backend, f.answered, f.events = b, false, 0
+	if f.message.Session != "" {
+		f.router.sessions.put(f.poolName, f.session, b.Release, start)
+	}
+	f.logPlaced(p, start)
+	ctx, stop := context.WithCancelCause(ctx)
+	defer stop(nil)
+	watch := &watchdog{router: f.router, pool: f.poolName, stop: stop, patience: f.stall()}
+	// The head comes with the first event, for which a longer time is allowed.
+	patience := min(f.route.Objective, time.Duration(float64(f.limit)*firstPart))
+	watch.progress(start.Add(max(patience-f.stall(), 0)))
+	watch.start()
+	defer watch.end()
+	in, err := f.router.Passer.Pass(ctx, &Outbound{
+		Message: f.message, Backend: b, Account: f.account, Left: f.limit - start.Sub(f.received),
+		Model: f.model, Rank: f.rank, LastEvent: f.last, HasLast: f.hasLast,
+	})
+	if err != nil {
+		now := f.router.Timers.Now()
+		if dhcode.RanOf(err) != dhcode.NotRun {
+			f.router.delays.observe(f.poolName, f.model, now.Sub(start), now)
+		}
+		return 0, f.cause(ctx, err)
+	}
+	defer func() { _ = in.Body.Close() }() // the connection is given up when the answer was not read to its end
+	head := f.router.Timers.Now()
+	watch.progress(head)
+	f.router.delays.observe(f.poolName, f.model, head.Sub(start), head)
+	if err := f.take(in, watch); err != nil {
+		return f.first(start), f.cause(ctx, err)
+	}
+	return f.first(start), nil
+}
+
+// first returns the time from a start to the first event, or to the end of an
+// answer without events; 0 when there was none.
+func (f *forward) first(start time.Time) time.Duration {
+	if f.events == 0 {
+		return 0
+	}
+	return max(f.firstAt.Sub(start), 1)
+}
+
+// stall returns the silence after which an attempt is given up, or 0 when the
+// request cannot go on elsewhere: then silence is no reason to end it.
+func (f *forward) stall() time.Duration {
+	if !f.repeatable() || !f.route.Stream || f.sends+1 >= f.route.MaxAttempts {
+		return 0
+	}
+	return max(stallPauses*f.route.Pause, minStall)
+}
+
+// cause replaces the error of an attempt that the watchdog ended.
+func (f *forward) cause(ctx context.Context, err error) error {
+	if errors.Is(context.Cause(ctx), errStalled) {
+		f.paid = true // by the watchdog
+		return dhcode.WithRan(dhcode.Wrap(dhcode.StreamBroken, errStalled), dhcode.RanUnknown)
+	}
+	return err
+}
+
+// take passes an answer on, or returns why it is none.
+func (f *forward) take(in *Inbound, watch *watchdog) error {
+	failed := func(ran dhcode.Ran, format string, args ...any) error {
+		return dhcode.WithRan(dhcode.Errorf(dhcode.BackendFailed, format, args...), ran)
+	}
+	id := f.backend.ID
+	switch {
+	case in.RequestID != f.message.ID && (in.RequestID != "" || !in.NotRun):
+		return failed(dhcode.RanUnknown, "backend server %q answers request %q instead", id, in.RequestID)
+	case in.NotRun:
+		err := dhcode.Errorf(dhcode.QueueFull, "backend server %q refused the request with status %d", id, in.Status)
+		return dhcode.WithRan(err, dhcode.NotRun)
+	case !in.Sealed:
+		return failed(dhcode.RanUnknown, "backend server %q answers with status %d without its signature", id, in.Status)
+	case in.Status >= http.StatusInternalServerError:
+		body, err := readPlain(in.Body)
+		if err == nil {
+			f.failure = &kept{status: in.Status, header: in.Header, body: body}
+		}
+		f.answered = true
+		return failed(dhcode.DidRun, "backend server %q failed the request with status %d", id, in.Status)
+	case in.Events && in.Status == http.StatusOK:
+		if err := f.escalate(in); err != nil {
+			return err
+		}
+		return f.stream(in, watch)
+	}
+	body, err := readPlain(in.Body)
+	if err != nil {
+		return failed(dhcode.DidRun, "answer of backend server %q broke off: %v", id, err)
+	}
+	f.answered = true
+	f.observe(f.router.Timers.Now())
+	return f.write(&kept{status: in.Status, header: in.Header, body: body})
+}
+
+// readPlain reads a whole answer.
+func readPlain(body io.Reader) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(body, maxPlainBytes+1))
+	if err == nil && len(data) > maxPlainBytes {
+		err = dhcode.Errorf(dhcode.RequestTooLarge, "the answer has more than %d bytes", maxPlainBytes)
+	}
+	return data, err
+}
+
+// write gives a whole answer to the caller.
+func (f *forward) write(k *kept) error {
+	f.begin(k.status, k.header, len(k.body))
+	if _, err := f.w.Write(k.body); err != nil {
+		return f.lost(err)
+	}
+	return nil
+}
+
+// begin writes the head of the answer; length is -1 for a stream.
+func (f *forward) begin(status int, header http.Header, length int) {
+	out := f.w.Header()
+	for name, values := range header {
+		out[name] = values
+	}
+	if length >= 0 {
+		out.Set("Content-Length", strconv.Itoa(length))
+	}
+	f.begun, f.status = true, status
+	f.w.WriteHeader(status)
+}
+
+func (f *forward) lost(err error) error {
+	f.gone = true
+	return dhcode.WithRan(dhcode.Wrap(dhcode.Cancelled, err), dhcode.RanUnknown)
+}
+
+// stream passes events on as they come. Events that the caller has are left
+// out, so that a stream that goes on elsewhere repeats none.
+func (f *forward) stream(in *Inbound, watch *watchdog) error {
+	events := dhevent.NewReader(in.Body)
+	defer events.Release()
+	flush := http.NewResponseController(f.w)
+	for {
+		e, err := events.Next()
+		if errors.Is(err, io.EOF) {
+			return f.finish(in, flush)
+		}
+		if err != nil {
+			return dhcode.WithRan(dhcode.Wrap(dhcode.StreamBroken, err), dhcode.DidRun)
+		}
+		now := f.router.Timers.Now()
+		watch.progress(now)
+		f.observe(now)
+		if e.HasID && f.hasLast && e.ID <= f.last {
+			continue
+		}
+		if !f.begun {
+			f.begin(in.Status, in.Header, -1)
+		}
+		if _, err := f.w.Write(e.Raw); err != nil {
+			return f.lost(err)
+		}
+		if e.HasID {
+			f.last, f.hasLast = e.ID, true
+		}
+		if !events.More() {
+			if err := flush.Flush(); err != nil {
+				return f.lost(err)
+			}
+		}
+	}
+}
+
+// finish ends a stream that its backend server has ended.
+func (f *forward) finish(in *Inbound, flush *http.ResponseController) error {
+	f.answered = true
+	if !f.begun {
+		f.begin(in.Status, in.Header, -1)
+	}
+	if err := flush.Flush(); err != nil {
+		return f.lost(err)
+	}
+	return nil
+}
+
+// observe counts an event for the pace of the answer.
+func (f *forward) observe(now time.Time) {
+	if f.events == 0 {
+		f.firstAt = now
+		if !f.begun {
+			f.router.Metrics.Observe(dhmetric.FirstToken, f.account, f.route.Class, now.Sub(f.received))
+		}
+	}
+	f.events++
+	f.lastAt = now
+}
