Test that an acknowledged leave survives its VM

Deliberate breaks of ten rules in a scratch copy: eight were noticed by the tests; a leave acknowledged without replication was not, and is now. A wiped voter that is replaced after 2 s instead of at once is not noticed, and is still within the platform's time.

--- a/dh/dhcontrol/cluster_test.go
+++ b/dh/dhcontrol/cluster_test.go
@@ -468,3 +468,18 @@
 		})
 	}
 }
+
+// Guards against a leave that is acknowledged and then lost with the VM that
+// has acknowledged it.
+func TestLeaveSurvivesItsVM(t *testing.T) {
+	run(t, func(c *cluster) {
+		c.startEntry("e0")
+		c.within(3*time.Second, "the first document", func() bool { return c.replace("c0", 5) == nil })
+		c.step(4 * time.Second)
+		c.announce("c0", "b0", "ready", 1)
+		c.within(time.Second, "the backend server", func() bool { return c.usable("e0") == 1 })
+		c.announce("c0", "b0", "leaving", 2)
+		c.crash("c0")
+		c.within(1500*time.Millisecond, "the leave", func() bool { return c.usable("e0") == 0 })
+	})
+}
