Watch another control VM in the test of a lost leave

The entry VM watched the lost control VM itself and had heard the leave already; the deliberate break (no replication before the acknowledgement) is noticed now.

--- a/dh/dhcontrol/cluster_test.go
+++ b/dh/dhcontrol/cluster_test.go
@@ -114,7 +114,7 @@
 func (c *cluster) startEntry(name string) *dhentry.Entry {
 	node := c.network.Start(name, nil)
 	entry := &dhentry.Entry{
-		Name: name, Zone: "z0", Incarnation: 1, Seeds: c.seeds, KeyLease: 4500 * time.Millisecond, RetryRatio: 0.1,
+		Name: name, Zone: "z" + name[1:], Incarnation: 1, Seeds: c.seeds, KeyLease: 4500 * time.Millisecond, RetryRatio: 0.1,
 		RetrySlack: 10, RetryWindow: 10 * time.Second, ColdOvershoot: 1, Decode: decode, Source: peers{node}, Timers: c.timers, Clock: clock{c.timers},
 		Log: slog.New(slog.DiscardHandler), Metrics: dhmetric.New(4),
 	}
@@ -473,13 +473,13 @@
 // has acknowledged it.
 func TestLeaveSurvivesItsVM(t *testing.T) {
 	run(t, func(c *cluster) {
-		c.startEntry("e0")
+		c.startEntry("e1")
 		c.within(3*time.Second, "the first document", func() bool { return c.replace("c0", 5) == nil })
 		c.step(4 * time.Second)
 		c.announce("c0", "b0", "ready", 1)
-		c.within(time.Second, "the backend server", func() bool { return c.usable("e0") == 1 })
+		c.within(time.Second, "the backend server", func() bool { return c.usable("e1") == 1 })
 		c.announce("c0", "b0", "leaving", 2)
 		c.crash("c0")
-		c.within(1500*time.Millisecond, "the leave", func() bool { return c.usable("e0") == 0 })
+		c.within(1500*time.Millisecond, "the leave", func() bool { return c.usable("e1") == 0 })
 	})
 }
