--- a/dh/dhbackend/log.go
+++ b/dh/dhbackend/log.go
@@ -160,13 +160,6 @@
 	return changed
 }
 
-// Position returns the position of the newest change.
-func (l *Log) Position() uint64 {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.position
-}
-
 // Content returns the records whose content changed after a position, and the
 // position up to which they are complete.
 func (l *Log) Content(after uint64) (records []*dhpb.BackendRecord, position uint64) {
--- a/dh/dhcontrol/operators.go
+++ b/dh/dhcontrol/operators.go
@@ -31,15 +31,18 @@
 // not valid, edit-unknown when it may still come into force.
 func (c *Control) Replace(ctx context.Context, version uint64, text []byte) error {
 	if _, err := c.Decode(text); err != nil {
+		c.Metrics.Count("document", "refused")
 		c.Log.Warn("document refused", slog.Uint64("version", version), slog.Int("bytes", len(text)), slog.String("error", err.Error()))
 		return err
 	}
 	inForce, err := c.documents.Replace(ctx, &dhpb.Document{Version: version, Text: text})
 	if err != nil {
+		c.Metrics.Count("document", "not-settled")
 		c.Log.Warn("document not settled", slog.Uint64("version", version), slog.String("error", err.Error()))
 		return err
 	}
 	c.applyDocument(inForce)
+	c.Metrics.Count("document", "acknowledged")
 	c.Log.Info("document acknowledged", slog.Uint64("version", version), slog.Uint64("in-force", inForce.GetVersion()))
 	return nil
 }
@@ -173,6 +176,7 @@
 		return nil
 	}
 	if err != nil {
+		c.Metrics.Count("order", "not-settled")
 		c.Log.Warn("order not settled", slog.String("order", order), slog.String("subject", subject), slog.String("error", err.Error()))
 		return err
 	}
@@ -181,6 +185,7 @@
 		return err
 	}
 	c.applyOperations(operations)
+	c.Metrics.Count("order", "settled")
 	c.Log.Info("order settled", slog.String("order", order), slog.String("subject", subject), slog.Uint64("number", operations.GetNumber()))
 	return nil
 }
--- a/dh/dhcontrol/registry.go
+++ b/dh/dhcontrol/registry.go
@@ -24,9 +24,11 @@
 func (c *Control) Announce(ctx context.Context, r *dhpb.BackendRecord) error {
 	change, err := c.registry.Announce(r)
 	if err != nil {
+		c.Metrics.Count("announcement", "refused")
 		c.Log.Warn("announcement refused", slog.String("backend", r.GetId()), slog.String("error", err.Error()))
 		return err
 	}
+	c.Metrics.Count("announcement", r.GetState())
 	if change.Content {
 		c.logBackend(r, "announcement")
 		c.notify()
--- a/dh/dhwatch/dhwatch.go
+++ b/dh/dhwatch/dhwatch.go
@@ -16,10 +16,8 @@
 package dhwatch
 
 import (
-	"cmp"
 	"context"
 	"log/slog"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -298,15 +296,3 @@
 	}
 	c.replies++
 }
-
-// Controls returns the addresses of the known control VMs, sorted.
-func (f *Follower) Controls() []string {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	list := make([]string, 0, len(f.controls))
-	for address := range f.controls {
-		list = append(list, address)
-	}
-	slices.SortFunc(list, cmp.Compare)
-	return list
-}
