--- a/dh/dhcontrol/cluster_test.go
+++ b/dh/dhcontrol/cluster_test.go
@@ -85,10 +85,11 @@
 	if c.disks[name] == nil {
 		c.disks[name] = &dhdisk.Memory{}
 	}
+	disk := c.disks[name]
 	control := &dhcontrol.Control{
 		Name: name, Zone: "z" + name[1:], Address: name, Incarnation: uint64(c.timers.Now().UnixMilli()), Seeds: c.seeds,
 		Bootstrap: bootstrap, Tolerated: 1, BackendLease: 4 * time.Second, AnnouncePeriod: 1200 * time.Millisecond,
-		Exposure: 0.1, Decode: decode, OpenDisk: func() (dhdisk.Disk, error) { return c.disks[name], nil },
+		Exposure: 0.1, Decode: decode, OpenDisk: func() (dhdisk.Disk, error) { return disk, nil },
 		Timers: c.timers, Clock: clock{c.timers}, Log: slog.New(slog.DiscardHandler), Metrics: dhmetric.New(4),
 	}
 	node := c.network.Start(name, func(ctx context.Context, _ string, message any) (any, error) {
