Recheck the key lease in dispatch; drop state that nothing reads

Cause, found by reading the whole change: the recheck of the lease on keys stood in relay, so a lease that ended there counted as an unreachable backend server and opened its breaker. A failed attempt of the large model was reported under the small one's name, the home of a prefix was searched as if there were several, and unsent, MaxWaiting and a result of applyDocument were used by nothing. Change: dispatch, the step before the first byte is sent, checks the lease for both fronts' loop; the event is made before the model changes; comments on the time to return and the usage of dhlog are corrected. Result: TestLapsedLeaseIsNoFaultOfTheBackend fails before and passes after. Requests are placed and answered as before.

--- a/dh/dhcontrol/dhcontrol.go
+++ b/dh/dhcontrol/dhcontrol.go
@@ -160,8 +160,8 @@
 	return c.changed
 }
 
-// applyDocument takes over a decided document and reports whether it is newer.
-func (c *Control) applyDocument(document *dhpb.Document) bool {
+// applyDocument takes over a decided document.
+func (c *Control) applyDocument(document *dhpb.Document) {
 	c.mu.Lock()
 	newer := document.GetVersion() > c.document.GetVersion()
 	if newer {
@@ -172,7 +172,6 @@
 		c.Log.Info("document in force", slog.Uint64("version", document.GetVersion()), slog.Int("bytes", len(document.GetText())))
 		c.notify()
 	}
-	return newer
 }
 
 // applyOperations takes over decided operations.
--- a/dh/dhlog/dhlog.go
+++ b/dh/dhlog/dhlog.go
@@ -5,8 +5,7 @@
 //
 //	writer := &dhlog.Writer{Out: os.Stdout, Timers: timers}
 //	group.Go(writer.Run)
-//	handler := &dhlog.Handler{Next: slog.NewTextHandler(writer, nil), Timers: timers}
-//	log := slog.New(handler)
+//	log := slog.New(dhlog.New(slog.NewTextHandler(writer, nil), timers))
 //
 // A kind is the message of a line. Lines of level Warn and above, which failed
 // requests have, use a budget of their own, so that successful requests never
--- a/dh/dhplacement/affinity.go
+++ b/dh/dhplacement/affinity.go
@@ -216,20 +216,17 @@
 	}
 }
 
-// homes is how many backend servers are the homes of a shared prefix. All
-// entry VMs agree on them without messages, so that the prefix is read once
-// and not once for each VM.
-const homes = 1
-
-// scoreHome scores the homes of the longest shared prefix: those with the
-// highest rendezvous weights among the candidates that the request may use.
+// scoreHome scores the home of the longest shared prefix: the candidate that
+// the request may use with the highest rendezvous weight. All entry VMs agree
+// on it without messages, so that the prefix is read once and not once for
+// each VM.
 func (c *choice) scoreHome() {
 	if c.r.Shared <= 0 || c.r.Shared > len(c.r.Prefix) {
 		return
 	}
 	prefix := c.r.Prefix[c.r.Shared-1]
-	var best [homes]*candidate
-	var weights [homes]uint64
+	var best *candidate
+	var highest uint64
 	for i := range c.group.zones {
 		if !c.open(i) {
 			continue
@@ -239,20 +236,14 @@
 				continue
 			}
 			w := random(cand.row.hash ^ prefix)
-			weight := w.next()
-			for at := range best {
-				if weight > weights[at] {
-					weight, weights[at] = weights[at], weight
-					cand, best[at] = best[at], cand
-				}
+			if weight := w.next(); weight > highest {
+				best, highest = cand, weight
 			}
 		}
 	}
-	c.home = true
-	for _, cand := range best {
-		if cand != nil {
-			c.score(cand)
-		}
+	if best != nil {
+		c.home = true
+		c.score(best)
+		c.home = false
 	}
-	c.home = false
 }
--- a/dh/dhplacement/dhplacement.go
+++ b/dh/dhplacement/dhplacement.go
@@ -69,9 +69,6 @@
 	LaneShare float64
 	// OffLane is the penalty of a backend server of the other lane.
 	OffLane time.Duration
-	// MaxWaiting is how many requests may wait for a slot of a backend server;
-	// 0 means no bound.
-	MaxWaiting float64
 }
 
 // Defaults returns the settings that docs/MEASUREMENTS.md reports on.
@@ -115,8 +112,8 @@
 	// BlockTokens longer than the one before.
 	PrefixTokens []int
 	// Shared is the number of prefixes that other requests have too. The
-	// backend servers that most entry VMs choose for the longest of them are
-	// scored as if they held it.
+	// backend server that is the home of the longest of them is scored as if
+	// it held it.
 	Shared       int
 	PromptTokens int
 	// Lane is the lane of the request's model.
@@ -196,9 +193,6 @@
 		c.ramp = 0
 		c.choose()
 	}
-	if c.best.Backend == nil && c.refusedFull {
-		return Placement{}, dhcode.Errorf(dhcode.PoolFull, "no backend server of pool %q has a free place", r.Pool)
-	}
 	if c.best.Backend == nil && c.refusedCold {
 		return Placement{}, dhcode.Errorf(dhcode.PoolFull, "backend servers of pool %q with version %q are in a cold start without a free credit", r.Pool, r.Version)
 	}
@@ -246,7 +240,6 @@
 	best        Placement
 	bestScore   time.Duration
 	refusedCold bool
-	refusedFull bool
 	// home is set while the home of the shared prefix is scored.
 	home bool
 }
@@ -334,10 +327,6 @@
 	}
 	load := cand.others + float64(cand.row.inFlight.Load())
 	slots := float64(max(b.Slots, 1))
-	if s.MaxWaiting > 0 && load+1 > slots+s.MaxWaiting {
-		c.refusedFull = true
-		return
-	}
 	matched := cand.row.match(c.r.Prefix)
 	if c.home {
 		matched = max(matched, c.r.Shared)
--- a/dh/dhrouter/deliver.go
+++ b/dh/dhrouter/deliver.go
@@ -18,7 +18,8 @@
 	// wants returns what the next attempt needs of a backend server. It decides
 	// anew on the newest snapshot, or returns why there must be no attempt.
 	wants(s *Snapshot) (dhplacement.Request, error)
-	// dispatch makes durable what must be so before the first byte is sent.
+	// dispatch is the last step before the first byte is sent: it makes durable
+	// what must be so, or returns why nothing must be sent.
 	dispatch(ctx context.Context) error
 	// relay sends the request to a backend server and passes the answer on. It
 	// returns the time to the first token, or 0 when there was none.
--- a/dh/dhrouter/forward.go
+++ b/dh/dhrouter/forward.go
@@ -71,11 +71,11 @@
 	prefix       []uint64
 	prefixTokens []int
 
-	// tried are the backend servers that failed or refused the request, sends
-	// how many got it, unsent how many could not be reached.
-	tried         []string
-	sends, unsent int
-	mayHaveRun    bool
+	// tried are the backend servers that failed or refused the request or could
+	// not be reached, sends how many got it.
+	tried      []string
+	sends      int
+	mayHaveRun bool
 	// begun is set once the caller has a part of the answer, gone once it
 	// takes no more.
 	begun, gone bool
@@ -233,8 +233,8 @@
 }
 
 // hint adds a time to return that is spread, so that refused callers do not
-// come back together. It is at most a third of the time left, which is as long
-// as callers wait.
+// come back together. It is at most a quarter of the time left, since callers
+// wait for a third of it at most.
 func (f *forward) hint(err error) error {
 	d := minRetryAfter + time.Duration(f.router.Random()*float64(spreadRetryAfter))
 	if f.limit > 0 {
@@ -289,15 +289,20 @@
 	return dhplacement.SmallLane
 }
 
-// dispatch implements exchange. Nothing must be durable before a send.
-func (*forward) dispatch(context.Context) error { return nil }
+// dispatch implements exchange. The key may have been revoked since the
+// request was placed, as when the VM was frozen meanwhile.
+func (f *forward) dispatch(context.Context) error {
+	if f.route.Public {
+		return nil
+	}
+	return f.checkLease()
+}
 
 // ended implements exchange.
 func (f *forward) ended(b *dhbackend.Backend, first time.Duration, err error) (Event, bool) {
 	notRun := err != nil && dhcode.RanOf(err) == dhcode.NotRun
 	refused := notRun && dhcode.Of(err) == dhcode.QueueFull
 	if notRun && !refused {
-		f.unsent++
 		f.paid = true
 	} else {
 		f.sends++
@@ -309,6 +314,8 @@
 	if errors.Is(err, errUnsure) {
 		return Event{}, false // the backend server did what it was asked for
 	}
+	e := f.event(b, first, true)
+	e.Unreachable = (notRun && !refused) || errors.Is(err, errStalled) || errors.Is(err, syscall.ETIMEDOUT)
 	f.tried = append(f.tried, b.ID)
 	if f.message.AnyModel && !f.begun && len(f.route.Cascade) > 0 {
 		// The smallest model answers soonest, which counts most by now.
@@ -318,8 +325,6 @@
 		slog.String("release", b.Release), slog.Uint64("sequence", b.Sequence), slog.Int("sends", f.sends),
 		slog.Bool("begun", f.begun), slog.String("ran", dhcode.RanOf(err).String()), slog.String("error", err.Error()))
 	f.router.Metrics.Count("attempt-failed", dhcode.Of(err).String())
-	e := f.event(b, first, true)
-	e.Unreachable = (notRun && !refused) || errors.Is(err, errStalled) || errors.Is(err, syscall.ETIMEDOUT)
 	// A refusal or a caller that has gone says nothing against the backend server.
 	return e, !refused && !f.gone
 }
--- a/dh/dhrouter/forward_relay.go
+++ b/dh/dhrouter/forward_relay.go
@@ -24,9 +24,6 @@
 // relay implements exchange.
 func (f *forward) relay(ctx context.Context, p dhplacement.Placement) (time.Duration, error) {
 	b := p.Backend
-	if err := f.checkLease(); !f.route.Public && err != nil {
-		return 0, err
-	}
 	start := f.router.Timers.Now()
 	f.backend, f.answered, f.events = b, false, 0
 	if f.message.Session != "" {
--- a/dh/dhrouter/forward_test.go
+++ b/dh/dhrouter/forward_test.go
@@ -349,3 +349,30 @@
 		assert.Assert(t, f.passer.sent[0].Left <= 1500*time.Millisecond && f.passer.sent[0].Left > 0)
 	})
 }
+
+// lapsing is a lease that ends after some looks.
+type lapsing struct{ looks int }
+
+func (l *lapsing) Valid() bool { l.looks--; return l.looks >= 0 }
+
+// Guards against a backend server that is taken for unreachable because this
+// VM's own lease ended between the choice and the send.
+func TestLapsedLeaseIsNoFaultOfTheBackend(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newForwarder(t, reply(200, text("done")))
+		for looks := range 4 {
+			f.Lease = &lapsing{looks}
+			_, _, err := f.ask(t, "order")
+			if err == nil {
+				break
+			}
+			assert.Equal(t, dhcode.Of(err), dhcode.TablesLeaseLapsed)
+			assert.Equal(t, dhcode.RanOf(err), dhcode.NotRun)
+			assert.Equal(t, len(f.passer.sent), 0)
+			for i := range 3 {
+				assert.Assert(t, f.Breakers.Closed(fmt.Sprint("b", i)), "after %d looks", looks)
+			}
+		}
+		assert.Equal(t, len(f.passer.sent), 1)
+	})
+}
--- a/dh/dhrouter/watchdog.go
+++ b/dh/dhrouter/watchdog.go
@@ -7,7 +7,8 @@
 )
 
 // watchdog ends an attempt whose backend server has been silent for too long,
-// once the retry budget has paid for another one. Its timer runs once per patience, not once per event.
+// once the retry budget has paid for another one. Its timer runs once per
+// patience, not once per event.
 type watchdog struct {
 	router   *Router
 	pool     string
