--- a/dh/dhrouter/forward_log.go
+++ b/dh/dhrouter/forward_log.go
@@ -51,7 +51,8 @@
 	if err == nil {
 		f.router.Metrics.Observe(dhmetric.WholeAnswer, f.account, f.route.Class, took)
 		f.router.Metrics.Count("answered", name)
-		attrs = append(attrs, slog.Int("status", f.status), slog.String("model", f.model), slog.Int("events", f.events))
+		attrs = append(attrs, slog.Int("status", f.status), slog.String("model", f.model), slog.Int("events", f.events),
+			slog.Duration("first", f.first(f.received)))
 		f.router.Log.LogAttrs(context.Background(), slog.LevelInfo, "answered", attrs...)
 		return
 	}
