--- a/cmd/dandelionhoistd/main.go
+++ b/cmd/dandelionhoistd/main.go
@@ -2,6 +2,7 @@
 //
 //	dandelionhoistd run SETTINGS
 //	dandelionhoistd check-settings SETTINGS
+//	dandelionhoistd check-platform-settings SETTINGS
 //	dandelionhoistd print-defaults
 //	dandelionhoistd entry
 //	dandelionhoistd control
@@ -49,6 +50,8 @@
 	debug := run.Flag("debug", "Log details.").Bool()
 	check := app.Command("check-settings", "Check a settings file and exit.")
 	checkFile := check.Arg("settings", "Settings file.").Required().String()
+	checkPlatform := app.Command("check-platform-settings", "Check a settings file of the platform and exit.")
+	checkPlatformFile := checkPlatform.Arg("settings", "Settings file of the platform.").Required().String()
 	defaults := app.Command("print-defaults", "Print every setting with its unit and default.")
 	entry := app.Command("entry", "Serve clients on the platform until SIGTERM.")
 	control := app.Command("control", "Serve operators and backend servers on the platform until SIGTERM.")
@@ -61,6 +64,8 @@
 		err = serve(*runFile, *debug)
 	case check.FullCommand():
 		_, err = dhsetting.Load(*checkFile)
+	case checkPlatform.FullCommand():
+		_, err = platform.Load(*checkPlatformFile)
 	case defaults.FullCommand():
 		fmt.Print(dhsetting.Describe())
 	case entry.FullCommand():
--- a/cmd/dandelionhoistd/platform_test.go
+++ b/cmd/dandelionhoistd/platform_test.go
@@ -22,6 +22,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/assert/cmp"
 
 	"dandelionhoist.example/dh/dhgroup"
 	"dandelionhoist.example/dh/dhtimer"
@@ -433,3 +434,58 @@
 	assert.NilError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
 	assert.Equal(t, <-earlySignals, os.Signal(syscall.SIGHUP))
 }
+
+// Guards against a check that accepts what the roles refuse to start with.
+func TestCheckPlatformSettings(t *testing.T) {
+	check := func(text string) (string, error) {
+		command := exec.CommandContext(t.Context(), os.Args[0], "check-platform-settings", write(t, t.TempDir(), "boot.toml", text))
+		command.Env = append(os.Environ(), runMain+"=1")
+		out, err := command.CombinedOutput()
+		return string(out), err
+	}
+	const good = "NodeName = \"vm\"\nIp = \"10.0.0.1\"\nInternalPorts = [7340, 7349]\n"
+	out, err := check(good)
+	assert.NilError(t, err, out)
+	out, err = check(good + "[Bounds]\nGraceS = -1\n")
+	assert.Assert(t, err != nil)
+	assert.Assert(t, cmp.Contains(out, "Bounds.GraceS is -1"))
+}
+
+// Guards against a log that holds up traffic, or loses lines unsaid: its reader
+// stops while an entry VM answers far more requests than its log may tell of.
+func TestPlatformLogReaderStops(t *testing.T) {
+	const requests, callers = 4000, 8
+	f := newFleet(t, 1, 1)
+	f.until("the first configuration is acknowledged", func() bool {
+		status, _ := f.call(0, "POST", "Config.Replace", testConfiguration(3, `"key-1"`))
+		return status == http.StatusOK
+	})
+	f.addReplica("i-3", "app", "z0", "v1")
+	f.until("the pool serves", func() bool {
+		_, got := f.ask(t.Context(), 0, "GET", "/look/1", "key-1")
+		return got.status == http.StatusOK
+	})
+	entry := f.entries[0]
+	entry.mu.Lock() // the reader waits for it with each line
+	asking := dhgroup.New(t.Context())
+	for range callers {
+		asking.Go(func(ctx context.Context) error {
+			for range requests / callers {
+				if _, got := f.ask(ctx, 0, "GET", "/look/1", "key-1"); got.status != http.StatusOK {
+					return fmt.Errorf("status %d: %v", got.status, got.err)
+				}
+			}
+			return nil
+		})
+	}
+	err := asking.Wait()
+	entry.mu.Unlock()
+	assert.NilError(t, err)
+	f.until("the log says what was left out", func() bool {
+		f.ask(t.Context(), 0, "GET", "/look/1", "key-1")
+		entry.mu.Lock()
+		defer entry.mu.Unlock()
+		return strings.Contains(entry.log.String(), `msg="log lines left out"`)
+	})
+	f.stopAll()
+}
--- a/cmd/dandelionhoistd/settings_page_test.go
+++ b/cmd/dandelionhoistd/settings_page_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"dandelionhoist.example/dh/dhsetting"
+	"dandelionhoist.example/platform"
 )
 
 var updatePages = flag.Bool("update-pages", false, "Write docs/SETTINGS.md.")
@@ -20,9 +21,12 @@
 	"Settings that must be the same on all VMs of a deployment: `state.voters`, `peers.entry-vms`, the keys, `timing` and, within a zone, `peers.zone-slots`. `keys` files are read at the start; `listen.cert-file` and `listen.key-file` are read again when they change.\n\n" +
 	"This page is written by `go test ./cmd/dandelionhoistd -run TestSettingsPage -update-pages`; the test keeps it equal to package `dhsetting`.\n\n"
 
+const settingsOfPlatform = "\n## Settings of the platform\n\n" +
+	"The roles `entry` and `control` read the platform's settings file (TOML), which `DANDELIONHOIST_NODE_FILE` names, at the start, on SIGHUP and when it has changed; then `Seeds` take effect. `dandelionhoistd check-platform-settings FILE` checks one. Unknown fields are ignored, a number of 0 stands for its default. On the command line, `control --internal-listen IP:PORT` listens for other VMs on another address than they call, and `--source-ip IP` is where calls to other VMs leave from.\n\n"
+
 // Guards against a page that lacks a setting or names a wrong default.
 func TestSettingsPage(t *testing.T) {
-	want := settingsHead + "```jsonc\n" + dhsetting.Describe() + "```\n"
+	want := settingsHead + "```jsonc\n" + dhsetting.Describe() + "```\n" + settingsOfPlatform + platform.Describe()
 	if *updatePages {
 		assert.NilError(t, os.WriteFile(settingsPage, []byte(want), 0o600))
 	}
