Place requests by the prompts that others have yet to read

The median of the first event by the large model is 0.5 s, the 95th percentile 1.4 to 1.8 s: prompts are read one after the other, and the number of requests at a backend server does not tell how many it has yet to read.

Change: entry VMs report, beside running requests, the prompt tokens that those without a first event have yet to read, weighed by the cost of their models; placement adds the time for them.

--- a/dh/dhbackend/dhbackend.go
+++ b/dh/dhbackend/dhbackend.go
@@ -50,7 +50,10 @@
 	// Slots is how many requests it runs at once when ready; Running and
 	// Waiting are its last load report, ReportAge old when it was announced.
 	Slots, Running, Waiting int
-	ReportAge               time.Duration
+	// Reading is the number of prompt tokens that requests without a first token
+	// have yet to read there, weighed by the pace of their models.
+	Reading   int
+	ReportAge time.Duration
 	// ChecksFencing is set when orders with an old fencing token are refused.
 	ChecksFencing bool
 	// Incarnation grows with each restart, Sequence with each announcement.
@@ -141,14 +144,18 @@
 
 // WithLoad returns a copy of b with the load that all entry VMs together have
 // placed on it, known at now and measured age before.
-func (b *Backend) WithLoad(running int, now time.Time, age time.Duration) *Backend {
+func (b *Backend) WithLoad(load Load, now time.Time, age time.Duration) *Backend {
 	c := *b
-	c.Running, c.Waiting, c.Seen, c.ReportAge = running, 0, now, age
+	c.Running, c.Reading, c.Waiting, c.Seen, c.ReportAge = load.Running, load.Reading, 0, now, age
 	return &c
 }
 
+// Load is what entry VMs have placed on a backend server: requests, and the
+// weighed prompt tokens that those without a first token have yet to read.
+type Load struct{ Running, Reading int }
+
 // SetLoads applies the loads of all entry VMs, known at now and measured age before.
-func (t *Table) SetLoads(loads map[string]int, now time.Time, age time.Duration) {
+func (t *Table) SetLoads(loads map[string]Load, now time.Time, age time.Duration) {
 	for id, b := range t.rows {
 		t.rows[id] = b.WithLoad(loads[id], now, age)
 	}
--- a/dh/dhcontrol/entries.go
+++ b/dh/dhcontrol/entries.go
@@ -94,14 +94,14 @@
 func (e *entries) directLoads() []*dhpb.BackendLoad {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return loadList(e.sumDirect(make(map[string]int32)))
+	return e.sumDirect(make(loadSums)).list()
 }
 
-func (e *entries) sumDirect(sums map[string]int32) map[string]int32 {
+func (e *entries) sumDirect(sums loadSums) loadSums {
 	now := e.timers.Now()
 	for _, d := range e.direct {
 		if now.Sub(d.heard) <= loadValid {
-			addLoads(sums, d.loads)
+			sums.add(d.loads)
 		}
 	}
 	return sums
@@ -109,32 +109,41 @@
 
 // allLoads sums the loads of all entry VMs.
 func (e *entries) allLoads() []*dhpb.BackendLoad {
-	return loadList(e.loadSums())
+	return e.loadSums().list()
 }
 
-func (e *entries) loadSums() map[string]int32 {
+func (e *entries) loadSums() loadSums {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.timers.Now()
-	sums := e.sumDirect(make(map[string]int32))
+	sums := e.sumDirect(make(loadSums))
 	for _, r := range e.remote {
 		if now.Sub(r.heard) <= loadValid {
-			addLoads(sums, r.loads)
+			sums.add(r.loads)
 		}
 	}
 	return sums
 }
 
-func addLoads(sums map[string]int32, loads []*dhpb.BackendLoad) {
+// loadSums are loads by backend server.
+type loadSums map[string]*dhpb.BackendLoad
+
+func (s loadSums) add(loads []*dhpb.BackendLoad) {
 	for _, l := range loads {
-		sums[l.GetId()] += l.GetRunning()
+		sum := s[l.GetId()]
+		if sum == nil {
+			sum = &dhpb.BackendLoad{Id: l.GetId()}
+			s[l.GetId()] = sum
+		}
+		sum.Running += l.GetRunning()
+		sum.Reading += l.GetReading()
 	}
 }
 
-func loadList(sums map[string]int32) []*dhpb.BackendLoad {
-	list := make([]*dhpb.BackendLoad, 0, len(sums))
-	for id, n := range sums {
-		list = append(list, &dhpb.BackendLoad{Id: id, Running: n})
+func (s loadSums) list() []*dhpb.BackendLoad {
+	list := make([]*dhpb.BackendLoad, 0, len(s))
+	for _, sum := range s {
+		list = append(list, sum)
 	}
 	return list
 }
--- a/dh/dhcontrol/rollout.go
+++ b/dh/dhcontrol/rollout.go
@@ -165,7 +165,7 @@
 func (c *Control) oldIdle(r *dhpb.RolloutRecord) bool {
 	loads := c.entries.loadSums()
 	for _, b := range c.registry.Backends() {
-		if b.Pool == r.GetPool() && b.Release != r.GetTarget() && loads[b.ID] > 0 {
+		if b.Pool == r.GetPool() && b.Release != r.GetTarget() && loads[b.ID].GetRunning() > 0 {
 			return false
 		}
 	}
--- a/dh/dhentry/dhentry.go
+++ b/dh/dhentry/dhentry.go
@@ -118,7 +118,7 @@
 		PerWaiting: 200 * time.Millisecond, Spread: 1, Others: 1, OtherZone: 2 * time.Millisecond,
 		ReportHalfLife: time.Second, ColdFactor: 2, ColdBase: 100 * time.Millisecond,
 		PerFailure: time.Second, FailureHalfLife: 2 * time.Second, MaxBlocks: 2048,
-		LaneShare: 0.3, OffLane: 500 * time.Millisecond,
+		PerReadingToken: 160 * time.Microsecond, LaneShare: 0.3, OffLane: 500 * time.Millisecond,
 	}
 }
 
@@ -245,9 +245,9 @@
 	if u.GetComplete() {
 		e.table.Retain(func(id string) bool { return listed[id] })
 	}
-	loads := make(map[string]int, len(u.GetLoads()))
+	loads := make(map[string]dhbackend.Load, len(u.GetLoads()))
 	for _, l := range u.GetLoads() {
-		loads[l.GetId()] = int(l.GetRunning())
+		loads[l.GetId()] = dhbackend.Load{Running: int(l.GetRunning()), Reading: int(l.GetReading())}
 	}
 	e.table.SetLoads(loads, now, loadAge)
 }
@@ -340,8 +340,8 @@
 func (e *Entry) entryReport() *dhpb.EntryReport {
 	r := &dhpb.EntryReport{Counters: e.counts.counters(), Rates: e.rates()}
 	for _, b := range e.router.Snapshot().Backends.All() {
-		if n := e.placer.InFlight(b.ID); n > 0 {
-			r.Loads = append(r.Loads, &dhpb.BackendLoad{Id: b.ID, Running: int32(n)})
+		if l := e.placer.Load(b.ID); l.Running > 0 {
+			r.Loads = append(r.Loads, &dhpb.BackendLoad{Id: b.ID, Running: int32(l.Running), Reading: int32(l.Reading)})
 		}
 	}
 	return r
--- a/dh/dhmeasure/simulation.go
+++ b/dh/dhmeasure/simulation.go
@@ -245,7 +245,7 @@
 	c.placement = p
 	c.vm.inFlight[p.Backend.ID]++
 	if c.s.run.Policy >= NoAffinity {
-		c.vm.placer.Begin(p, c.request)
+		c.vm.placer.Begin(&c.placement, c.request)
 	}
 	c.s.placed++
 	c.latency = 0
--- a/dh/dhplacement/dhplacement.go
+++ b/dh/dhplacement/dhplacement.go
@@ -17,11 +17,13 @@
 //	placer := &dhplacement.Placer{Timers: timers, Zone: "mrc-a", Settings: dhplacement.Defaults()}
 //	placer.Update(view)
 //	p, err := placer.Place(view, dhplacement.Request{Pool: "atelier-llm", Version: v, Prefix: hashes, PromptTokens: n})
-//	placer.Begin(p)
+//	placer.Begin(&p, request)
+//	placer.FirstToken(p)
 //	defer placer.End(p, ok)
 package dhplacement
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"sync"
@@ -42,6 +44,9 @@
 	// PerSequence is the time that a running request adds to each token of the
 	// others, PerPrefillToken that of a prompt token outside the prefix cache.
 	PerSequence, PerPrefillToken time.Duration
+	// PerReadingToken is the time for which a request waits for each prompt token
+	// that others have yet to read, by the slowest model.
+	PerReadingToken time.Duration
 	// PerWaiting is the time for which one more request waits for a slot.
 	PerWaiting time.Duration
 	// Spread is the uncertainty of an estimated load in requests; waiting is
@@ -116,6 +121,9 @@
 	// it held it.
 	Shared       int
 	PromptTokens int
+	// Pace is how long the model reads a token against the slowest model of the
+	// pool, from 0 to 1; 0 stands for 1.
+	Pace float64
 	// Lane is the lane of the request's model.
 	Lane Lane
 	// MaxTokens is the limit of the answer; DefaultMaxTokens when it is 0.
@@ -153,6 +161,10 @@
 	Wait time.Duration
 
 	row *row
+	// unread is the number of weighed prompt tokens that the request has to read.
+	unread int64
+	// reading is unread from Begin to the first token, then 0.
+	reading *atomic.Int64
 }
 
 // Placer chooses backend servers for the requests of one entry VM. The
@@ -199,46 +211,59 @@
 	if c.best.Backend == nil {
 		return Placement{}, dhcode.Errorf(dhcode.NoBackend, "no usable backend server of pool %q has version %q", r.Pool, r.Version)
 	}
+	c.best.unread = int64(float64(c.uncached) * cmp.Or(r.Pace, 1))
 	return c.best, nil
 }
 
 // Begin counts a request that is sent to the backend server of a placement
 // and expects its prefix in that server's cache.
-func (p *Placer) Begin(pl Placement, r Request) {
+func (p *Placer) Begin(pl *Placement, r Request) {
 	pl.row.inFlight.Add(1)
+	pl.reading = new(atomic.Int64)
+	pl.reading.Store(pl.unread)
+	pl.row.reading.Add(pl.unread)
 	p.remember(pl.row, r.Prefix)
 }
 
+// FirstToken counts that a request has read its prompt. A request of which it is
+// not called counts as reading until its end.
+func (p *Placer) FirstToken(pl Placement) {
+	pl.row.reading.Add(-pl.reading.Swap(0))
+}
+
 // End counts the end of a request. ok is false when the backend server failed it.
 func (p *Placer) End(pl Placement, ok bool) {
 	pl.row.inFlight.Add(-1)
+	p.FirstToken(pl)
 	if !ok {
 		pl.row.fail(p.Timers.Now(), p.Settings.FailureHalfLife)
 	}
 }
 
-// InFlight returns the number of this entry VM's requests at a backend server.
-func (p *Placer) InFlight(backend string) int {
+// Load returns what this entry VM has placed on a backend server.
+func (p *Placer) Load(backend string) dhbackend.Load {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if row, ok := p.rows[backend]; ok {
-		return int(row.inFlight.Load())
+		return row.load()
 	}
-	return 0
+	return dhbackend.Load{}
 }
 
 // choice is the state of one decision.
 type choice struct {
-	p           *Placer
-	r           Request
-	pool        *pool
-	group       *group
-	now         time.Time
-	random      random
-	ramp        float64
-	tokens      int // expected length of the answer
-	best        Placement
-	bestScore   time.Duration
+	p         *Placer
+	r         Request
+	pool      *pool
+	group     *group
+	now       time.Time
+	random    random
+	ramp      float64
+	tokens    int // expected length of the answer
+	best      Placement
+	bestScore time.Duration
+	// uncached is the number of prompt tokens that the best candidate has to read.
+	uncached    int
 	refusedCold bool
 	// home is set while the home of the shared prefix is scored.
 	home bool
@@ -337,7 +362,8 @@
 	uncached := max(c.r.PromptTokens-cached, 0)
 	prefill := scale(time.Duration(uncached)*s.PerPrefillToken, 1+s.Others*running)
 	decode := scale(time.Duration(c.tokens)*s.PerSequence, (1+s.Others)*running)
-	score := wait + prefill + decode
+	reading := scale(s.PerReadingToken, cand.othersReading+float64(cand.row.reading.Load()))
+	score := wait + reading + prefill + decode
 	score += scale(s.PerFailure, cand.row.failures(c.now, s.FailureHalfLife))
 	if cold {
 		score = scale(score, s.ColdFactor) + s.ColdBase
@@ -351,6 +377,7 @@
 	if c.best.Backend == nil || score < c.bestScore {
 		c.bestScore = score
 		c.best = Placement{Backend: b, Cold: cold, CachedTokens: cached, Load: load, Wait: wait, row: cand.row}
+		c.uncached = uncached
 	}
 }
 
--- a/dh/dhplacement/dhplacement_test.go
+++ b/dh/dhplacement/dhplacement_test.go
@@ -115,7 +115,7 @@
 	for range 6 {
 		pl, err := f.Place(f.view, r)
 		assert.NilError(t, err)
-		f.Begin(pl, r)
+		f.Begin(&pl, r)
 	}
 	for range 20 {
 		f.timers.Step(100 * time.Millisecond)
@@ -204,7 +204,7 @@
 				if err != nil {
 					return err
 				}
-				f.Begin(pl, r)
+				f.Begin(&pl, r)
 				f.Observe("a1", &dhpb.CacheEvent{Sequence: uint64(i), PrefixHash: uint64(i), Removed: i%2 == 0})
 				f.End(pl, i%5 > 0)
 			}
@@ -212,7 +212,7 @@
 		})
 	}
 	assert.NilError(t, g.Wait())
-	assert.Equal(t, f.InFlight("a1")+f.InFlight("a2")+f.InFlight("b1"), 0)
+	assert.Equal(t, f.Load("a1").Running+f.Load("a2").Running+f.Load("b1").Running, 0)
 }
 
 // large returns a pool of 128 replicas with 19 versions.
@@ -259,7 +259,7 @@
 	assert.NilError(b, err)
 	b.ReportAllocs()
 	for b.Loop() {
-		f.Begin(pl, r)
+		f.Begin(&pl, r)
 		f.End(pl, true)
 	}
 }
--- a/dh/dhplacement/index.go
+++ b/dh/dhplacement/index.go
@@ -74,6 +74,8 @@
 	zone    int
 	lane    Lane
 	others  float64
+	// othersReading is what the requests of other entry VMs have yet to read.
+	othersReading float64
 }
 
 // Update prepares decisions on a view. The control goroutine calls it for each
@@ -126,12 +128,15 @@
 		candidates: make([]candidate, len(backends)), byID: make(map[string]*candidate, len(backends)),
 		groups: make(map[dhtable.Version]*group),
 	}
-	mean := 0.0
+	mean, meanReading := 0.0, 0.0
 	for i, b := range backends {
 		c := &po.candidates[i]
 		*c = candidate{backend: b, row: p.row(b, now), zone: po.zone(b.Zone, p.Zone)}
-		c.others = max(float64(b.Running+b.Waiting-c.row.inFlightAt(b.Seen.Add(-b.ReportAge))), 0)
+		own := c.row.loadAt(b.Seen.Add(-b.ReportAge))
+		c.others = max(float64(b.Running+b.Waiting-own.Running), 0)
+		c.othersReading = max(float64(b.Reading-own.Reading), 0)
 		mean += c.others / float64(len(backends))
+		meanReading += c.othersReading / float64(len(backends))
 		po.byID[b.ID] = c
 	}
 	for i := range po.candidates {
@@ -139,6 +144,7 @@
 		age := now.Sub(c.backend.Seen) + c.backend.ReportAge
 		weight := math.Exp2(-float64(age) / float64(max(p.Settings.ReportHalfLife, 1)))
 		c.others = weight*c.others + (1-weight)*mean
+		c.othersReading = weight*c.othersReading + (1-weight)*meanReading
 		for _, v := range c.backend.Versions {
 			g := po.groups[v]
 			if g == nil {
@@ -234,7 +240,9 @@
 	id       string
 	hash     uint64 // of the id
 	inFlight atomic.Int64
-	known    blockSet
+	// reading is the number of weighed prompt tokens that own requests have yet to read.
+	reading atomic.Int64
+	known   blockSet
 
 	// Guarded by Placer.mu.
 	present     bool
@@ -249,8 +257,8 @@
 }
 
 type sampleAt struct {
-	at       time.Time
-	inFlight int
+	at   time.Time
+	load dhbackend.Load
 }
 
 func (p *Placer) row(b *dhbackend.Backend, now time.Time) *row {
@@ -267,23 +275,27 @@
 	r.present = true
 	if now.Sub(r.history[r.newest].at) >= historyPeriod {
 		r.newest = (r.newest + 1) % historyLength
-		r.history[r.newest] = sampleAt{now, int(r.inFlight.Load())}
+		r.history[r.newest] = sampleAt{now, r.load()}
 	}
 	return r
 }
 
-// inFlightAt returns the own requests at a time, from the newest sample before it.
-func (r *row) inFlightAt(at time.Time) int {
+func (r *row) load() dhbackend.Load {
+	return dhbackend.Load{Running: int(r.inFlight.Load()), Reading: int(r.reading.Load())}
+}
+
+// loadAt returns the own load at a time, from the newest sample before it.
+func (r *row) loadAt(at time.Time) dhbackend.Load {
 	for i := range historyLength {
 		s := r.history[(r.newest-i+historyLength)%historyLength]
 		if s.at.IsZero() {
 			break
 		}
 		if !s.at.After(at) {
-			return s.inFlight
+			return s.load
 		}
 	}
-	return 0
+	return dhbackend.Load{}
 }
 
 func (r *row) fail(now time.Time, halfLife time.Duration) {
--- a/dh/dhrouter/deliver.go
+++ b/dh/dhrouter/deliver.go
@@ -107,7 +107,7 @@
 		id := p.Backend.ID
 		release, ok := r.Credits.Acquire(id)
 		if ok && r.Breakers.Begin(id) {
-			r.Placer.Begin(p, req)
+			r.Placer.Begin(&p, req)
 			return place{Placement: p, done: func(err error) {
 				release()
 				r.Placer.End(p, err == nil)
--- a/dh/dhrouter/dhrouter.go
+++ b/dh/dhrouter/dhrouter.go
@@ -51,7 +51,8 @@
 // Placer chooses a backend server and counts what runs there.
 type Placer interface {
 	Place(view *dhbackend.View, req dhplacement.Request) (dhplacement.Placement, error)
-	Begin(p dhplacement.Placement, req dhplacement.Request)
+	Begin(p *dhplacement.Placement, req dhplacement.Request)
+	FirstToken(p dhplacement.Placement)
 	End(p dhplacement.Placement, ok bool)
 }
 
--- a/dh/dhrouter/forward.go
+++ b/dh/dhrouter/forward.go
@@ -258,7 +258,7 @@
 	on := f.onTarget(rollout)
 	return dhplacement.Request{
 		Pool: f.poolName, Version: version, Prefix: f.prefix, PrefixTokens: f.prefixTokens,
-		Shared: max(len(f.prefix)-1, 0), Lane: f.lane(), PromptTokens: f.message.PromptTokens, MaxTokens: f.message.MaxTokens, ZoneWeights: s.ZoneWeight,
+		Shared: max(len(f.prefix)-1, 0), Lane: f.lane(), Pace: f.pace(s.Tables.Pools[f.poolName]), PromptTokens: f.message.PromptTokens, MaxTokens: f.message.MaxTokens, ZoneWeights: s.ZoneWeight,
 		Exclude: f.tried, Credit: f.router.Credits.Available,
 		Permit: func(b *dhbackend.Backend) bool {
 			return rollout.Permits(b.Release, on) && (f.repeatable() || f.router.Breakers.Closed(b.ID))
@@ -278,6 +278,19 @@
 	return rollout.OnTarget(f.poolName, f.session)
 }
 
+// pace returns how long the request's model reads a token against the route's
+// slowest: a model that costs less reads as much faster.
+func (f *forward) pace(p dhtable.Pool) float64 {
+	most := 0.0
+	for _, name := range f.route.Cascade {
+		most = max(most, p.Models[name].CostPer1000Tokens)
+	}
+	if cost := p.Models[f.model].CostPer1000Tokens; cost > 0 && cost < most {
+		return cost / most
+	}
+	return 1
+}
+
 // lane returns where the request's model runs beside models of its pace.
 func (f *forward) lane() dhplacement.Lane {
 	switch n := len(f.route.Cascade); {
