--- a/dh/dhentry/dhentry.go
+++ b/dh/dhentry/dhentry.go
@@ -118,7 +118,7 @@
 		PerWaiting: 200 * time.Millisecond, Spread: 1, Others: 1, OtherZone: 2 * time.Millisecond,
 		ReportHalfLife: time.Second, ColdFactor: 2, ColdBase: 100 * time.Millisecond,
 		PerFailure: time.Second, FailureHalfLife: 2 * time.Second, MaxBlocks: 2048,
-		PerReadingToken: 160 * time.Microsecond, LaneShare: 0.3, OffLane: 500 * time.Millisecond,
+		PerReadingToken: 160 * time.Microsecond, LaneShare: 0.3, OffLane: 2 * time.Second,
 	}
 }
 
