--- a/cmd/dandelionhoist-soak/main.go
+++ b/cmd/dandelionhoist-soak/main.go
@@ -50,7 +50,7 @@
 	app.Flag("parallel", "Seeds that run at the same time.").Default("1").IntVar(&o.parallel)
 	app.Flag("storm", "Time in which faults strike.").Default("10s").DurationVar(&o.storm)
 	app.Flag("recovery", "Time to serve again after the storm.").Default("6s").DurationVar(&o.recovery)
-	app.Flag("calm", "Time without faults, in which all checks apply.").Default("8s").DurationVar(&o.calm)
+	app.Flag("calm", "Time without faults, in which all checks apply.").Default("10s").DurationVar(&o.calm)
 	app.Flag("controls", "Number of control VMs; 0 draws it.").Default("0").IntVar(&o.size.Controls)
 	app.Flag("entries", "Number of entry VMs; 0 draws it.").Default("0").IntVar(&o.size.Entries)
 	app.Flag("backends", "Number of backend servers; 0 draws it.").Default("0").IntVar(&o.size.Backends)
--- a/cmd/dandelionhoist-soak/main_test.go
+++ b/cmd/dandelionhoist-soak/main_test.go
@@ -48,7 +48,7 @@
 	for _, seed := range append([]uint64{1}, regressions(t)...) {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 			o, err := parse([]string{
-				"--program", daemon, "--folder", t.TempDir(), "--first-seed", strconv.FormatUint(seed, 10), "--storm", "6s", "--recovery", "5s", "--calm", "6s",
+				"--program", daemon, "--folder", t.TempDir(), "--first-seed", strconv.FormatUint(seed, 10), "--storm", "6s", "--recovery", "5s", "--calm", "9s",
 			})
 			assert.NilError(t, err)
 			var out, logs bytes.Buffer
