Skip more backend servers that cannot be reached

One that is gone answers nothing, so its load falls to zero and placement prefers it until its breaker opens.

Change: 12 are skipped. TestForwardSkipsBackendsThatAreGone fails before (9 servers gone).

--- a/dh/dhrouter/forward.go
+++ b/dh/dhrouter/forward.go
@@ -24,8 +24,10 @@
 	// on only when it is whole.
 	maxPlainBytes = 8 << 20
 	// unsentTries is how many backend servers that could not be reached are
-	// skipped; nothing was sent to them, so they are no attempts.
-	unsentTries = 3
+	// skipped; nothing was sent to them, so they are no attempts. Those that
+	// crashed refuse connections within milliseconds and look idle, so that
+	// placement prefers them; 3 let requests fail while others were free.
+	unsentTries = 12
 	// minRetryAfter and spreadRetryAfter are the least time after which a
 	// refused caller returns, and the random time added to it so that callers
 	// do not return together. Backend servers free places within some hundred
--- a/dh/dhrouter/forward_test.go
+++ b/dh/dhrouter/forward_test.go
@@ -376,3 +376,39 @@
 		assert.Equal(t, len(f.passer.sent), 1)
 	})
 }
+
+// Answers the pattern of a crash of many backend servers at once: those that
+// refuse connections look idle, so that placement prefers them until each has
+// been tried, and requests were refused although others could serve them.
+func TestForwardSkipsBackendsThatAreGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const gone = 9
+		var answers []func(context.Context, *Outbound) (*Inbound, error)
+		for range gone {
+			answers = append(answers, fails(dhcode.NotRun))
+		}
+		f := newForwarder(t, append(answers, reply(200, text("served")))...)
+		f.addBackends(t, gone)
+		w, _, err := f.ask(t, "order")
+		assert.NilError(t, err)
+		assert.Equal(t, w.Body.String(), "served")
+		assert.Equal(t, len(f.passer.sent), gone+1)
+	})
+}
+
+// addBackends adds backend servers to the pool.
+func (f *forwarder) addBackends(t *testing.T, n int) {
+	t.Helper()
+	var table dhbackend.Table
+	table.Lease, table.MaxBackends = time.Hour, n+8
+	for _, b := range f.Snapshot().Backends.All() {
+		assert.NilError(t, table.Announce(b))
+	}
+	for i := range n {
+		assert.NilError(t, table.Announce(&dhbackend.Backend{
+			ID: fmt.Sprint("c", i), Address: "10.0.0.1:80", Zone: "a", Pool: "p", Release: "v1", State: dhbackend.Ready, Slots: 4,
+			Versions: []dhtable.Version{{}}, Seen: f.timers.Now(),
+		}))
+	}
+	f.Publish(&Snapshot{Tables: testTables(), Backends: table.View(f.timers.Now())})
+}
