--- a/dh/dhentry/dhentry.go
+++ b/dh/dhentry/dhentry.go
@@ -83,9 +83,9 @@
 	operations *dhpb.Operations
 	// returned holds when zones that were out were taken back.
 	returned map[string]time.Time
-	vms        int
-	document   atomic.Uint64
-	number     atomic.Uint64
+	vms      int
+	document atomic.Uint64
+	number   atomic.Uint64
 }
 
 const (
