Move the soak to its program; write the platform's messages in platform only

The package is now cmd/dandelionhoist-soak/dhsoak, in the module of its program; platform/encode.go writes configurations, announcements and rollouts from our types, the inverse of what the roles read (TestEncodedMessagesAreRead).

--- a/platform/dhsoak/backend.go
+++ b/cmd/dandelionhoist-soak/dhsoak/backend.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -16,6 +15,10 @@
 	"syscall"
 	"time"
 
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"dandelionhoist.example/dh/dhbackend"
+	"dandelionhoist.example/dh/dhpb"
 	"dandelionhoist.example/dh/dhtimer"
 	"dandelionhoist.example/platform"
 )
@@ -197,12 +200,13 @@
 	}
 	_ = dhtimer.Sleep(ctx, b.deployment.soak.Timers, drainBound+time.Second) // the run ends the server
 	b.mu.Lock()
-	body, err := json.Marshal(map[string]int64{"born": b.born.UnixMilli()})
+	born := uint64(b.born.UnixMilli())
 	b.mu.Unlock()
+	path, body, err := platform.EncodeLeave(id, born)
 	if err != nil {
-		panic(err) // only numbers
+		panic(err) // only a number
 	}
-	b.call(ctx, platform.PathDeregister+id, body)
+	b.call(ctx, path, body)
 }
 
 // announceAll announces until the run ends.
@@ -224,26 +228,25 @@
 func (b *backend) announce(ctx context.Context) bool {
 	b.mu.Lock()
 	b.sequence++
-	sequence, born := uint64(b.sequence), uint64(b.born.UnixMilli())
-	h := platform.Heartbeat{
-		Service: b.pool, Address: address(b.ip, portBackend), Zone: b.zone, Version: b.version, Slots: engineSlots, State: platform.StateReady,
-		ColdLeftMs: max(0, float64(b.coldTill.Sub(b.deployment.soak.Timers.Now()).Milliseconds())), Sequence: &sequence, Born: &born,
+	r := &dhpb.BackendRecord{
+		Id: b.id, Pool: b.pool, Address: address(b.ip, portBackend), Zone: b.zone, Release: b.version, Slots: engineSlots,
+		State: dhbackend.Ready.String(), ColdFor: durationpb.New(max(0, b.coldTill.Sub(b.deployment.soak.Timers.Now()))),
+		Sequence: uint64(b.sequence), Incarnation: uint64(b.born.UnixMilli()),
 	}
 	if b.leaving {
-		h.State = platform.StateDraining
+		r.State = dhbackend.Leaving.String()
 	}
 	if b.pool == poolEngine {
 		for _, m := range models {
-			h.Models = append(h.Models, platform.Model{Name: m})
+			r.Versions = append(r.Versions, &dhpb.LoadedVersion{Model: m})
 		}
 	}
-	id := b.id
 	b.mu.Unlock()
-	body, err := json.Marshal(h)
+	path, body, err := platform.EncodeAnnouncement(r)
 	if err != nil {
 		panic(err) // only strings and numbers
 	}
-	return b.call(ctx, platform.PathHeartbeat+id, body)
+	return b.call(ctx, path, body)
 }
 
 // call sends a call to some control VM from the backend server's IP.
--- a/platform/dhsoak/deployment.go
+++ b/cmd/dandelionhoist-soak/dhsoak/deployment.go
@@ -65,6 +65,15 @@
 	return netip.AddrFrom4([4]byte{b[0], b[1], b[2] + byte(block), byte(1 + i)}).String()
 }
 
+// Free reports why a block of addresses cannot be used: another program listens there.
+func Free(block netip.Addr) error {
+	listener, err := net.Listen("tcp", address(block.Next().String(), portControl))
+	if err != nil {
+		return err
+	}
+	return listener.Close()
+}
+
 // start starts processes, backend servers and the balancer.
 func (d *deployment) start() error {
 	d.ready = make(map[*vm]bool)
--- a/platform/dhsoak/fault.go
+++ b/cmd/dandelionhoist-soak/dhsoak/fault.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-//go:generate ../../bin/stringer -type=faultKind,conduct -linecomment -output=enum_string.go
+//go:generate ../../../bin/stringer -type=faultKind,conduct -linecomment -output=enum_string.go
 
 // faultKind is what a fault does.
 type faultKind int
--- a/platform/dhsoak/operator.go
+++ b/cmd/dandelionhoist-soak/dhsoak/operator.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -11,6 +10,7 @@
 	"time"
 
 	"dandelionhoist.example/dh/dhgroup"
+	"dandelionhoist.example/dh/dhtable"
 	"dandelionhoist.example/dh/dhtimer"
 	"dandelionhoist.example/platform"
 )
@@ -113,20 +113,15 @@
 	version := o.version
 	extra := &routeInfo{name: fmt.Sprintf("extra-%d", version), pool: poolPlain, models: []string{""}, repeatable: true, attempts: 2}
 	s := sentConfiguration{valid: o.random.Float64() >= invalidPart || previous == 0, keys: []string{keyAlways, keyOf(version), keyOf(previous)}}
-	c := platform.Configuration{Version: &version, Tenants: []platform.Tenant{{Name: accountName, APIKeys: s.keys}}}
-	c.Limits.MaxBodyBytes = 1 << 20
+	var list []dhtable.Route
 	for _, r := range append([]*routeInfo{extra}, routes...) {
 		s.routes = append(s.routes, r.name)
-		c.Routes = append(c.Routes, r.configured())
+		list = append(list, r.configured())
 	}
 	if !s.valid {
-		c.Routes[0].Service = "unknown"
+		list[0].Pool = "unknown"
 	}
-	c.Services = []platform.Service{
-		{Name: poolEngine, MaxConns: 400, ColdStartS: coldFor.Seconds(), ColdPerS: coldPerSecond, Engine: &platform.Engine{Models: []platform.Model{{Name: models[0], Cost: 0.1}, {Name: models[1], Cost: 0.2}}}},
-		{Name: poolPlain, MaxConns: 400, ColdStartS: coldFor.Seconds(), ColdPerS: coldPerSecond},
-	}
-	text, err := json.Marshal(c)
+	text, err := platform.EncodeConfiguration(version, map[string][]string{accountName: s.keys}, list, configuredPools())
 	if err != nil {
 		panic(err) // only strings and numbers
 	}
@@ -138,18 +133,29 @@
 	return version, s
 }
 
-func (r *routeInfo) configured() platform.Route {
-	c := platform.Route{
-		Name: r.name, Host: hostName, PathPrefix: r.prefix(), RouteKind: platform.KindNonIdempotent, Service: r.pool,
-		TimeoutMs: float64(callerDeadline.Milliseconds()), SloMs: 1000, MaxAttempts: r.attempts,
+func (r *routeInfo) configured() dhtable.Route {
+	const (
+		objective = time.Second
+		pause     = 500 * time.Millisecond
+	)
+	t := dhtable.Route{
+		Name: r.name, Pool: r.pool, Deadline: callerDeadline, Repeatable: r.repeatable && !r.stream,
+		Passing: dhtable.Passing{Match: dhtable.Match{Host: hostName, PathPrefix: r.prefix()}, MaxAttempts: r.attempts, Objective: objective},
 	}
-	switch {
-	case r.stream:
-		c.RouteKind, c.Sizes, c.Resumable, c.ItlTargetMs = platform.KindStreaming, r.models, r.repeatable, 500
-	case r.repeatable:
-		c.RouteKind = platform.KindIdempotent
+	if r.stream {
+		t.Cascade, t.Stream, t.Resumable, t.Pause = r.models, true, r.repeatable, pause
+	}
+	return t
+}
+
+// configuredPools returns the two pools with their bound of cold starts.
+func configuredPools() []dhtable.Pool {
+	const maxConnections = 400
+	traits := dhtable.Traits{MaxConnections: maxConnections, ColdFor: coldFor, ColdPerSecond: coldPerSecond}
+	costs := map[string]dhtable.Model{models[0]: {CostPer1000Tokens: 0.1}, models[1]: {CostPer1000Tokens: 0.2}}
+	return []dhtable.Pool{
+		{Name: poolEngine, Kind: dhtable.Engine, Models: costs, Traits: traits}, {Name: poolPlain, Kind: dhtable.Service, Traits: traits},
 	}
-	return c
 }
 
 // otherRoute returns the route of a recent configuration.
@@ -288,12 +294,12 @@
 	if status != http.StatusOK {
 		return false
 	}
-	var c struct{ Version uint64 }
-	if err := json.Unmarshal([]byte(text), &c); err != nil {
+	version, err := platform.VersionOf([]byte(text))
+	if err != nil {
 		o.deployment.judge.Broken("config", "%s tells a configuration that cannot be read: %v", v.name, err)
 		return false
 	}
-	o.deployment.judge.ReadBack(c.Version, text, v.name, sentAt)
+	o.deployment.judge.ReadBack(version, text, v.name, sentAt)
 	return true
 }
 
--- a/platform/dhsoak/rollout.go
+++ b/cmd/dandelionhoist-soak/dhsoak/rollout.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"time"
 
+	"dandelionhoist.example/dh/dhpb"
 	"dandelionhoist.example/dh/dhtimer"
 	"dandelionhoist.example/platform"
 )
@@ -49,7 +49,7 @@
 		}
 		list = append(list, b)
 	}
-	body, err := json.Marshal(map[string]any{"Service": poolEngine, "Target": versionNew, "DurationS": rolloutTime.Seconds()})
+	body, err := platform.EncodeRollout(poolEngine, versionNew, rolloutTime)
 	if err != nil {
 		panic(err) // only strings and a number
 	}
@@ -66,7 +66,7 @@
 		sentAt := d.soak.Timers.Now()
 		status, text := o.call(limited, v, http.MethodGet, platform.PathReadRollout+poolEngine, nil)
 		state, ended := d.judge.RolloutRead(v.name, sentAt, status, text)
-		if state == platform.RolloutReverted {
+		if state == dhpb.RolloutState_ROLLOUT_STATE_REVERTED {
 			for _, b := range list {
 				b.crash()
 			}
@@ -92,24 +92,24 @@
 
 // RolloutRead records the state of the rollout that a control VM tells to a call
 // sent at a time. It returns the state, and whether the rollout has ended.
-func (j *Judge) RolloutRead(vm string, sentAt time.Time, status int, text string) (state string, ended bool) {
+func (j *Judge) RolloutRead(vm string, sentAt time.Time, status int, text string) (state dhpb.RolloutState, ended bool) {
 	defer j.lock()()
 	switch {
 	case status == http.StatusNotFound && sentAt.Sub(j.rollout.acknowledged) > applyBound:
 		j.violate("rollout", "%s does not know the rollout that was acknowledged", vm)
-		return "", true
+		return 0, true
 	case status != http.StatusOK:
-		return "", false
+		return 0, false
 	}
-	var told struct{ State, Target string }
-	if err := json.Unmarshal([]byte(text), &told); err != nil || told.Target != versionNew {
+	state, target, err := platform.DecodeRollout([]byte(text))
+	if err != nil || target != versionNew {
 		j.violate("rollout", "%s tells %q of the rollout to %s", vm, text, versionNew)
-		return "", true
+		return 0, true
 	}
-	if told.State == platform.RolloutCompleted && j.rollout.bad {
+	if state == dhpb.RolloutState_ROLLOUT_STATE_COMPLETED && j.rollout.bad {
 		j.violate("rollout", "%s tells that the rollout of a bad version is completed", vm)
 	}
-	return told.State, told.State != platform.RolloutInProgress
+	return state, state != dhpb.RolloutState_ROLLOUT_STATE_TRIAL
 }
 
 // countBad counts the bad answers of the new version.
--- a/cmd/dandelionhoist-soak/main.go
+++ b/cmd/dandelionhoist-soak/main.go
@@ -24,9 +24,9 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
+	"dandelionhoist.example/cmd/dandelionhoist-soak/dhsoak"
 	"dandelionhoist.example/dh/dhgroup"
 	"dandelionhoist.example/dh/dhtimer"
-	"dandelionhoist.example/platform/dhsoak"
 )
 
 // options are the flags of the program.
@@ -152,9 +152,13 @@
 	if err := os.MkdirAll(folder, 0o755); err != nil {
 		return dhsoak.Report{}, err
 	}
+	addresses, err := network(os.Getpid(), place)
+	if err != nil {
+		return dhsoak.Report{}, err
+	}
 	soak := &dhsoak.Soak{
 		Program: o.program, Folder: folder, Seed: seed, Storm: o.storm, Recovery: o.recovery, Calm: o.calm, Size: o.size,
-		Network: network(os.Getpid(), place), Timers: dhtimer.NewSystem(), Log: log,
+		Network: addresses, Timers: dhtimer.NewSystem(), Log: log,
 	}
 	report, err := soak.Run(ctx)
 	if err == nil && len(report.Violations) == 0 {
@@ -163,9 +167,19 @@
 	return report, err
 }
 
-// network returns the loopback addresses of a run: each process and each run of
-// it uses others.
-func network(pid, place int) netip.Addr {
-	const first = 64 // below are the addresses of other tests
-	return netip.AddrFrom4([4]byte{127, byte(first + pid%128), byte(place * 4), 0})
+// network returns the loopback addresses of a run: the first block, from one that
+// depends on the process, that no other program uses.
+func network(pid, place int) (netip.Addr, error) {
+	const (
+		first  = 64 // below are the addresses of other tests
+		blocks = 128
+	)
+	var err error
+	for i := range blocks {
+		block := netip.AddrFrom4([4]byte{127, byte(first + (pid+i)%blocks), byte(place * 4), 0})
+		if err = dhsoak.Free(block); err == nil {
+			return block, nil
+		}
+	}
+	return netip.Addr{}, err
 }
