--- a/cmd/dandelionhoist-soak/dhsoak/deployment.go
+++ b/cmd/dandelionhoist-soak/dhsoak/deployment.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -65,6 +66,9 @@
 	return netip.AddrFrom4([4]byte{b[0], b[1], b[2] + byte(block), byte(1 + i)}).String()
 }
 
+// vms returns the control VMs and then the entry VMs.
+func (d *deployment) vms() []*vm { return slices.Concat(d.controls, d.entries) }
+
 // Free reports why a block of addresses cannot be used: another program listens there.
 func Free(block netip.Addr) error {
 	listener, err := net.Listen("tcp", address(block.Next().String(), portControl))
@@ -92,7 +96,7 @@
 		v.settings = filepath.Join(d.soak.Folder, v.name+".toml")
 		d.network.name(v.hidden, v.name)
 	}
-	for i, v := range append(d.controls, d.entries...) {
+	for i, v := range d.vms() {
 		if err := d.writeSettings(v, i, true, 0); err != nil {
 			return err
 		}
@@ -218,7 +222,7 @@
 		defer d.network.cut(links...)()
 		wait()
 	}
-	someone := append(append([]*vm{}, d.controls...), d.entries...)[f.target%(len(d.controls)+len(d.entries))]
+	someone := d.vms()[f.target%(len(d.controls)+len(d.entries))]
 	switch f.kind {
 	case killEntry:
 		down(entry)
@@ -323,7 +327,7 @@
 // someoneElse returns the VM with a name, or all VMs for a backend server, whose
 // connections are those of everyone.
 func someoneElse(d *deployment, name string) []*vm {
-	all := append(append([]*vm{}, d.controls...), d.entries...)
+	all := d.vms()
 	for _, v := range all {
 		if v.name == name {
 			return []*vm{v}
@@ -348,7 +352,7 @@
 
 // reload names other seeds to all VMs and tells them by SIGHUP.
 func (d *deployment) reload(firstSeed int) {
-	for i, v := range append(append([]*vm{}, d.controls...), d.entries...) {
+	for i, v := range d.vms() {
 		if err := d.writeSettings(v, i, false, firstSeed); err != nil {
 			d.judge.Broken("soak", "settings of %s: %v", v.name, err)
 		}
@@ -375,7 +379,7 @@
 
 // mend brings back what the storm has left down.
 func (d *deployment) mend() {
-	for _, v := range append(append([]*vm{}, d.controls...), d.entries...) {
+	for _, v := range d.vms() {
 		v.mu.Lock()
 		if v.process == nil {
 			v.restart()
@@ -406,7 +410,7 @@
 
 // end ends all processes. Backend servers end with the group.
 func (d *deployment) end() {
-	for _, v := range append(append([]*vm{}, d.controls...), d.entries...) {
+	for _, v := range d.vms() {
 		v.end()
 	}
 }
