Keep a version in doubt in its trial

Change: while the evidence is above log(10), sessions do not move; a version still in doubt when the rollout has to end is withdrawn.

--- a/dh/dhcontrol/cluster_test.go
+++ b/dh/dhcontrol/cluster_test.go
@@ -361,9 +361,19 @@
 	})
 }
 
-// rollout announces servers of two versions, starts a rollout and reports
-// answers of the target, of which bad in a hundred are failures, until it ends.
-func rollout(c *cluster, bad int64) dhpb.RolloutState {
+// answers are the cumulated answers of a rollout's target.
+type answers struct{ all, bad int64 }
+
+// badFrom makes one answer of the target a step, of which bad in a hundred are
+// failures from a step on.
+func badFrom(first, bad int64) func(step int64) answers {
+	return func(step int64) answers { return answers{step, max(step-first, 0) * bad / 100} }
+}
+
+// rollout announces servers of two versions, starts a rollout, reports answers
+// of the target until it ends and returns its states. The other version
+// answers nine times as often, with a failure in 180.
+func rollout(c *cluster, target func(step int64) answers) []dhpb.RolloutState {
 	c.within(3*time.Second, "the first document", func() bool { return c.replace("c0", 5) == nil })
 	release := func(v string) func(r *dhpb.BackendRecord) { return func(r *dhpb.BackendRecord) { r.Release = v } }
 	assert.NilError(c.t, c.call(func(ctx context.Context) error {
@@ -377,20 +387,23 @@
 		return r
 	}
 	watcher := c.network.Start("watcher", nil)
-	var answers int64
-	for i := range uint64(120) {
-		if i%10 == 0 {
-			c.announce("c0", "b1", "ready", i+1, release("v1"))
-			c.announce("c0", "b2", "ready", i+1, release("v2"))
+	var states []dhpb.RolloutState
+	for step := range int64(120) {
+		if step%10 == 0 {
+			c.announce("c0", "b1", "ready", uint64(step)+1, release("v1"))
+			c.announce("c0", "b2", "ready", uint64(step)+1, release("v2"))
 		}
 		r := state()
+		if len(states) == 0 || states[len(states)-1] != r.GetState() {
+			states = append(states, r.GetState())
+		}
 		if r.GetState() >= dhpb.RolloutState_ROLLOUT_STATE_COMPLETED {
-			return r.GetState()
+			break
 		}
-		answers++
+		t := target(step + 1)
 		counters := []*dhpb.VersionCounter{
-			{Pool: "p", Version: "v1", RolloutRevision: r.GetNumber(), Answers: 9 * answers, Bad: answers / 20},
-			{Pool: "p", Version: "v2", RolloutRevision: r.GetNumber(), Answers: answers, Bad: answers * bad / 100},
+			{Pool: "p", Version: "v1", RolloutRevision: r.GetNumber(), Answers: 9 * (step + 1), Bad: (step + 1) / 20},
+			{Pool: "p", Version: "v2", RolloutRevision: r.GetNumber(), Answers: t.all, Bad: t.bad},
 		}
 		err := c.call(func(ctx context.Context) error {
 			_, err := peers{watcher}.Watch(ctx, "c0", &dhpb.ControlWatchRequest{Vm: "watcher", Report: &dhpb.EntryReport{Counters: counters}})
@@ -399,23 +412,42 @@
 		assert.NilError(c.t, err)
 		c.step(90 * time.Millisecond)
 	}
-	return state().GetState()
+	return states
 }
 
 // Guards against a bad version that stays, and a good one that is withdrawn or
 // not brought in within the time of the order.
 func TestRolloutsEnd(t *testing.T) {
 	run(t, func(c *cluster) {
-		assert.Equal(t, rollout(c, 0), dhpb.RolloutState_ROLLOUT_STATE_COMPLETED)
+		assert.DeepEqual(t, rollout(c, badFrom(0, 0)), []dhpb.RolloutState{
+			dhpb.RolloutState_ROLLOUT_STATE_TRIAL, dhpb.RolloutState_ROLLOUT_STATE_SHIFT, dhpb.RolloutState_ROLLOUT_STATE_COMPLETED,
+		})
 	})
 	run(t, func(c *cluster) {
-		assert.Equal(t, rollout(c, 50), dhpb.RolloutState_ROLLOUT_STATE_REVERTED)
+		assert.DeepEqual(t, rollout(c, badFrom(0, 50)), []dhpb.RolloutState{
+			dhpb.RolloutState_ROLLOUT_STATE_TRIAL, dhpb.RolloutState_ROLLOUT_STATE_REVERTED,
+		})
 		// The same order again is the known rollout.
 		err := c.call(func(ctx context.Context) error { return c.controls["c0"].StartRollout(ctx, "p", "v2", 12*time.Second) })
 		assert.NilError(t, err)
 	})
 }
 
+// Guards against all sessions moving to a version that turned bad shortly before
+// the end of its trial (found at soojus-tallinn, frozen-and-revoked --vary
+// --seed 229070701627: EXPOSURE).
+func TestDoubtfulVersionStaysInItsTrial(t *testing.T) {
+	run(t, func(c *cluster) {
+		late := func(step int64) answers {
+			all := min(step/4, 19)
+			return answers{all, max(all-15, 0)}
+		}
+		assert.DeepEqual(t, rollout(c, late), []dhpb.RolloutState{
+			dhpb.RolloutState_ROLLOUT_STATE_TRIAL, dhpb.RolloutState_ROLLOUT_STATE_REVERTED,
+		})
+	})
+}
+
 // Guards against sessions that are sent to the target of a rollout before it
 // has a backend server, where they were refused (found at stmaurice-coupe,
 // inc-ae48), and against more of them than its backend servers' part.
--- a/dh/dhcontrol/rollout.go
+++ b/dh/dhcontrol/rollout.go
@@ -27,6 +27,11 @@
 	// share of the sessions uses the target: sessions must stay on their
 	// version in the first half, and a version that turns bad late shows within.
 	trialPart = 0.6
+	// doubtAlarms is the probability with which a version that is no worse is
+	// kept in its trial for a while. A version that turns bad late has had few
+	// bad answers when its trial ends; moving all sessions to it then exposed
+	// 154 requests (found at soojus-tallinn, frozen-and-revoked).
+	doubtAlarms = 0.1
 	// minTrialAnswers is how many answers of the target are wanted before all
 	// sessions move to it; after lateTrialPart of the duration none are.
 	minTrialAnswers = 30
@@ -134,11 +139,7 @@
 	duration := r.GetDuration().AsDuration()
 	part := float64(elapsed(r, t, now)) / float64(max(duration, 1))
 	if state == dhpb.RolloutState_ROLLOUT_STATE_TRIAL {
-		enough := target.Answers >= minTrialAnswers || part >= lateTrialPart
-		if part >= trialPart && enough && c.targetReady(r) {
-			return dhpb.RolloutState_ROLLOUT_STATE_SHIFT
-		}
-		return state
+		return c.afterTrial(r, part, evidence, target)
 	}
 	if now.Sub(t.shifted) >= minShift && (part >= endPart || c.oldIdle(r)) {
 		return dhpb.RolloutState_ROLLOUT_STATE_COMPLETED
@@ -146,6 +147,21 @@
 	return state
 }
 
+// afterTrial returns the state that follows a trial after a part of the
+// rollout's duration. A version in doubt stays in its trial, and is withdrawn
+// if it is still in doubt when the rollout has to end.
+func (c *Control) afterTrial(r *dhpb.RolloutRecord, part, evidence float64, target dhversion.Counts) dhpb.RolloutState {
+	doubtful := evidence >= math.Log(1/doubtAlarms)
+	enough := target.Answers >= minTrialAnswers || part >= lateTrialPart
+	switch {
+	case doubtful && part >= endPart:
+		return dhpb.RolloutState_ROLLOUT_STATE_REVERTED
+	case part >= trialPart && enough && !doubtful && c.targetReady(r):
+		return dhpb.RolloutState_ROLLOUT_STATE_SHIFT
+	}
+	return r.GetState()
+}
+
 // targetReady reports whether the target has enough warm backend servers.
 func (c *Control) targetReady(r *dhpb.RolloutRecord) bool {
 	old, target := 0, 0
