Skip backend servers whose address another one has

Cause: a backend server that crashes and starts again under a new id answers sends to the old id with 421. Change: such a send is no attempt; the id is skipped and its breaker opens. It is still paid from the retry budget, since the other backend server has got it.

--- a/dh/dhrouter/forward.go
+++ b/dh/dhrouter/forward.go
@@ -23,8 +23,8 @@
 	// maxPlainBytes bounds an answer that is not a stream, since it is passed
 	// on only when it is whole.
 	maxPlainBytes = 8 << 20
-	// unsentTries is how many backend servers that could not be reached are
-	// skipped; nothing was sent to them, so they are no attempts. Those that
+	// unsentTries is how many backend servers that could not be reached, or are
+	// gone from their address, are skipped; they are no attempts. Those that
 	// crashed refuse connections within milliseconds and look idle, so that
 	// placement prefers them; 3 let requests fail while others were free.
 	unsentTries = 12
@@ -48,6 +48,8 @@
 var (
 	// errStalled ends an attempt whose backend server has been silent for too long.
 	errStalled = errors.New("the backend server is silent")
+	// errMoved ends an attempt at an address that another backend server has now.
+	errMoved = errors.New("another backend server is at the address")
 	// errUnsure ends an attempt whose model is unsure of its answer.
 	errUnsure = errors.New("the model is unsure of its answer")
 )
@@ -317,9 +319,12 @@
 func (f *forward) ended(b *dhbackend.Backend, first time.Duration, err error) (Event, bool) {
 	notRun := err != nil && dhcode.RanOf(err) == dhcode.NotRun
 	refused := notRun && dhcode.Of(err) == dhcode.QueueFull
-	if notRun && !refused {
+	switch {
+	case errors.Is(err, errMoved):
+		// It is no attempt, but the backend server at the address has got it.
+	case notRun && !refused:
 		f.paid = true
-	} else {
+	default:
 		f.sends++
 	}
 	f.mayHaveRun = f.mayHaveRun || !notRun
--- a/dh/dhrouter/forward_relay.go
+++ b/dh/dhrouter/forward_relay.go
@@ -96,6 +96,8 @@
 	switch {
 	case in.RequestID != f.message.ID && (in.RequestID != "" || !in.NotRun):
 		return failed(dhcode.RanUnknown, "backend server %q answers request %q instead", id, in.RequestID)
+	case in.Moved:
+		return dhcode.WithRan(dhcode.Wrap(dhcode.BackendFailed, errMoved), dhcode.NotRun)
 	case in.NotRun:
 		err := dhcode.Errorf(dhcode.QueueFull, "backend server %q refused the request with status %d", id, in.Status)
 		return dhcode.WithRan(err, dhcode.NotRun)
--- a/dh/dhrouter/forward_test.go
+++ b/dh/dhrouter/forward_test.go
@@ -63,6 +63,7 @@
 
 func events(in *Inbound)                       { in.Events = true }
 func notRun(in *Inbound)                       { in.NotRun, in.Sealed = true, false }
+func moved(in *Inbound)                        { in.NotRun, in.Sealed, in.Moved = true, false, true }
 func confidence(percent int) func(in *Inbound) { return func(in *Inbound) { in.Confidence = percent } }
 
 func fails(ran dhcode.Ran) func(context.Context, *Outbound) (*Inbound, error) {
@@ -396,6 +397,39 @@
 	})
 }
 
+// Answers the pattern of many backend servers that crash and start again under
+// new ids: until the new view has come, each of the old ids costs a send, and
+// requests that had used up their attempts were refused while others were free
+// (found at stmaurice-coupe-large, scale-1).
+func TestForwardSkipsBackendsThatMoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const gone = 9
+		var answers []func(context.Context, *Outbound) (*Inbound, error)
+		for range gone {
+			answers = append(answers, reply(421, text(""), moved))
+		}
+		f := newForwarder(t, append(answers, reply(200, text("served")))...)
+		f.addBackends(t, gone)
+		w, _, err := f.ask(t, "order")
+		assert.NilError(t, err)
+		assert.Equal(t, w.Body.String(), "served")
+		assert.Equal(t, len(f.passer.sent), gone+1)
+		asked := f.passer.sent[0].Backend.ID
+		assert.Assert(t, !f.Breakers.Closed(asked), "an id that is gone is asked again")
+	})
+}
+
+// Guards against skipped backend servers that add load beyond the retry budget.
+func TestForwardPaysForBackendsThatMoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newForwarder(t, reply(421, text(""), moved))
+		f.Retries = &dhlimit.Budget{Ratio: 2, Max: 2}
+		_, _, err := f.ask(t, "order")
+		assert.Equal(t, dhcode.RanOf(err), dhcode.NotRun)
+		assert.Equal(t, len(f.passer.sent), 3)
+	})
+}
+
 // addBackends adds backend servers to the pool.
 func (f *forwarder) addBackends(t *testing.T, n int) {
 	t.Helper()
--- a/dh/dhrouter/message.go
+++ b/dh/dhrouter/message.go
@@ -71,6 +71,9 @@
 	RequestID string
 	// NotRun is set when the backend server states that it did not and will not run the request.
 	NotRun bool
+	// Moved is set when another backend server, which did not run the request,
+	// is at the address now.
+	Moved bool
 	// Sealed is set when the answer bears the backend server's signature.
 	Sealed bool
 	// Events is set when the body is a stream of events.
