Tell news of backend servers together, renewals once, views from one encoding

Renewals of each announcement crossed up to 30 links as whole records. Change: news is told to an entry VM 150 ms after its last answer at the earliest, spread over 100 ms; to control VMs after 20 ms. Sums of loads and whole views are encoded once per 100 ms. Renewals are ids and ages, told by the control VM that heard them, and by others only to those that cannot hear it. Rates are told as sums. A follower stays with a control VM whose majority reads are old while all others' are.

--- a/dh/dhbackend/log.go
+++ b/dh/dhbackend/log.go
@@ -1,6 +1,7 @@
 package dhbackend
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"sync"
@@ -18,9 +19,10 @@
 // gets only what is new to it. It is safe for use by several goroutines; its
 // exported fields are set before use.
 //
-// A record has two numbers: one for its content, which entry VMs watch, and
-// one for its last announcement, which other control VMs watch, so that all of
-// them know which backend servers are alive.
+// A record has two numbers: one for its content, which all watchers get, and
+// one for its last announcement. Other control VMs get announcements that
+// change nothing as renewals, so that all of them know which backend servers
+// are alive.
 type Log struct {
 	Timers dhtimer.Service
 	// Lease is how long an announcement is valid, KeepLeaving how long a
@@ -37,6 +39,11 @@
 
 type logRow struct {
 	record *dhpb.BackendRecord // immutable
+	// expired is the record before its lease ended; nil while it is valid.
+	expired *dhpb.BackendRecord
+	// source is the control VM that the last announcement was learned from;
+	// empty when this VM heard it.
+	source string
 	// content and touched are the positions of the last change of the content
 	// and of the last announcement.
 	content, touched uint64
@@ -54,9 +61,11 @@
 
 // Announce applies an announcement that is AnnouncementAge old. Older ones
 // than the known one have no effect. Codes: request-malformed, table-full.
-func (l *Log) Announce(r *dhpb.BackendRecord) (Change, error) {
-	now := l.Timers.Now()
-	b, err := FromRecord(r, now)
+func (l *Log) Announce(r *dhpb.BackendRecord) (Change, error) { return l.Learn(r, "") }
+
+// Learn applies an announcement that another control VM has told.
+func (l *Log) Learn(r *dhpb.BackendRecord, source string) (Change, error) {
+	b, err := FromRecord(r, l.Timers.Now())
 	if err != nil {
 		return Change{}, err
 	}
@@ -64,7 +73,7 @@
 	defer l.mu.Unlock()
 	row := l.rows[b.ID]
 	if row == nil {
-		return l.add(b, r)
+		return l.add(b, r, source)
 	}
 	old, err := FromRecord(row.record, row.seen)
 	if err != nil {
@@ -73,10 +82,32 @@
 	if !newer(b, old) {
 		return Change{Position: row.touched}, nil
 	}
-	return l.replace(row, old, b, r), nil
+	return l.replace(row, old, b, r, source), nil
+}
+
+// Renew applies an announcement that changes nothing, which another control VM
+// has told. It returns the record if that is valid again after its lease had
+// ended. A renewal of a start that is not known has no effect, since its
+// content is told first.
+func (l *Log) Renew(n *dhpb.BackendRenewal, source string) (returned *dhpb.BackendRecord) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	row := l.rows[n.GetId()]
+	if row == nil || row.record.GetIncarnation() != n.GetIncarnation() || n.GetSequence() <= row.record.GetSequence() {
+		return nil
+	}
+	r := proto.CloneOf(cmp.Or(row.expired, row.record))
+	r.Sequence = n.GetSequence()
+	l.position++
+	if row.expired != nil {
+		row.content, returned = l.position, r
+	}
+	row.record, row.expired, row.source, row.touched = r, nil, source, l.position
+	row.seen = l.Timers.Now().Add(-n.GetAge().AsDuration())
+	return returned
 }
 
-func (l *Log) add(b *Backend, r *dhpb.BackendRecord) (Change, error) {
+func (l *Log) add(b *Backend, r *dhpb.BackendRecord, source string) (Change, error) {
 	if len(l.rows) >= l.MaxBackends {
 		return Change{}, dhcode.Errorf(dhcode.TableFull, "%d backend servers are announced, at most %d are kept", len(l.rows), l.MaxBackends)
 	}
@@ -84,15 +115,15 @@
 		l.rows = make(map[string]*logRow)
 	}
 	l.position++
-	l.rows[b.ID] = &logRow{record: r, content: l.position, touched: l.position, seen: b.Seen}
+	l.rows[b.ID] = &logRow{record: r, source: source, content: l.position, touched: l.position, seen: b.Seen}
 	l.supersede(b)
 	return Change{Position: l.position, Content: true, Left: b.State == Leaving}, nil
 }
 
-func (l *Log) replace(row *logRow, old, b *Backend, r *dhpb.BackendRecord) Change {
+func (l *Log) replace(row *logRow, old, b *Backend, r *dhpb.BackendRecord, source string) Change {
 	l.position++
 	c := Change{Position: l.position, Content: !sameContent(old, b), Left: b.State == Leaving && old.State != Leaving}
-	row.record, row.touched, row.seen = r, l.position, b.Seen
+	row.record, row.expired, row.source, row.touched, row.seen = r, nil, source, l.position, b.Seen
 	if c.Content {
 		row.content = l.position
 		l.supersede(b)
@@ -122,7 +153,7 @@
 	r := proto.CloneOf(row.record)
 	r.State, r.Sequence = Leaving.String(), sequence
 	l.position++
-	row.record, row.content, row.touched = r, l.position, l.position
+	row.record, row.expired, row.content, row.touched = r, nil, l.position, l.position
 }
 
 // Remove notes that a backend server has left for good: no later announcement
@@ -153,7 +184,9 @@
 		case leaving && silent > l.KeepLeaving:
 			delete(l.rows, id)
 		case !leaving && silent > l.Lease:
-			l.markLeft(row, row.record.GetSequence())
+			before := row.record
+			l.markLeft(row, before.GetSequence())
+			row.expired = before
 			changed = true
 		}
 	}
@@ -163,27 +196,52 @@
 // Content returns the records whose content changed after a position, and the
 // position up to which they are complete.
 func (l *Log) Content(after uint64) (records []*dhpb.BackendRecord, position uint64) {
-	return l.since(func(r *logRow) bool { return r.content > after })
+	now := l.Timers.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, row := range l.rows {
+		if row.content > after {
+			records = append(records, row.withAge(now))
+		}
+	}
+	return records, l.position
 }
 
-// Touched returns the records that were announced after a position.
-func (l *Log) Touched(after uint64) (records []*dhpb.BackendRecord, position uint64) {
-	return l.since(func(r *logRow) bool { return r.touched > after })
+// Renewals returns the announcements after a position whose content did not
+// change after it, without those that were learned from a control VM of which
+// heard reports that the caller hears it itself.
+func (l *Log) Renewals(after uint64, heard func(source string) bool) []*dhpb.BackendRenewal {
+	now := l.Timers.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var renewals []*dhpb.BackendRenewal
+	for id, row := range l.rows {
+		if row.touched <= after || row.content > after || (row.source != "" && heard(row.source)) {
+			continue
+		}
+		renewals = append(renewals, &dhpb.BackendRenewal{
+			Id: id, Incarnation: row.record.GetIncarnation(), Sequence: row.record.GetSequence(), Age: durationpb.New(now.Sub(row.seen)),
+		})
+	}
+	return renewals
 }
 
-func (l *Log) since(wanted func(r *logRow) bool) (records []*dhpb.BackendRecord, position uint64) {
-	now := l.Timers.Now()
+// HasContent reports whether the content of a record changed after a position.
+func (l *Log) HasContent(after uint64) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, row := range l.rows {
-		if !wanted(row) {
-			continue
+		if row.content > after {
+			return true
 		}
-		r := proto.CloneOf(row.record)
-		r.AnnouncementAge = durationpb.New(now.Sub(row.seen))
-		records = append(records, r)
 	}
-	return records, l.position
+	return false
+}
+
+func (r *logRow) withAge(now time.Time) *dhpb.BackendRecord {
+	record := proto.CloneOf(r.record)
+	record.AnnouncementAge = durationpb.New(now.Sub(r.seen))
+	return record
 }
 
 // Backends returns the backend servers that have not left.
--- a/dh/dhbackend/log_test.go
+++ b/dh/dhbackend/log_test.go
@@ -83,6 +83,50 @@
 	assert.Assert(t, l.Expire())
 }
 
+func nobody(string) bool { return false }
+
+func renewal(id string, incarnation, sequence uint64) *dhpb.BackendRenewal {
+	return &dhpb.BackendRenewal{Id: id, Incarnation: incarnation, Sequence: sequence}
+}
+
+// Guards against renewals that all control VMs tell each other again, which
+// grew with the square of their number, and against control VMs that cannot
+// hear each other and miss renewals that a third one could tell.
+func TestRenewalsAreToldOnce(t *testing.T) {
+	l, _ := newLog()
+	announce(t, l, announcement("b1", "10.0.0.1:80", "ready", 100, 1))
+	_, position := l.Content(0)
+	l.Renew(renewal("b1", 100, 2), "c1")
+	assert.Equal(t, len(l.Renewals(position, func(source string) bool { return source == "c1" })), 0)
+	assert.Equal(t, len(l.Renewals(position, nobody)), 1)
+	announce(t, l, announcement("b1", "10.0.0.1:80", "ready", 100, 3))
+	assert.Equal(t, len(l.Renewals(position, func(string) bool { return true })), 1)
+}
+
+// Guards against a renewal that brings back a backend server that has left or
+// another start of it, and against one that does not end an expiry.
+func TestRenewalsRenewOnly(t *testing.T) {
+	l, timers := newLog()
+	announce(t, l, announcement("b1", "10.0.0.1:80", "ready", 100, 1))
+	assert.Assert(t, l.Renew(renewal("b1", 100, 3), "c1") == nil)
+	timers.Step(3 * time.Second)
+	assert.Assert(t, l.Renew(renewal("b1", 100, 2), "c1") == nil, "late")
+	assert.Assert(t, l.Renew(renewal("b1", 99, 9), "c1") == nil, "another start")
+	timers.Step(2 * time.Second)
+	assert.Assert(t, l.Expire())
+	assert.DeepEqual(t, usable(l), map[string]string{})
+	returned := l.Renew(renewal("b1", 100, 4), "c1")
+	assert.Equal(t, returned.GetState(), "ready")
+	assert.DeepEqual(t, usable(l), map[string]string{"b1": "ready"})
+
+	announce(t, l, announcement("b1", "10.0.0.1:80", "leaving", 100, 5))
+	assert.Assert(t, l.Renew(renewal("b1", 100, 6), "c1") == nil)
+	assert.DeepEqual(t, usable(l), map[string]string{})
+	l.Remove("b1", 100)
+	assert.Assert(t, l.Renew(renewal("b1", 100, 7), "c1") == nil)
+	assert.DeepEqual(t, usable(l), map[string]string{})
+}
+
 // Guards against watchers that miss a change, or that get every announcement.
 func TestPositions(t *testing.T) {
 	l, _ := newLog()
@@ -92,8 +136,9 @@
 	assert.Assert(t, !announce(t, l, announcement("b1", "10.0.0.1:80", "ready", 100, 2)).Content)
 	records, _ = l.Content(position)
 	assert.Equal(t, len(records), 0)
-	records, position = l.Touched(position)
-	assert.Equal(t, len(records), 1)
+	assert.Equal(t, len(l.Renewals(position, nobody)), 1)
+	_, position = l.Content(position)
+	assert.Equal(t, len(l.Renewals(position, nobody)), 0)
 	announce(t, l, announcement("b1", "10.0.0.1:80", "leaving", 100, 3))
 	records, _ = l.Content(position)
 	assert.Equal(t, records[0].GetState(), "leaving")
--- a/dh/dhcontrol/cluster_test.go
+++ b/dh/dhcontrol/cluster_test.go
@@ -6,10 +6,12 @@
 	"log/slog"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"google.golang.org/protobuf/types/known/durationpb"
 	"gotest.tools/v3/assert"
 
 	"dandelionhoist.example/dh/dhcode"
@@ -22,6 +24,7 @@
 	"dandelionhoist.example/dh/dhpb"
 	"dandelionhoist.example/dh/dhtable"
 	"dandelionhoist.example/dh/dhtimer"
+	"dandelionhoist.example/dh/dhwatch"
 )
 
 // cluster is control VMs c0, c1, ... of zones z0, z1, ... on a fake network.
@@ -338,6 +341,47 @@
 	})
 }
 
+// Answers the pattern of a rollout that starts many backend servers at once: an
+// answer for each of them to each entry VM took all processor time of the
+// control VMs, and majority reads were over a second old (found at
+// stmaurice-coupe-large, scale-1).
+func TestManyNewBackendsAreToldTogether(t *testing.T) {
+	run(t, func(c *cluster) {
+		c.within(3*time.Second, "the first document", func() bool { return c.replace("c0", 5) == nil })
+		c.step(4 * time.Second)
+		var epoch, position uint64
+		var answers, told atomic.Int64
+		watcher := c.network.Start("watcher", nil)
+		watcher.Group().Go(func(ctx context.Context) error {
+			for ctx.Err() == nil {
+				r, err := peers{watcher}.Watch(ctx, "c0", &dhpb.ControlWatchRequest{
+					Vm: "watcher", Epoch: epoch, Position: position, Document: 5, Wait: durationpb.New(300 * time.Millisecond),
+				})
+				if err != nil {
+					return nil
+				}
+				epoch, position = r.GetEpoch(), r.GetPosition()
+				records, err := dhwatch.Records(r)
+				if err != nil {
+					return err
+				}
+				told.Add(int64(len(records)))
+				answers.Add(1)
+			}
+			return nil
+		})
+		began := c.timers.Now()
+		const started = 100
+		for i := range started {
+			c.announce(fmt.Sprint("c", i%3), fmt.Sprint("b", i), "cold", 1)
+			c.step(10 * time.Millisecond)
+		}
+		c.within(time.Second, "all backend servers", func() bool { return told.Load() >= started })
+		most := int64(c.timers.Now().Sub(began)/(100*time.Millisecond)) + 2
+		assert.Assert(t, answers.Load() <= most, "%d answers, at most %d", answers.Load(), most)
+	})
+}
+
 // Guards against a zone that is out and still gets work.
 func TestZoneOutReachesEntries(t *testing.T) {
 	run(t, func(c *cluster) {
--- a/dh/dhcontrol/dhcontrol.go
+++ b/dh/dhcontrol/dhcontrol.go
@@ -87,6 +87,7 @@
 	voter     atomic.Pointer[dhquorum.Voter]
 	registry  *dhbackend.Log
 	entries   *entries
+	views     views
 	peers     *peers
 	judge     judge
 
--- a/dh/dhcontrol/entries.go
+++ b/dh/dhcontrol/entries.go
@@ -4,11 +4,14 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/durationpb"
 
+	"dandelionhoist.example/dh/dhcode"
 	"dandelionhoist.example/dh/dhpb"
 	"dandelionhoist.example/dh/dhtimer"
 	"dandelionhoist.example/dh/dhversion"
+	"dandelionhoist.example/dh/dhwatch"
 )
 
 const (
@@ -31,6 +34,18 @@
 	direct map[string]*entry
 	// remote holds what each other control VM last told.
 	remote map[string]*remoteEntries
+	// all and own are the loads of all entry VMs, and of those that watch this VM.
+	all, own loadList
+}
+
+// loadsKept is how long sums of loads are told before they are made anew:
+// a part of the period in which each entry VM reports.
+const loadsKept = 100 * time.Millisecond
+
+// loadList is an encoded dhpb.LoadList.
+type loadList struct {
+	encoded []byte
+	made    time.Time
 }
 
 type entry struct {
@@ -44,6 +59,7 @@
 type remoteEntries struct {
 	heard   time.Time
 	loads   []*dhpb.BackendLoad
+	rates   []*dhpb.PoolRate
 	entries []*dhpb.EntryRecord
 }
 
@@ -60,14 +76,20 @@
 	e.direct[vm] = &entry{incarnation: incarnation, heard: e.timers.Now(), loads: r.GetLoads(), counters: r.GetCounters(), rates: r.GetRates()}
 }
 
-// merge takes what another control VM says of its entry VMs.
-func (e *entries) merge(control string, r *dhpb.ControlWatchResponse) {
+// merge takes what another control VM says of its entry VMs. Code:
+// request-malformed.
+func (e *entries) merge(control string, r *dhpb.ControlWatchResponse) error {
+	loads, err := dhwatch.Loads(r)
+	if err != nil {
+		return err
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.remote == nil {
 		e.remote = make(map[string]*remoteEntries)
 	}
-	e.remote[control] = &remoteEntries{heard: e.timers.Now(), loads: r.GetLoads(), entries: r.GetEntries()}
+	e.remote[control] = &remoteEntries{heard: e.timers.Now(), loads: loads, rates: r.GetRates(), entries: r.GetEntries()}
+	return nil
 }
 
 // records returns the entry VMs that watch this VM, and forgets those that
@@ -84,17 +106,37 @@
 			continue
 		}
 		list = append(list, &dhpb.EntryRecord{
-			Vm: vm, Incarnation: d.incarnation, Age: durationpb.New(age), Report: &dhpb.EntryReport{Counters: d.counters, Rates: d.rates},
+			Vm: vm, Incarnation: d.incarnation, Age: durationpb.New(age), Report: &dhpb.EntryReport{Counters: d.counters},
 		})
 	}
 	return list
 }
 
-// directLoads sums the loads of the entry VMs that watch this VM.
-func (e *entries) directLoads() []*dhpb.BackendLoad {
+// directLoads returns the loads of the entry VMs that watch this VM, encoded.
+func (e *entries) directLoads() ([]byte, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.sumDirect(make(loadSums)).list()
+	return e.own.get(e.timers.Now(), func() loadSums { return e.sumDirect(make(loadSums)) })
+}
+
+// allLoads returns the loads of all entry VMs, encoded.
+func (e *entries) allLoads() ([]byte, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.all.get(e.timers.Now(), e.sumAll)
+}
+
+// get returns the list, made anew from sum when it is old.
+func (l *loadList) get(now time.Time, sum func() loadSums) ([]byte, error) {
+	if !l.made.IsZero() && now.Sub(l.made) < loadsKept {
+		return l.encoded, nil
+	}
+	encoded, err := proto.Marshal(&dhpb.LoadList{Loads: sum().list()})
+	if err != nil {
+		return nil, dhcode.Wrap(dhcode.Internal, err)
+	}
+	l.encoded, l.made = encoded, now
+	return encoded, nil
 }
 
 func (e *entries) sumDirect(sums loadSums) loadSums {
@@ -107,14 +149,14 @@
 	return sums
 }
 
-// allLoads sums the loads of all entry VMs.
-func (e *entries) allLoads() []*dhpb.BackendLoad {
-	return e.loadSums().list()
-}
-
+// loadSums returns the loads of all entry VMs.
 func (e *entries) loadSums() loadSums {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	return e.sumAll()
+}
+
+func (e *entries) sumAll() loadSums {
 	now := e.timers.Now()
 	sums := e.sumDirect(make(loadSums))
 	for _, r := range e.remote {
@@ -169,31 +211,45 @@
 	return len(names)
 }
 
-// rate sums the requests a second that entry VMs get for a pool.
-func (e *entries) rate(pool string) float64 {
+// directRates sums the requests a second by pool of the entry VMs that watch
+// this VM.
+func (e *entries) directRates() []*dhpb.PoolRate {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	sum := 0.0
-	add := func(rates []*dhpb.PoolRate) {
-		for _, r := range rates {
-			if r.GetPool() == pool {
-				sum += r.GetPerSecond()
-			}
-		}
+	var list []*dhpb.PoolRate
+	for pool, rate := range e.sumRates() {
+		list = append(list, &dhpb.PoolRate{Pool: pool, PerSecond: rate})
 	}
+	return list
+}
+
+func (e *entries) sumRates() map[string]float64 {
 	now := e.timers.Now()
+	sums := make(map[string]float64)
 	for _, d := range e.direct {
-		if now.Sub(d.heard) <= loadValid {
-			add(d.rates)
+		if now.Sub(d.heard) > loadValid {
+			continue
+		}
+		for _, r := range d.rates {
+			sums[r.GetPool()] += r.GetPerSecond()
 		}
 	}
+	return sums
+}
+
+// rate sums the requests a second that entry VMs get for a pool.
+func (e *entries) rate(pool string) float64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.timers.Now()
+	sum := e.sumRates()[pool]
 	for _, r := range e.remote {
 		if now.Sub(r.heard) > loadValid {
 			continue
 		}
-		for _, record := range r.entries {
-			if record.GetAge().AsDuration() <= loadValid {
-				add(record.GetReport().GetRates())
+		for _, row := range r.rates {
+			if row.GetPool() == pool {
+				sum += row.GetPerSecond()
 			}
 		}
 	}
--- a/dh/dhcontrol/registry.go
+++ b/dh/dhcontrol/registry.go
@@ -50,9 +50,10 @@
 	}
 }
 
-// learn merges a record of another control VM and reports whether the content changed.
+// learn merges a record of the control VM with an address and reports whether
+// the content changed.
 func (c *Control) learn(r *dhpb.BackendRecord, from string) bool {
-	change, err := c.registry.Announce(r)
+	change, err := c.registry.Learn(r, from)
 	if err != nil {
 		c.Log.Warn("record refused", slog.String("backend", r.GetId()), slog.String("from", from), slog.String("error", err.Error()))
 		return false
--- a/dh/dhcontrol/watch.go
+++ b/dh/dhcontrol/watch.go
@@ -4,23 +4,41 @@
 	"cmp"
 	"context"
 	"log/slog"
+	"maps"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/durationpb"
 
+	"dandelionhoist.example/dh/dhbackend"
 	"dandelionhoist.example/dh/dhcode"
 	"dandelionhoist.example/dh/dhgroup"
 	"dandelionhoist.example/dh/dhpb"
 	"dandelionhoist.example/dh/dhtimer"
+	"dandelionhoist.example/dh/dhwatch"
 )
 
 // maxWatchWait bounds how long a watch is kept waiting.
 const maxWatchWait = 2 * time.Second
 
+const (
+	// entryPause and peerBatch space the answers that tell an entry VM or a
+	// control VM of news: what changes meanwhile is told by one answer. Without
+	// them, 240 backend servers that started together had each control VM give
+	// 49 entry VMs an answer for each of them, and majority reads took over a
+	// second. The pause of control VMs is shorter since leaves wait for them.
+	entryPause = 150 * time.Millisecond
+	peerBatch  = 20 * time.Millisecond
+	// entrySpread is the time over which the answers to entry VMs are spread
+	// after a change, so that control VMs learn of it first.
+	entrySpread = 100 * time.Millisecond
+)
+
 // Watch implements the twirp ControlService: it answers with what changed since the
-// position that the caller knows, at once when there is anything that the
+// position that the caller knows, soon when there is anything that the
 // caller must act on, else after the time that it wants to wait.
 func (c *Control) Watch(ctx context.Context, m *dhpb.ControlWatchRequest) (*dhpb.ControlWatchResponse, error) {
 	if m.GetVm() == "" {
@@ -32,25 +50,38 @@
 		c.entries.report(m.GetVm(), m.GetIncarnation(), m.GetReport())
 	}
 	if m.GetEpoch() != c.Incarnation {
-		return c.answer(m), nil
+		return c.answer(m)
 	}
 	c.peers.acknowledge(m.GetVm(), m.GetPosition())
+	began := c.Timers.Now()
 	wait, cancel := dhtimer.WithTimeout(ctx, c.Timers, min(m.GetWait().AsDuration(), maxWatchWait))
 	defer cancel()
 	for {
 		changed := c.onChange()
 		if c.hasNews(m) {
-			return c.answer(m), nil
+			_ = dhtimer.Sleep(wait, c.Timers, c.newsPause(m, began)) // at the end of the wait there is an answer anyway
+			return c.answer(m)
 		}
 		select {
 		case <-changed:
 		case <-wait.Done():
-			return c.answer(m), nil
+			return c.answer(m)
 		}
 	}
 }
 
-// hasNews reports whether the caller must learn something at once.
+// newsPause returns the time after which news is told to a caller whose watch
+// began at a time.
+func (c *Control) newsPause(m *dhpb.ControlWatchRequest, began time.Time) time.Duration {
+	rest := began.Sub(c.Timers.Now())
+	if m.GetControl() != nil {
+		return max(rest+peerBatch, 0)
+	}
+	place := float64(xxhash.Sum64String(m.GetVm())>>11) / (1 << 53)
+	return max(rest+entryPause, time.Duration(place*float64(entrySpread)))
+}
+
+// hasNews reports whether the caller must learn something soon.
 func (c *Control) hasNews(m *dhpb.ControlWatchRequest) bool {
 	document, operations := c.state()
 	if document.GetVersion() > m.GetDocument() || operations.GetNumber() > m.GetOperations() {
@@ -60,23 +91,34 @@
 		// The caller has an incomplete answer; the next one can wait.
 		return c.settled()
 	}
-	records, _ := c.registry.Content(m.GetPosition())
-	return len(records) > 0
+	return c.registry.HasContent(m.GetPosition())
 }
 
 // answer makes the answer to a watch.
-func (c *Control) answer(m *dhpb.ControlWatchRequest) *dhpb.ControlWatchResponse {
+func (c *Control) answer(m *dhpb.ControlWatchRequest) (*dhpb.ControlWatchResponse, error) {
 	after := m.GetPosition()
 	a := &dhpb.ControlWatchResponse{Epoch: c.Incarnation}
 	if m.GetEpoch() != c.Incarnation {
 		after = 0
 	}
-	if m.GetControl() != nil {
-		a.Backends, a.Position = c.registry.Touched(after)
-		a.Entries, a.Loads = c.entries.records(), c.entries.directLoads()
+	var err error
+	if after == 0 {
+		a.View, a.Position, err = c.views.get(c.Timers.Now(), c.registry)
 	} else {
 		a.Backends, a.Position = c.registry.Content(after)
-		a.Loads, a.EntryVms = c.entries.allLoads(), uint32(c.entries.count())
+	}
+	if err != nil {
+		return nil, err
+	}
+	if m.GetControl() != nil {
+		a.Renewals = c.registry.Renewals(after, func(source string) bool {
+			return source == m.GetControl().GetAddress() || slices.Contains(m.GetHeard(), source)
+		})
+		a.Entries, a.Rates = c.entries.records(), c.entries.directRates()
+		a.LoadList, err = c.entries.directLoads()
+	} else {
+		a.LoadList, err = c.entries.allLoads()
+		a.EntryVms = uint32(c.entries.count())
 		// A control VM that has just started does not know all yet.
 		a.Complete = after == 0 && c.settled()
 		if after == 0 && !a.Complete {
@@ -84,6 +126,9 @@
 			a.Position = 0
 		}
 	}
+	if err != nil {
+		return nil, err
+	}
 	a.Controls = c.peers.records()
 	document, operations := c.state()
 	if document.GetVersion() > m.GetDocument() {
@@ -94,7 +139,36 @@
 	}
 	age, confirmed := c.confirmedAge()
 	a.Confirmed, a.ConfirmedAge = confirmed, durationpb.New(age)
-	return a
+	return a, nil
+}
+
+// views keeps the encoded registry for callers that know nothing yet: many
+// ask at once after a restart or when they leave another control VM. It is
+// safe for use by several goroutines.
+type views struct {
+	mu       sync.Mutex
+	encoded  []byte
+	position uint64
+	made     time.Time
+}
+
+// viewKept is how long an encoded view is given out. What has changed since it
+// was made comes with the next answer.
+const viewKept = 100 * time.Millisecond
+
+func (v *views) get(now time.Time, registry *dhbackend.Log) (encoded []byte, position uint64, err error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if !v.made.IsZero() && now.Sub(v.made) < viewKept {
+		return v.encoded, v.position, nil
+	}
+	records, position := registry.Content(0)
+	encoded, err = proto.Marshal(&dhpb.BackendList{Backends: records})
+	if err != nil {
+		return nil, 0, dhcode.Wrap(dhcode.Internal, err)
+	}
+	v.encoded, v.position, v.made = encoded, position, now
+	return encoded, position, nil
 }
 
 // settled reports whether every living backend server has been heard since
@@ -312,6 +386,7 @@
 	return c.Peers.Watch(ctx, address, &dhpb.ControlWatchRequest{
 		Vm: c.Name, Incarnation: c.Incarnation, Zone: c.Zone, Epoch: epoch, Position: position,
 		Document: document.GetVersion(), Operations: operations.GetNumber(), Wait: durationpb.New(peerWait), Control: p.self(),
+		Heard: p.answering(),
 	})
 }
 
@@ -327,10 +402,22 @@
 	for _, r := range reply.GetControls() {
 		p.heard(r)
 	}
-	c.entries.merge(address, reply)
+	if err := c.entries.merge(address, reply); err != nil {
+		c.Log.Warn("loads not read", slog.String("control", address), slog.String("error", err.Error()))
+	}
+	records, err := dhwatch.Records(reply)
+	if err != nil {
+		c.Log.Warn("backend servers not read", slog.String("control", address), slog.String("error", err.Error()))
+	}
 	content := false
-	for _, r := range reply.GetBackends() {
-		content = c.learn(r, "control VM") || content
+	for _, r := range records {
+		content = c.learn(r, address) || content
+	}
+	for _, n := range reply.GetRenewals() {
+		if r := c.registry.Renew(n, address); r != nil {
+			c.logBackend(r, address)
+			content = true
+		}
 	}
 	if content {
 		c.notify()
@@ -359,6 +446,12 @@
 	return true
 }
 
+// answering returns the addresses of the control VMs that answer this one.
+func (p *peers) answering() []string {
+	alive := p.answeredWithin(peerWait + peerTimeout)
+	return slices.Sorted(maps.Keys(alive))
+}
+
 // answeredWithin reports whether the control VM with a voter answered lately.
 func (p *peers) answeredWithin(d time.Duration) map[string]*dhpb.ControlRecord {
 	p.mu.Lock()
--- a/dh/dhentry/dhentry.go
+++ b/dh/dhentry/dhentry.go
@@ -244,8 +244,13 @@
 }
 
 func (e *Entry) applyBackends(u dhwatch.Update, now time.Time) {
-	listed := make(map[string]bool, len(u.GetBackends()))
-	for _, r := range u.GetBackends() {
+	records, err := dhwatch.Records(u.ControlWatchResponse)
+	if err != nil {
+		e.Log.Warn("backend servers not read", slog.String("control", u.From), slog.String("error", err.Error()))
+		return
+	}
+	listed := make(map[string]bool, len(records))
+	for _, r := range records {
 		listed[r.GetId()] = true
 		b, err := dhbackend.FromRecord(r, now)
 		if err == nil {
@@ -258,8 +263,17 @@
 	if u.GetComplete() {
 		e.table.Retain(func(id string) bool { return listed[id] })
 	}
-	loads := make(map[string]dhbackend.Load, len(u.GetLoads()))
-	for _, l := range u.GetLoads() {
+	e.applyLoads(u, now)
+}
+
+func (e *Entry) applyLoads(u dhwatch.Update, now time.Time) {
+	list, err := dhwatch.Loads(u.ControlWatchResponse)
+	if err != nil {
+		e.Log.Warn("loads not read", slog.String("control", u.From), slog.String("error", err.Error()))
+		return
+	}
+	loads := make(map[string]dhbackend.Load, len(list))
+	for _, l := range list {
 		loads[l.GetId()] = dhbackend.Load{Running: int(l.GetRunning()), Reading: int(l.GetReading())}
 	}
 	e.table.SetLoads(loads, now, loadAge)
--- a/dh/dhrouter/forward_test.go
+++ b/dh/dhrouter/forward_test.go
@@ -61,9 +61,10 @@
 	}
 }
 
-func events(in *Inbound)                       { in.Events = true }
-func notRun(in *Inbound)                       { in.NotRun, in.Sealed = true, false }
-func moved(in *Inbound)                        { in.NotRun, in.Sealed, in.Moved = true, false, true }
+func events(in *Inbound) { in.Events = true }
+func notRun(in *Inbound) { in.NotRun, in.Sealed = true, false }
+func moved(in *Inbound) { in.NotRun, in.Sealed, in.Moved = true, false, true }
+
 func confidence(percent int) func(in *Inbound) { return func(in *Inbound) { in.Confidence = percent } }
 
 func fails(ran dhcode.Ran) func(context.Context, *Outbound) (*Inbound, error) {
--- /dev/null
+++ b/dh/dhwatch/answer.go
@@ -0,0 +1,30 @@
+package dhwatch
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	"dandelionhoist.example/dh/dhcode"
+	"dandelionhoist.example/dh/dhpb"
+)
+
+// Loads returns the loads of an answer. Code: request-malformed.
+func Loads(r *dhpb.ControlWatchResponse) ([]*dhpb.BackendLoad, error) {
+	list := new(dhpb.LoadList)
+	if err := proto.Unmarshal(r.GetLoadList(), list); err != nil {
+		return nil, dhcode.Wrap(dhcode.RequestMalformed, err)
+	}
+	return list.GetLoads(), nil
+}
+
+// Records returns the records of backend servers of an answer. Code:
+// request-malformed.
+func Records(r *dhpb.ControlWatchResponse) ([]*dhpb.BackendRecord, error) {
+	if len(r.GetView()) == 0 {
+		return r.GetBackends(), nil
+	}
+	list := new(dhpb.BackendList)
+	if err := proto.Unmarshal(r.GetView(), list); err != nil {
+		return nil, dhcode.Wrap(dhcode.RequestMalformed, err)
+	}
+	return list.GetBackends(), nil
+}
--- a/dh/dhwatch/dhwatch.go
+++ b/dh/dhwatch/dhwatch.go
@@ -120,9 +120,12 @@
 
 // control is a control VM as this VM knows it.
 type control struct {
-	zone    string
-	heard   time.Time
-	failed  time.Time
+	zone   string
+	heard  time.Time
+	failed time.Time
+	// stale is set when it failed by an answer that no majority had confirmed
+	// lately, not by silence.
+	stale   bool
 	seed    bool
 	weight  uint64
 	replies int
@@ -146,7 +149,7 @@
 			return nil
 		}
 		if err != nil {
-			f.fail(address, "no answer", err.Error())
+			f.fail(address, false, err.Error())
 			_ = dhtimer.Sleep(ctx, f.Timers, retryPause)
 			continue
 		}
@@ -154,7 +157,7 @@
 		f.learn(reply)
 		f.Received(Update{ControlWatchResponse: reply, From: address})
 		if !reply.GetConfirmed() || reply.GetConfirmedAge().AsDuration() > maxConfirmedAge {
-			f.fail(address, "not confirmed by a majority", "")
+			f.fail(address, true, "")
 			_ = dhtimer.Sleep(ctx, f.Timers, retryPause)
 			continue
 		}
@@ -228,7 +231,9 @@
 
 // choose returns the control VM to ask and whether it is another one than
 // before: the same one as long as it answers, else one that has not failed
-// lately, of the own zone, in an order that differs from VM to VM.
+// lately, of the own zone, in an order that differs from VM to VM. While all
+// have failed, one that answers is kept: each change costs a whole view, and
+// the views kept overloaded control VMs from confirming anything.
 func (f *Follower) choose() (address string, changed bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -242,6 +247,9 @@
 			best = a
 		}
 	}
+	if c := f.controls[f.current]; c != nil && c.stale && f.controls[best].avoided(now) {
+		return f.current, false
+	}
 	changed = best != f.current
 	f.current = best
 	return best, changed
@@ -270,11 +278,16 @@
 	return a.weight > b.weight
 }
 
-func (f *Follower) fail(address, reason, err string) {
+// fail notes that a control VM did not answer, or answered with a stale view.
+func (f *Follower) fail(address string, stale bool, err string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if c := f.controls[address]; c != nil {
-		c.failed = f.Timers.Now()
+		c.failed, c.stale = f.Timers.Now(), stale
+	}
+	reason := "no answer"
+	if stale {
+		reason = "not confirmed by a majority"
 	}
 	if !f.lost {
 		f.lost = true
