Bound answers without end

Cause: a backend server in trouble may send bytes without end. An answer that is no stream is left for another backend server after three wanted times, within the retry budget.

--- a/dh/dhentry/dhentry.go
+++ b/dh/dhentry/dhentry.go
@@ -54,6 +54,8 @@
 	// RetryWindow, beside RetrySlack retries of all entry VMs together.
 	RetryRatio, RetrySlack float64
 	RetryWindow            time.Duration
+	// AnswerBytes bounds the memory of answers in flight that are not streams.
+	AnswerBytes int64
 	// ColdOvershoot and ColdSlack widen the bound of cold backend servers.
 	ColdOvershoot, ColdSlack float64
 	// Decode reads a document.
@@ -149,6 +151,7 @@
 		Retries: e.budget, Breakers: &dhlimit.Breakers{Timers: e.Timers, Backoff: breakerBackoff},
 		Passer: e.Passer, Lease: e.lease, Random: rand.Float64, VM: e.Name, Zone: e.Zone, Report: e.report,
 	}
+	e.router.AnswerMemory.Max = e.AnswerBytes
 	e.router.KeepSessions(e.SessionFor)
 	e.follower = &dhwatch.Follower{
 		VM: e.Name, Incarnation: e.Incarnation, Zone: e.Zone, Seeds: e.Seeds, Source: e.Source, Timers: e.Timers, Log: e.Log,
--- a/dh/dhevent/dhevent.go
+++ b/dh/dhevent/dhevent.go
@@ -25,8 +25,9 @@
 	"dandelionhoist.example/dh/dhcode"
 )
 
-// MaxBytes bounds an event.
-const MaxBytes = 1 << 20
+// MaxBytes bounds an event. An event holds some tokens; an entry VM has many
+// streams and little memory.
+const MaxBytes = 128 << 10
 
 // bufferBytes is the read buffer of a stream. Events of a token or a few have
 // some hundred bytes, so that one read takes several of them.
--- /dev/null
+++ b/dh/dhlimit/memory.go
@@ -0,0 +1,25 @@
+package dhlimit
+
+import "sync/atomic"
+
+// Memory bounds the bytes that whole answers in flight hold together. Its zero
+// value permits nothing. It is safe for use by several goroutines.
+type Memory struct {
+	// Max is the bound in bytes.
+	Max int64
+
+	used atomic.Int64
+}
+
+// Take reserves n bytes and reports whether they fit. What was taken is given
+// back with Give.
+func (m *Memory) Take(n int64) bool {
+	if m.used.Add(n) > m.Max {
+		m.used.Add(-n)
+		return false
+	}
+	return true
+}
+
+// Give returns n bytes that were taken.
+func (m *Memory) Give(n int64) { m.used.Add(-n) }
--- a/dh/dhrouter/dhrouter.go
+++ b/dh/dhrouter/dhrouter.go
@@ -194,6 +194,9 @@
 	Passer Passer
 	Lease  Lease
 	Random func() float64
+	// AnswerMemory bounds the answers of HTTP requests that are not streams;
+	// those that do not fit are passed on as they come.
+	AnswerMemory dhlimit.Memory
 	// VM and Zone name the entry VM.
 	VM, Zone string
 	// MaxAttempts bounds the attempts of a request.
--- a/dh/dhrouter/forward.go
+++ b/dh/dhrouter/forward.go
@@ -20,9 +20,6 @@
 )
 
 const (
-	// maxPlainBytes bounds an answer that is not a stream, since it is passed
-	// on only when it is whole.
-	maxPlainBytes = 8 << 20
 	// unsentTries is how many backend servers that could not be reached, or are
 	// gone from their address, are skipped; they are no attempts. Those that
 	// crashed refuse connections within milliseconds and look idle, so that
@@ -40,8 +37,11 @@
 	// stallPauses is how many wanted pauses a stream may be silent. After one it
 	// is late, and a busy backend server goes on sooner than another one begins.
 	stallPauses = 2
-	// minStall is the least silence of a stream after which it goes on at
-	// another backend server.
+	// stallObjectives is how many times the wanted time an answer that is no
+	// stream may take before another backend server is asked.
+	stallObjectives = 3
+	// minStall is the least silence after which a request goes on at another
+	// backend server.
 	minStall = time.Second
 )
 
@@ -112,6 +112,7 @@
 		err = f.conclude(limited, err)
 		cancel()
 	}
+	f.keepFailure(nil)
 	f.log(err)
 	return f.begun, err
 }
@@ -335,7 +336,7 @@
 		return Event{}, false // the backend server did what it was asked for
 	}
 	e := f.event(b, first, true)
-	e.Unreachable = (notRun && !refused) || errors.Is(err, errStalled) || errors.Is(err, syscall.ETIMEDOUT)
+	e.Unreachable = (notRun && !refused) || errors.Is(err, errStalled) || errors.Is(err, errEndless) || errors.Is(err, syscall.ETIMEDOUT)
 	f.tried = append(f.tried, b.ID)
 	if f.message.AnyModel && !f.begun && len(f.route.Cascade) > 0 {
 		// The smallest model answers soonest, which counts most by now.
@@ -392,6 +393,14 @@
 	return f.router.Retries.Retry(f.poolName)
 }
 
+// keepFailure keeps a backend server's own failure in place of an earlier one.
+func (f *forward) keepFailure(k *kept) {
+	if f.failure != nil {
+		f.failure.body.release()
+	}
+	f.failure = k
+}
+
 // pause implements exchange. Another backend server is tried at once.
 func (*forward) pause(int, error) time.Duration { return 0 }
 
--- a/dh/dhrouter/forward_relay.go
+++ b/dh/dhrouter/forward_relay.go
@@ -18,7 +18,7 @@
 type kept struct {
 	status int
 	header http.Header
-	body   []byte
+	body   *plainBody
 }
 
 // relay implements exchange.
@@ -70,12 +70,16 @@
 }
 
 // stall returns the silence after which an attempt is given up, or 0 when the
-// request cannot go on elsewhere: then silence is no reason to end it.
+// request cannot go on elsewhere: then silence is no reason to end it. Of an
+// answer that is no stream nothing is heard before it is whole.
 func (f *forward) stall() time.Duration {
-	if !f.repeatable() || !f.route.Stream || f.sends+1 >= f.route.MaxAttempts {
+	switch {
+	case !f.repeatable() || f.sends+1 >= f.route.MaxAttempts:
 		return 0
+	case f.route.Stream:
+		return max(stallPauses*f.route.Pause, minStall)
 	}
-	return max(stallPauses*f.route.Pause, minStall)
+	return max(stallObjectives*f.route.Objective, minStall)
 }
 
 // cause replaces the error of an attempt that the watchdog ended.
@@ -104,9 +108,15 @@
 	case !in.Sealed:
 		return failed(dhcode.RanUnknown, "backend server %q answers with status %d without its signature", id, in.Status)
 	case in.Status >= http.StatusInternalServerError:
-		body, err := readPlain(in.Body)
-		if err == nil {
-			f.failure = &kept{status: in.Status, header: in.Header, body: body}
+		body, err := readPlain(in.Body, in.Length, &f.router.AnswerMemory)
+		if errors.Is(err, errEndless) {
+			return f.endless(err)
+		}
+		switch {
+		case err == nil:
+			f.keepFailure(&kept{status: in.Status, header: in.Header, body: body})
+		case errors.Is(err, errNoMemory):
+			body.release() // the failure is told without its body
 		}
 		f.answered = true
 		return failed(dhcode.DidRun, "backend server %q failed the request with status %d", id, in.Status)
@@ -116,28 +126,69 @@
 		}
 		return f.stream(in, watch)
 	}
-	body, err := readPlain(in.Body)
-	if err != nil {
+	body, err := readPlain(in.Body, in.Length, &f.router.AnswerMemory)
+	switch {
+	case errors.Is(err, errEndless):
+		return f.endless(err)
+	case errors.Is(err, errNoMemory):
+		return f.passOn(in, body)
+	case err != nil:
 		return failed(dhcode.DidRun, "answer of backend server %q broke off: %v", id, err)
 	}
+	defer body.release()
 	f.answered = true
 	f.observe(f.router.Timers.Now())
 	return f.write(&kept{status: in.Status, header: in.Header, body: body})
 }
 
-// readPlain reads a whole answer.
-func readPlain(body io.Reader) ([]byte, error) {
-	data, err := io.ReadAll(io.LimitReader(body, maxPlainBytes+1))
-	if err == nil && len(data) > maxPlainBytes {
-		err = dhcode.Errorf(dhcode.RequestTooLarge, "the answer has more than %d bytes", maxPlainBytes)
+// passOn passes an answer on as it comes, of which a part has been read.
+func (f *forward) passOn(in *Inbound, read *plainBody) error {
+	defer read.release()
+	f.begin(in.Status, in.Header, int(in.Length))
+	if _, err := f.w.Write(read.data); err != nil {
+		return f.lost(err)
 	}
-	return data, err
+	rest := &io.LimitedReader{R: in.Body, N: mostBytes(in.Length) - int64(len(read.data)) + 1}
+	source := &errorKeeper{Reader: rest}
+	_, err := io.Copy(f.w, source)
+	switch {
+	case source.err != nil:
+		return dhcode.WithRan(dhcode.Wrap(dhcode.StreamBroken, source.err), dhcode.DidRun)
+	case err != nil:
+		return f.lost(err)
+	case rest.N <= 0:
+		return f.endless(errEndless)
+	}
+	f.answered = true
+	f.observe(f.router.Timers.Now())
+	return nil
+}
+
+// errorKeeper keeps the error of a reader, which io.Copy does not tell from
+// that of its writer.
+type errorKeeper struct {
+	io.Reader
+	err error
+}
+
+// Read implements io.Reader.
+func (k *errorKeeper) Read(p []byte) (int, error) {
+	n, err := k.Reader.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		k.err = err
+	}
+	return n, err
+}
+
+// endless returns the error of an answer without end.
+func (f *forward) endless(err error) error {
+	return dhcode.WithRan(dhcode.Wrap(dhcode.BackendFailed, err), dhcode.RanUnknown)
 }
 
 // write gives a whole answer to the caller.
 func (f *forward) write(k *kept) error {
-	f.begin(k.status, k.header, len(k.body))
-	if _, err := f.w.Write(k.body); err != nil {
+	f.begin(k.status, k.header, len(k.body.data))
+	if _, err := f.w.Write(k.body.data); err != nil {
 		return f.lost(err)
 	}
 	return nil
@@ -167,23 +218,43 @@
 	events := dhevent.NewReader(in.Body)
 	defer events.Release()
 	flush := http.NewResponseController(f.w)
+	unnumbered := 0
+	// held are events without a number before the first one with a number: as
+	// long as the caller has nothing, the stream can begin again elsewhere.
+	var held []byte
 	for {
 		e, err := events.Next()
 		if errors.Is(err, io.EOF) {
-			return f.finish(in, flush)
+			return f.finish(in, held, flush)
+		}
+		if dhcode.Of(err) == dhcode.RequestTooLarge {
+			return f.endless(errEndless)
 		}
 		if err != nil {
 			return dhcode.WithRan(dhcode.Wrap(dhcode.StreamBroken, err), dhcode.DidRun)
 		}
 		now := f.router.Timers.Now()
-		watch.progress(now)
+		repeated := e.HasID && f.hasLast && e.ID <= f.last
+		if e.HasID && !repeated {
+			unnumbered = 0
+			watch.progress(now)
+		} else if unnumbered += len(e.Raw); unnumbered > maxUnnumberedBytes {
+			return f.endless(errEndless)
+		}
 		f.observe(now)
-		if e.HasID && f.hasLast && e.ID <= f.last {
+		if repeated {
+			continue
+		}
+		if !f.begun && !e.HasID && f.route.Resumable {
+			held = append(held, e.Raw...)
 			continue
 		}
 		if !f.begun {
 			f.begin(in.Status, in.Header, -1)
 		}
+		if len(held) > 0 {
+			e.Raw, held = append(held, e.Raw...), nil
+		}
 		if _, err := f.w.Write(e.Raw); err != nil {
 			return f.lost(err)
 		}
@@ -198,12 +269,16 @@
 	}
 }
 
-// finish ends a stream that its backend server has ended.
-func (f *forward) finish(in *Inbound, flush *http.ResponseController) error {
+// finish ends a stream that its backend server has ended, with the events that
+// were held.
+func (f *forward) finish(in *Inbound, held []byte, flush *http.ResponseController) error {
 	f.answered = true
 	if !f.begun {
 		f.begin(in.Status, in.Header, -1)
 	}
+	if _, err := f.w.Write(held); err != nil {
+		return f.lost(err)
+	}
 	if err := flush.Flush(); err != nil {
 		return f.lost(err)
 	}
--- a/dh/dhrouter/forward_test.go
+++ b/dh/dhrouter/forward_test.go
@@ -63,7 +63,7 @@
 
 func events(in *Inbound) { in.Events = true }
 func notRun(in *Inbound) { in.NotRun, in.Sealed = true, false }
-func moved(in *Inbound) { in.NotRun, in.Sealed, in.Moved = true, false, true }
+func moved(in *Inbound)  { in.NotRun, in.Sealed, in.Moved = true, false, true }
 
 func confidence(percent int) func(in *Inbound) { return func(in *Inbound) { in.Confidence = percent } }
 
@@ -276,6 +276,45 @@
 	})
 }
 
+// drip is a body that gives its text each half second, without end.
+type drip struct {
+	ctx    context.Context
+	timers dhtimer.Service
+	text   string
+}
+
+func (d drip) Read(p []byte) (int, error) {
+	if err := dhtimer.Sleep(d.ctx, d.timers, 500*time.Millisecond); err != nil {
+		return 0, err
+	}
+	return copy(p, d.text), nil
+}
+
+// Answers the pattern of backend servers that drip bytes without end: what is
+// no new event counts as silence, and so does an answer that does not become
+// whole; each held its request until the deadline.
+func TestForwardLeavesDrippingBackend(t *testing.T) {
+	for _, c := range []struct{ route, text, want string }{
+		{"plan", ": keep alive\n\n", event1 + event2},
+		{"plan", event1, event1 + event2},
+		{"look", "x", event1 + event2},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			var timers dhtimer.Service
+			dripping := func(ctx context.Context, o *Outbound) (*Inbound, error) {
+				return reply(200, drip{ctx, timers, c.text}, func(in *Inbound) { in.Events, in.Length = c.route == "plan", -1 })(ctx, o)
+			}
+			f := newForwarder(t, dripping, reply(200, text(event1+event2), func(in *Inbound) { in.Events = c.route == "plan" }))
+			timers = f.timers
+			start := f.timers.Now()
+			w, _, err := f.ask(t, c.route)
+			assert.NilError(t, err)
+			assert.Equal(t, w.Body.String(), c.want)
+			assert.Assert(t, f.timers.Now().Sub(start) <= 9*time.Second)
+		})
+	}
+}
+
 // Guards against an unsure answer that reaches the caller although the largest
 // model could answer, and against one that is dropped without a budget for
 // another (found at stmaurice-coupe, scale-1).
--- a/dh/dhrouter/message.go
+++ b/dh/dhrouter/message.go
@@ -80,7 +80,9 @@
 	Events bool
 	// Confidence is the model's own opinion of the answer in percent, or -1.
 	Confidence int
-	Body       io.ReadCloser
+	// Length is the length of the body in bytes, or -1 when the head states none.
+	Length int64
+	Body   io.ReadCloser
 }
 
 // Passer sends messages to backend servers.
