Expect the first event by the prompt tokens ahead of it

Cause: long prompts are most of the worth and come late. Change: each model's time for a prompt token is learned; with the tokens ahead at the chosen place it gives the expected first event. An unsure answer is kept when the next one would be late, unless its confidence is under 10. A first event is awaited four times what is expected and a second more, at most as long as before.

--- a/dh/dhplacement/dhplacement.go
+++ b/dh/dhplacement/dhplacement.go
@@ -159,6 +159,9 @@
 	// estimated time in its queue.
 	Load float64
 	Wait time.Duration
+	// Ahead is the number of weighed prompt tokens that the backend server is
+	// expected to read before the first token: those of others and the request's own.
+	Ahead int
 
 	row *row
 	// unread is the number of weighed prompt tokens that the request has to read.
@@ -212,6 +215,7 @@
 		return Placement{}, dhcode.Errorf(dhcode.NoBackend, "no usable backend server of pool %q has version %q", r.Pool, r.Version)
 	}
 	c.best.unread = int64(float64(c.uncached) * cmp.Or(r.Pace, 1))
+	c.best.Ahead = c.reading + int(c.best.unread)
 	return c.best, nil
 }
 
@@ -263,7 +267,10 @@
 	best      Placement
 	bestScore time.Duration
 	// uncached is the number of prompt tokens that the best candidate has to read.
-	uncached    int
+	uncached int
+	// reading is the number of weighed prompt tokens that others have yet to
+	// read there.
+	reading     int
 	refusedCold bool
 	// home is set while the home of the shared prefix is scored.
 	home bool
@@ -362,7 +369,8 @@
 	uncached := max(c.r.PromptTokens-cached, 0)
 	prefill := scale(time.Duration(uncached)*s.PerPrefillToken, 1+s.Others*running)
 	decode := scale(time.Duration(c.tokens)*s.PerSequence, (1+s.Others)*running)
-	reading := scale(s.PerReadingToken, cand.othersReading+float64(cand.row.reading.Load()))
+	unread := cand.othersReading + float64(cand.row.reading.Load())
+	reading := scale(s.PerReadingToken, unread)
 	score := wait + reading + prefill + decode
 	score += scale(s.PerFailure, cand.row.failures(c.now, s.FailureHalfLife))
 	if cold {
@@ -377,7 +385,7 @@
 	if c.best.Backend == nil || score < c.bestScore {
 		c.bestScore = score
 		c.best = Placement{Backend: b, Cold: cold, CachedTokens: cached, Load: load, Wait: wait, row: cand.row}
-		c.uncached = uncached
+		c.uncached, c.reading = uncached, int(unread)
 	}
 }
 
--- a/dh/dhrouter/dhrouter.go
+++ b/dh/dhrouter/dhrouter.go
@@ -209,6 +209,7 @@
 	snapshot atomic.Pointer[Snapshot]
 	// started is the time of the first Publish.
 	started  atomic.Pointer[time.Time]
+	paces    paces
 	delays   delays
 	sessions sessions
 	arrivals arrivals
--- a/dh/dhrouter/forward.go
+++ b/dh/dhrouter/forward.go
@@ -40,6 +40,9 @@
 	// stallObjectives is how many times the wanted time an answer that is no
 	// stream may take before another backend server is asked.
 	stallObjectives = 3
+	// firstExpectations is how many times the expected time a first event may take
+	// before another backend server is asked.
+	firstExpectations = 4
 	// minStall is the least silence after which a request goes on at another
 	// backend server.
 	minStall = time.Second
--- a/dh/dhrouter/forward_relay.go
+++ b/dh/dhrouter/forward_relay.go
@@ -33,10 +33,8 @@
 	ctx, stop := context.WithCancelCause(ctx)
 	defer stop(nil)
 	watch := &watchdog{router: f.router, pool: f.poolName, stop: stop, patience: f.stall()}
-	// The head comes with the first event, for which a longer time is allowed.
-	patience := min(f.route.Objective, time.Duration(float64(f.limit)*firstPart))
-	watch.progress(start.Add(max(patience-f.stall(), 0)))
-	watch.start()
+	// The head comes with the first event.
+	watch.start(start, f.firstStall(p))
 	defer watch.end()
 	in, err := f.router.Passer.Pass(ctx, &Outbound{
 		Message: f.message, Backend: b, Account: f.account, Left: f.limit - start.Sub(f.received),
@@ -54,6 +52,9 @@
 	head := f.router.Timers.Now()
 	watch.progress(head)
 	f.router.delays.observe(f.poolName, f.model, head.Sub(start), head)
+	if f.route.Stream && in.Events {
+		f.router.paces.observe(f.poolName, f.model, p.Ahead, head.Sub(start))
+	}
 	if err := f.take(in, watch); err != nil {
 		return f.first(start), f.cause(ctx, err)
 	}
@@ -82,6 +83,22 @@
 	return max(stallObjectives*f.route.Objective, minStall)
 }
 
+// firstStall returns the silence before the first event after which an attempt
+// is given up: several times what it is expected to take, within what is allowed
+// without an expectation.
+func (f *forward) firstStall(p dhplacement.Placement) time.Duration {
+	most := max(f.wantedFirst(), f.stall())
+	if expected := f.router.paces.expected(f.poolName, f.model, p.Ahead); f.route.Stream && expected > 0 {
+		return min(firstExpectations*expected+minStall, most)
+	}
+	return most
+}
+
+// wantedFirst returns the time from the request to its first event that is wanted.
+func (f *forward) wantedFirst() time.Duration {
+	return min(f.route.Objective, time.Duration(float64(f.limit)*firstPart))
+}
+
 // cause replaces the error of an attempt that the watchdog ended.
 func (f *forward) cause(ctx context.Context, err error) error {
 	if errors.Is(context.Cause(ctx), errStalled) {
--- a/dh/dhrouter/forward_size.go
+++ b/dh/dhrouter/forward_size.go
@@ -2,7 +2,6 @@
 
 import (
 	"log/slog"
-	"time"
 )
 
 // sureFrom is the confidence in percent from which on the answer of a smaller
@@ -18,7 +17,7 @@
 // of it: under overload an unsure answer in time is worth more than a late one,
 // and each large answer delays all others. Less urgent requests give way first.
 func (f *forward) sureFrom(larger string) int {
-	wanted := min(f.route.Objective, time.Duration(float64(f.limit)*firstPart))
+	wanted := f.wantedFirst()
 	if wanted <= 0 {
 		return sureFrom
 	}
@@ -27,6 +26,29 @@
 	return int(sureFrom * min(max(2*(1-load), 0), 1))
 }
 
+// hopelessBelow is the confidence in percent below which an answer is dropped
+// although a better one comes later than wanted.
+const hopelessBelow = 10
+
+// tooLateFor reports whether the first event of a model, asked now, is expected
+// later than wanted.
+func (f *forward) tooLateFor(model string) bool {
+	left := f.wantedFirst() - f.router.Timers.Now().Sub(f.received)
+	if left <= 0 {
+		return true
+	}
+	asked := f.model
+	f.setModel(model)
+	defer f.setModel(asked)
+	s := f.router.Snapshot()
+	req, err := f.wants(s)
+	if err != nil {
+		return true
+	}
+	place, err := f.router.Placer.Place(s.Backends, req)
+	return err != nil || f.router.paces.expected(f.poolName, model, place.Ahead) > left
+}
+
 // escalate drops an answer of which its model is unsure, so that the route's
 // largest model makes it. The caller has nothing of it yet.
 func (f *forward) escalate(in *Inbound) error {
@@ -36,6 +58,9 @@
 		return nil
 	case in.Confidence < 0 || in.Confidence >= f.sureFrom(f.route.Cascade[largest]) || f.sends+1 >= f.route.MaxAttempts:
 		return nil
+	case in.Confidence >= hopelessBelow && f.tooLateFor(f.route.Cascade[largest]):
+		f.router.Metrics.Count("unsure-kept", f.route.Name)
+		return nil
 	case f.router.Retries.Retry(f.poolName) != nil:
 		return nil // an unsure answer is better than none
 	}
--- a/dh/dhrouter/watchdog.go
+++ b/dh/dhrouter/watchdog.go
@@ -20,9 +20,12 @@
 
 func (w *watchdog) progress(now time.Time) { w.seen.Store(now.UnixNano()) }
 
-func (w *watchdog) start() {
+// start begins the watch of an attempt that may be silent for first before its
+// first sign of progress.
+func (w *watchdog) start(now time.Time, first time.Duration) {
 	if w.patience > 0 {
-		w.router.Timers.After(w.patience, w.check)
+		w.progress(now.Add(first - w.patience))
+		w.router.Timers.After(first, w.check)
 	}
 }
 
