--- a/dh/dhwatch/dhwatch_test.go
+++ b/dh/dhwatch/dhwatch_test.go
@@ -102,7 +102,9 @@
 // and loads some control VMs twice (found at stmaurice-coupe-large, trouble-1).
 func TestEntryVMMovesToItsZone(t *testing.T) {
 	controls := []*dhpb.ControlRecord{
-		{Vm: "c0", Address: "c0", Zone: "z1"}, {Vm: "c1", Address: "c1", Zone: "z2"}, {Vm: "c2", Address: "c2", Zone: "z3"},
+		{Vm: "c0", Address: "c0", Zone: "z1"},
+		{Vm: "c1", Address: "c1", Zone: "z2"},
+		{Vm: "c2", Address: "c2", Zone: "z3"},
 		{Vm: "c3", Address: "c3", Zone: "z0"},
 	}
 	s := follow(t, 20*time.Second, func(s *source) { s.controls = controls })
