Wait at the start for the lease and for more backend servers

Change: a request on a VM that has just started waits within the same bound for the lease, and at most 0.6 s for the first complete view. TestLapsedLeaseIsNoFaultOfTheBackend covers one look at the lease more, since there is one more.

--- a/dh/dhentry/dhentry.go
+++ b/dh/dhentry/dhentry.go
@@ -86,6 +86,9 @@
 	// returned holds when zones that were out were taken back.
 	returned map[string]time.Time
 	vms      int
+	// complete is set once a control VM has told all backend servers that it
+	// knows, after having heard all.
+	complete bool
 	document atomic.Uint64
 	number   atomic.Uint64
 }
@@ -264,6 +267,7 @@
 		}
 	}
 	if u.GetComplete() {
+		e.complete = true
 		e.table.Retain(func(id string) bool { return listed[id] })
 	}
 	e.applyLoads(u, now)
@@ -298,7 +302,7 @@
 // publish makes the next snapshot.
 func (e *Entry) publish() {
 	view := e.table.View(e.Timers.Now())
-	s := &dhrouter.Snapshot{Tables: e.tables, Backends: view, Rollouts: e.rollouts(view)}
+	s := &dhrouter.Snapshot{Tables: e.tables, Backends: view, Partial: !e.complete, Rollouts: e.rollouts(view)}
 	if out := e.operations.GetZonesOut(); len(out) > 0 {
 		s.ZoneWeight = make(map[string]float64, len(out))
 		for _, zone := range out {
--- a/dh/dhrouter/delays_test.go
+++ b/dh/dhrouter/delays_test.go
@@ -11,6 +11,7 @@
 
 	"dandelionhoist.example/dh/dhbackend"
 	"dandelionhoist.example/dh/dhcode"
+	"dandelionhoist.example/dh/dhtimer"
 )
 
 // Guards against a delay that is kept for ever, so that a recovered model is
@@ -76,6 +77,47 @@
 	})
 }
 
+// leaseFrom is valid from a time on.
+type leaseFrom struct {
+	timers dhtimer.Service
+	at     time.Time
+}
+
+func (l leaseFrom) Valid() bool { return !l.timers.Now().Before(l.at) }
+
+// Answers the pattern of a loss of all VMs: they start together with their
+// control VMs and refused for half a second what they could serve a moment later,
+// because the lease was not confirmed yet or the few backend servers that had
+// announced themselves were full (found at stmaurice-coupe-large, trouble-1).
+func TestRequestsWaitForLeaseAndBackends(t *testing.T) {
+	for _, c := range []struct {
+		name            string
+		lease, complete time.Duration
+		least, atMost   time.Duration
+		route           string
+	}{
+		{name: "lease", lease: 300 * time.Millisecond, least: 300 * time.Millisecond, atMost: 400 * time.Millisecond, route: "look"},
+		{name: "public", lease: time.Hour, atMost: time.Millisecond, route: "public"},
+		{name: "view", complete: 400 * time.Millisecond, least: 400 * time.Millisecond, atMost: 500 * time.Millisecond, route: "look"},
+		{name: "late view", complete: time.Hour, least: partialWait, atMost: partialWait + startPoll, route: "look"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newForwarder(t, reply(200, strings.NewReader("done")))
+				start := f.timers.Now()
+				f.Lease = leaseFrom{f.timers, start.Add(c.lease)}
+				whole := f.Snapshot()
+				f.Publish(&Snapshot{Tables: whole.Tables, Backends: whole.Backends, Partial: c.complete > 0})
+				f.timers.After(c.complete, func(time.Time) { f.Publish(whole) })
+				_, _, err := f.ask(t, c.route)
+				assert.NilError(t, err)
+				took := f.timers.Now().Sub(start)
+				assert.Assert(t, took >= c.least && took <= c.atMost, "%s", took)
+			})
+		})
+	}
+}
+
 func cancelled(t *testing.T) context.Context {
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
--- a/dh/dhrouter/dhrouter.go
+++ b/dh/dhrouter/dhrouter.go
@@ -141,7 +141,9 @@
 	Tables       *dhtable.Tables
 	LeaseExpired bool
 	Backends     *dhbackend.View
-	Holds        *dhversion.Holds
+	// Partial is set until Backends has held all backend servers that are known.
+	Partial bool
+	Holds   *dhversion.Holds
 	// Leaving is set from the start of a graceful shutdown.
 	Leaving bool
 	// ZoneWeight is the part of its normal load that a zone takes, from 0 for
--- a/dh/dhrouter/forward_test.go
+++ b/dh/dhrouter/forward_test.go
@@ -401,7 +401,7 @@
 func TestLapsedLeaseIsNoFaultOfTheBackend(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newForwarder(t, reply(200, text("done")))
-		for looks := range 4 {
+		for looks := range 5 {
 			f.Lease = &lapsing{looks}
 			_, _, err := f.ask(t, "order")
 			if err == nil {
