Move all sessions to a rollout's target as late as it permits

Cause: a version that is bad under load only gives no evidence in its trial, and got all requests from 0.6 to 0.8 of the duration on. Change: all sessions move 1.2 s before the rollout completes, which it does 0.8 to 2 s before its end, as far as the accepted exposure permits; the trial share follows from what is left of the exposure.

--- a/dh/dhcontrol/cluster_test.go
+++ b/dh/dhcontrol/cluster_test.go
@@ -84,6 +84,9 @@
 	return dhtable.New(version, nil, nil, map[string]dhtable.Pool{"p": {Name: "p"}}, text), nil
 }
 
+// exposure lets trials use a tenth of the sessions.
+const exposure = 0.2
+
 func (c *cluster) startControl(name string, bootstrap bool) *dhcontrol.Control {
 	if c.disks[name] == nil {
 		c.disks[name] = &dhdisk.Memory{}
@@ -92,7 +95,7 @@
 	control := &dhcontrol.Control{
 		Name: name, Zone: "z" + name[1:], Address: name, Incarnation: uint64(c.timers.Now().UnixMilli()), Seeds: c.seeds,
 		Bootstrap: bootstrap, Tolerated: 1, BackendLease: 4 * time.Second, AnnouncePeriod: 1200 * time.Millisecond,
-		Exposure: 0.1, Decode: decode, OpenDisk: func() (dhdisk.Disk, error) { return disk, nil },
+		Exposure: exposure, Decode: decode, OpenDisk: func() (dhdisk.Disk, error) { return disk, nil },
 		Timers: c.timers, Clock: clock{c.timers}, Log: slog.New(slog.DiscardHandler), Metrics: dhmetric.New(4),
 	}
 	node := c.network.Start(name, func(ctx context.Context, _ string, message any) (any, error) {
@@ -414,15 +417,33 @@
 	return func(step int64) answers { return answers{step, max(step-first, 0) * bad / 100} }
 }
 
-// rollout announces servers of two versions, starts a rollout, reports answers
-// of the target until it ends and returns its states. The other version
-// answers nine times as often, with a failure in 180.
+// phase is a state of a rollout, when it was first read, and the part of the
+// sessions in its trial.
+type phase struct {
+	state dhpb.RolloutState
+	at    time.Duration
+	share float64
+}
+
+// rollout returns the states of a rollout of 12 s.
 func rollout(c *cluster, target func(step int64) answers) []dhpb.RolloutState {
+	var states []dhpb.RolloutState
+	for _, p := range rolloutPhases(c, 12*time.Second, target) {
+		states = append(states, p.state)
+	}
+	return states
+}
+
+// rolloutPhases announces servers of two versions, starts a rollout, reports
+// answers of the target until it ends and returns its states. The other version
+// answers nine times as often, with a failure in 180.
+func rolloutPhases(c *cluster, duration time.Duration, target func(step int64) answers) []phase {
 	c.within(3*time.Second, "the first document", func() bool { return c.replace("c0", 5) == nil })
 	release := func(v string) func(r *dhpb.BackendRecord) { return func(r *dhpb.BackendRecord) { r.Release = v } }
 	assert.NilError(c.t, c.call(func(ctx context.Context) error {
-		return c.controls["c1"].StartRollout(ctx, "p", "v2", 12*time.Second)
+		return c.controls["c1"].StartRollout(ctx, "p", "v2", duration)
 	}))
+	began := c.timers.Now()
 	state := func() (r *dhpb.RolloutRecord) {
 		assert.NilError(c.t, c.call(func(ctx context.Context) (err error) {
 			r, err = c.controls["c2"].ReadRollout(ctx, "p")
@@ -431,15 +452,15 @@
 		return r
 	}
 	watcher := c.network.Start("watcher", nil)
-	var states []dhpb.RolloutState
-	for step := range int64(120) {
+	var phases []phase
+	for step := int64(0); c.timers.Now().Sub(began) < duration; step++ {
 		if step%10 == 0 {
 			c.announce("c0", "b1", "ready", uint64(step)+1, release("v1"))
 			c.announce("c0", "b2", "ready", uint64(step)+1, release("v2"))
 		}
 		r := state()
-		if len(states) == 0 || states[len(states)-1] != r.GetState() {
-			states = append(states, r.GetState())
+		if len(phases) == 0 || phases[len(phases)-1].state != r.GetState() {
+			phases = append(phases, phase{r.GetState(), c.timers.Now().Sub(began), r.GetShare()})
 		}
 		if r.GetState() >= dhpb.RolloutState_ROLLOUT_STATE_COMPLETED {
 			break
@@ -456,7 +477,7 @@
 		assert.NilError(c.t, err)
 		c.step(90 * time.Millisecond)
 	}
-	return states
+	return phases
 }
 
 // Guards against a bad version that stays, and a good one that is withdrawn or
@@ -492,6 +513,32 @@
 	})
 }
 
+// Guards against a version that is bad under load only, which gives no evidence
+// in its trial, and gets more than the accepted part of the requests before the
+// end of its rollout (found at soojus-tallinn, servers-adrift: EXPOSURE), and
+// against a good one that is not brought in within the time of the order.
+func TestUnprovenVersionStaysWithinExposure(t *testing.T) {
+	for _, duration := range []time.Duration{18 * time.Second, 30 * time.Second} {
+		run(t, func(c *cluster) {
+			c.within(3*time.Second, "the first document", func() bool { return c.replace("c0", 5) == nil })
+			watcher := c.network.Start("rates", nil)
+			assert.NilError(t, c.call(func(ctx context.Context) error {
+				_, err := peers{watcher}.Watch(ctx, "c1", &dhpb.ControlWatchRequest{Vm: "rates", Report: &dhpb.EntryReport{
+					Rates: []*dhpb.PoolRate{{Pool: "p", PerSecond: 30}},
+				}})
+				return err
+			}))
+			phases := rolloutPhases(c, duration, badFrom(0, 0))
+			assert.Equal(t, len(phases), 3)
+			assert.Equal(t, phases[2].state, dhpb.RolloutState_ROLLOUT_STATE_COMPLETED)
+			shifted := phases[1].at.Seconds()
+			exposed := (phases[0].share*shifted + duration.Seconds() - shifted) / duration.Seconds()
+			assert.Assert(t, exposed <= exposure, "%.3f of all requests", exposed)
+			assert.Assert(t, phases[2].at < duration)
+		})
+	}
+}
+
 // Guards against sessions that are sent to the target of a rollout before it
 // has a backend server, where they were refused (found at stmaurice-coupe,
 // inc-ae48), and against more of them than its backend servers' part.
--- a/dh/dhcontrol/dhcontrol.go
+++ b/dh/dhcontrol/dhcontrol.go
@@ -66,9 +66,9 @@
 	BackendLease time.Duration
 	// AnnouncePeriod is the time between two announcements of a backend server.
 	AnnouncePeriod time.Duration
-	// Exposure is the largest part of the sessions that may try the target of a
-	// rollout.
-	Exposure float64
+	// Exposure is the largest part of a pool's requests that an unproven version
+	// may get during its rollout, beside ExposureSlack requests.
+	Exposure, ExposureSlack float64
 	// Decode reads a document. It fails on one that is not valid.
 	Decode func(text []byte) (*dhtable.Tables, error)
 
--- a/dh/dhcontrol/operators.go
+++ b/dh/dhcontrol/operators.go
@@ -83,7 +83,8 @@
 	if pool == "" || target == "" || duration <= 0 {
 		return dhcode.Errorf(dhcode.RequestMalformed, "a rollout needs a pool, a version and a duration above 0")
 	}
-	started, share := c.Timers.Now().UnixMilli(), c.trialShare(pool)
+	started := c.Timers.Now().UnixMilli()
+	share, margin := c.rolloutPlan(pool, duration)
 	return c.operate(ctx, "rollout", pool+" to "+target, func(o *dhpb.Operations) error {
 		r := findRollout(o, pool)
 		if r == nil {
@@ -97,7 +98,7 @@
 			return dhcode.Errorf(dhcode.LeaseHeldElsewhere, "the rollout of pool %q to %q is in progress", pool, r.GetTarget())
 		}
 		r.Target, r.State, r.Duration = target, dhpb.RolloutState_ROLLOUT_STATE_TRIAL, durationpb.New(duration)
-		r.Number, r.StartedAt, r.Share = o.GetNumber()+1, started, share
+		r.Number, r.StartedAt, r.Share, r.Margin = o.GetNumber()+1, started, share, durationpb.New(margin)
 		r.Reverted = slices.DeleteFunc(r.Reverted, func(v string) bool { return v == target })
 		return nil
 	})
@@ -110,18 +111,35 @@
 	trialRate = 6.0
 	// minTrialShare bounds the share where there is much traffic.
 	minTrialShare = 0.01
+	// trialExposure is the part of the accepted exposure that a trial may use,
+	// and exposureUsed the part of it, and slackUsed that of the slack, that a
+	// whole rollout may use: sessions differ in size, and rates change.
+	trialExposure = 0.5
+	exposureUsed  = 0.95
+	slackUsed     = 0.5
+	// minMargin and maxMargin bound the time before the end of the duration at
+	// which a rollout completes. Operators count from the first time that they
+	// sent the order, and ask for its state about once a second.
+	minMargin = 800 * time.Millisecond
+	maxMargin = 2 * time.Second
 )
 
-// trialShare returns the part of the sessions that try the target of a
-// rollout. Each session in it that began before is moved by the trial, also
-// when entry VMs do not know of it, so that the share is as small as the
-// evidence permits.
-func (c *Control) trialShare(pool string) float64 {
+// rolloutPlan returns the part of the sessions that try the target of a
+// rollout, and how long before the end of its duration it completes. Each
+// session in the trial that began before is moved by it, also when entry VMs do
+// not know of it, so that the share is as small as the evidence permits. What
+// all sessions send to the target at the end must fit into the accepted
+// exposure too; the margin is as long as that permits.
+func (c *Control) rolloutPlan(pool string, duration time.Duration) (share float64, margin time.Duration) {
 	rate := c.entries.rate(pool)
 	if rate <= 0 {
-		return c.Exposure
+		return c.Exposure * trialExposure, maxMargin
 	}
-	return min(max(trialRate/rate, minTrialShare), c.Exposure)
+	accepted := exposureUsed*c.Exposure + slackUsed*c.ExposureSlack/(rate*duration.Seconds())
+	last := time.Duration((accepted - minTrialShare) * float64(duration))
+	margin = min(max(last-minShift, minMargin), maxMargin)
+	spare := accepted - float64(minShift+margin)/float64(duration)
+	return min(max(min(trialRate/rate, spare), minTrialShare), c.Exposure*trialExposure), margin
 }
 
 // ReadRollout returns the newest rollout of a pool, or nil when there was none.
--- a/dh/dhcontrol/rollout.go
+++ b/dh/dhcontrol/rollout.go
@@ -25,23 +25,19 @@
 	falseAlarms = 0.001
 	// trialPart is the part of a rollout's duration in which only the trial
 	// share of the sessions uses the target: sessions must stay on their
-	// version in the first half, and a version that turns bad late shows within.
+	// version in the first half.
 	trialPart = 0.6
 	// doubtAlarms is the probability with which a version that is no worse is
 	// kept in its trial for a while. A version that turns bad late has had few
 	// bad answers when its trial ends; moving all sessions to it then exposed
 	// 154 requests (found at soojus-tallinn, frozen-and-revoked).
 	doubtAlarms = 0.1
-	// minTrialAnswers is how many answers of the target are wanted before all
-	// sessions move to it; after lateTrialPart of the duration none are.
-	minTrialAnswers = 30
-	lateTrialPart   = 0.8
-	// endPart is the part of the duration after which the rollout completes
-	// although the old backend servers still work.
-	endPart = 0.93
 	// minShift is the least time in which all sessions use the target before
-	// the old backend servers are given up.
-	minShift = 1500 * time.Millisecond
+	// the old backend servers are given up. It comes as late as the duration
+	// permits: a version that is bad under load only gives no evidence in its
+	// trial, and what it gets afterwards must stay within the accepted exposure
+	// (found at soojus-tallinn, servers-adrift: EXPOSURE).
+	minShift = 1200 * time.Millisecond
 	// minTargets is the part of the old backend servers' number that the target
 	// must have before all sessions move to it.
 	minTargets = 0.5
@@ -91,7 +87,7 @@
 	}
 	before, after := c.entries.counts(r.GetPool(), r.GetTarget(), r.GetNumber())
 	evidence := t.test.Update(before, after)
-	next := c.nextState(r, t, now, evidence, after)
+	next := c.nextState(r, t, now, evidence)
 	if next == r.GetState() {
 		t.decision = 0
 		return
@@ -131,32 +127,32 @@
 }
 
 // nextState returns the state that the evidence asks for.
-func (c *Control) nextState(r *dhpb.RolloutRecord, t *trial, now time.Time, evidence float64, target dhversion.Counts) dhpb.RolloutState {
+func (c *Control) nextState(r *dhpb.RolloutRecord, t *trial, now time.Time, evidence float64) dhpb.RolloutState {
 	state := r.GetState()
 	if evidence >= math.Log(1/falseAlarms) {
 		return dhpb.RolloutState_ROLLOUT_STATE_REVERTED
 	}
-	duration := r.GetDuration().AsDuration()
-	part := float64(elapsed(r, t, now)) / float64(max(duration, 1))
+	left := r.GetDuration().AsDuration() - elapsed(r, t, now)
 	if state == dhpb.RolloutState_ROLLOUT_STATE_TRIAL {
-		return c.afterTrial(r, part, evidence, target)
+		return c.afterTrial(r, left, evidence)
 	}
-	if now.Sub(t.shifted) >= minShift && (part >= endPart || c.oldIdle(r)) {
+	if now.Sub(t.shifted) >= minShift && (left <= r.GetMargin().AsDuration() || c.oldIdle(r)) {
 		return dhpb.RolloutState_ROLLOUT_STATE_COMPLETED
 	}
 	return state
 }
 
-// afterTrial returns the state that follows a trial after a part of the
-// rollout's duration. A version in doubt stays in its trial, and is withdrawn
-// if it is still in doubt when the rollout has to end.
-func (c *Control) afterTrial(r *dhpb.RolloutRecord, part, evidence float64, target dhversion.Counts) dhpb.RolloutState {
+// afterTrial returns the state that follows a trial, with so much left of the
+// rollout's duration. A version in doubt stays in its trial, and is withdrawn if
+// it is still in doubt when the rollout has to end.
+func (c *Control) afterTrial(r *dhpb.RolloutRecord, left time.Duration, evidence float64) dhpb.RolloutState {
 	doubtful := evidence >= math.Log(1/doubtAlarms)
-	enough := target.Answers >= minTrialAnswers || part >= lateTrialPart
+	trial := time.Duration(trialPart * float64(r.GetDuration().AsDuration()))
+	margin := r.GetMargin().AsDuration()
 	switch {
-	case doubtful && part >= endPart:
+	case doubtful && left <= margin:
 		return dhpb.RolloutState_ROLLOUT_STATE_REVERTED
-	case part >= trialPart && enough && !doubtful && c.targetReady(r):
+	case left <= min(minShift+margin, r.GetDuration().AsDuration()-trial) && !doubtful && c.targetReady(r):
 		return dhpb.RolloutState_ROLLOUT_STATE_SHIFT
 	}
 	return r.GetState()
