--- a/dh/dhrouter/forward_size.go
+++ b/dh/dhrouter/forward_size.go
@@ -60,6 +60,8 @@
 		return nil
 	case in.Confidence >= hopelessBelow && f.tooLateFor(f.route.Cascade[largest]):
 		f.router.Metrics.Count("unsure-kept", f.route.Name)
+		f.router.Log.Info("unsure answer kept", slog.String("request", f.message.ID), slog.String("route", f.route.Name),
+			slog.String("model", f.model), slog.Int("confidence", in.Confidence))
 		return nil
 	case f.router.Retries.Retry(f.poolName) != nil:
 		return nil // an unsure answer is better than none
