Log the first view of an entry VM in one line

Change: one line with number, control VM and position; that control VM has logged each backend server.

--- a/dh/dhbackend/dhbackend.go
+++ b/dh/dhbackend/dhbackend.go
@@ -167,6 +167,9 @@
 	return b, ok
 }
 
+// Len returns the number of records, also of those that are leaving.
+func (t *Table) Len() int { return len(t.rows) }
+
 // Expire removes backend servers whose lease ended before now.
 func (t *Table) Expire(now time.Time) {
 	for id, b := range t.rows {
--- a/dh/dhentry/dhentry.go
+++ b/dh/dhentry/dhentry.go
@@ -255,17 +255,22 @@
 		e.Log.Warn("backend servers not read", slog.String("control", u.From), slog.String("error", err.Error()))
 		return
 	}
+	first := e.table.Len() == 0
 	listed := make(map[string]bool, len(records))
 	for _, r := range records {
 		listed[r.GetId()] = true
 		b, err := dhbackend.FromRecord(r, now)
 		if err == nil {
-			err = e.learn(b)
+			err = e.learn(b, first)
 		}
 		if err != nil {
 			e.Log.Warn("backend server not taken", slog.String("backend", r.GetId()), slog.String("error", err.Error()))
 		}
 	}
+	if first && len(listed) > 0 {
+		e.Log.Info("backend servers known", slog.Int("count", len(listed)), slog.Bool("complete", u.GetComplete()),
+			slog.String("from", u.From), slog.Uint64("epoch", u.GetEpoch()), slog.Uint64("position", u.GetPosition()))
+	}
 	if u.GetComplete() {
 		e.complete = true
 		e.table.Retain(func(id string) bool { return listed[id] })
@@ -286,12 +291,14 @@
 	e.table.SetLoads(loads, now, loadAge)
 }
 
-func (e *Entry) learn(b *dhbackend.Backend) error {
+// learn takes a record. Those of the first view are logged together: the control
+// VM that told them has logged each.
+func (e *Entry) learn(b *dhbackend.Backend, first bool) error {
 	old, known := e.table.Get(b.ID)
 	if err := e.table.Announce(b); err != nil {
 		return err
 	}
-	if now, _ := e.table.Get(b.ID); now == b && (!known || old.State != b.State || old.Incarnation != b.Incarnation) {
+	if now, _ := e.table.Get(b.ID); !first && now == b && (!known || old.State != b.State || old.Incarnation != b.Incarnation) {
 		e.Log.Info("backend server", slog.String("backend", b.ID), slog.String("pool", b.Pool), slog.String("zone", b.Zone),
 			slog.String("state", b.State.String()), slog.String("release", b.Release), slog.Uint64("incarnation", b.Incarnation),
 			slog.Uint64("sequence", b.Sequence))
