--- a/dh/dhcontrol/cluster_test.go
+++ b/dh/dhcontrol/cluster_test.go
@@ -607,6 +607,22 @@
 	})
 }
 
+// Guards against a trial whose share counts on the slack of an exposure because
+// the rate of requests is not fully known yet (found at soojus-tallinn,
+// servers-adrift --vary --seed 1012248586032: EXPOSURE).
+func TestTrialShareCountsLittleOnSlack(t *testing.T) {
+	run(t, func(c *cluster) {
+		c.within(3*time.Second, "the first document", func() bool { return c.replace("c0", 5) == nil })
+		c.controls["c1"].ExposureSlack = 30
+		c.reportRate("c1", 10) // of 30
+		assert.NilError(t, c.call(func(ctx context.Context) error { return c.controls["c1"].StartRollout(ctx, "p", "v2", 22*time.Second) }))
+		r := c.rolloutOf("c2")
+		last := r.GetMargin().AsDuration() + 1200*time.Millisecond
+		exposed := r.GetShare() + last.Seconds()/22
+		assert.Assert(t, exposed <= exposure+30.0/(30*22), "%.3f of all requests", exposed)
+	})
+}
+
 // Guards against a leave that is acknowledged and then lost with the VM that
 // has acknowledged it.
 func TestLeaveSurvivesItsVM(t *testing.T) {
--- a/dh/dhcontrol/operators.go
+++ b/dh/dhcontrol/operators.go
@@ -113,10 +113,13 @@
 	minTrialShare = 0.01
 	// trialExposure is the part of the accepted exposure that a trial may use,
 	// and exposureUsed the part of it, and slackUsed that of the slack, that a
-	// whole rollout may use: sessions differ in size, and rates change.
+	// whole rollout may use: sessions differ in size, and rates change. The slack
+	// counts as slackMost of the accepted exposure at most, since the rate of
+	// requests is underestimated soon after a start.
 	trialExposure = 0.5
 	exposureUsed  = 0.95
 	slackUsed     = 0.5
+	slackMost     = 0.2
 	// trialAnswers is how many answers of the target a trial is to have, also
 	// where the accepted exposure has no room for it: without evidence a bad
 	// version is found only when all sessions use it (found by the soak, seed
@@ -140,7 +143,8 @@
 	if rate <= 0 {
 		return c.Exposure * trialExposure, maxMargin
 	}
-	accepted := exposureUsed*c.Exposure + slackUsed*c.ExposureSlack/(rate*duration.Seconds())
+	slack := min(slackUsed*c.ExposureSlack/(rate*duration.Seconds()), slackMost*c.Exposure)
+	accepted := exposureUsed*c.Exposure + slack
 	last := time.Duration((accepted - minTrialShare) * float64(duration))
 	margin = min(max(last-minShift, minMargin), maxMargin)
 	spare := accepted - float64(minShift+margin)/float64(duration)
