Take a part of the whole time where a route names no wanted one

Cause: for a route without a wanted time, an unsure answer was always kept and a plain answer was left after one second. Change: the wanted time of the first event is then 0.4 of the whole; plain answers of such a route are not left. Figures: TestUnsureAnswerIsKeptWhenTheNextIsLate has the case.

--- a/dh/dhrouter/forward_relay.go
+++ b/dh/dhrouter/forward_relay.go
@@ -79,6 +79,8 @@
 		return 0
 	case f.route.Stream:
 		return max(stallPauses*f.route.Pause, minStall)
+	case f.route.Objective <= 0:
+		return 0
 	}
 	return max(stallObjectives*f.route.Objective, minStall)
 }
@@ -94,9 +96,14 @@
 	return most
 }
 
-// wantedFirst returns the time from the request to its first event that is wanted.
+// wantedFirst returns the time from the request to its first event that is
+// wanted: that of the route, if it names one, within a part of the whole time.
 func (f *forward) wantedFirst() time.Duration {
-	return min(f.route.Objective, time.Duration(float64(f.limit)*firstPart))
+	most := time.Duration(float64(f.limit) * firstPart)
+	if f.route.Objective <= 0 {
+		return most
+	}
+	return min(f.route.Objective, most)
 }
 
 // cause replaces the error of an attempt that the watchdog ended.
--- a/dh/dhrouter/forward_size.go
+++ b/dh/dhrouter/forward_size.go
@@ -19,7 +19,7 @@
 func (f *forward) sureFrom(larger string) int {
 	wanted := f.wantedFirst()
 	if wanted <= 0 {
-		return sureFrom
+		return sureFrom // no time is left anyway
 	}
 	expected := f.router.delays.expected(f.poolName, larger, f.router.Timers.Now())
 	load := float64(expected) / float64(wanted) * (1 + rankWeight*float64(f.rank))
--- a/dh/dhrouter/paces_test.go
+++ b/dh/dhrouter/paces_test.go
@@ -50,10 +50,18 @@
 // the larger model would read too long, unless it is hardly ever right.
 func TestUnsureAnswerIsKeptWhenTheNextIsLate(t *testing.T) {
 	for _, c := range []struct {
+		objective                 time.Duration
 		tokens, confidence, sends int
-	}{{60_000, 30, 1}, {60_000, 5, 2}, {5_000, 30, 2}} {
+	}{
+		{2 * time.Second, 60_000, 30, 1},
+		{2 * time.Second, 60_000, 5, 2},
+		{2 * time.Second, 5_000, 30, 2},
+		{0, 60_000, 30, 2}, // a route that names no time has 8 of its 20 s
+	} {
 		synctest.Test(t, func(t *testing.T) {
 			f := newForwarder(t, reply(200, text(event1), events, confidence(c.confidence)), reply(200, text(event2), events))
+			route, _ := f.Snapshot().Tables.Find("h", "/plan/")
+			route.Objective = c.objective
 			f.paces.reads("large", 50*time.Millisecond)
 			w, _, err := f.ask(t, "plan", tokens(c.tokens))
 			assert.NilError(t, err)
