--- a/dh/dhwatch/dhwatch.go
+++ b/dh/dhwatch/dhwatch.go
@@ -242,9 +242,9 @@
 // choose returns the control VM to ask and whether it is another one than
 // before: the same one as long as it answers and there is none of the own zone,
 // else one that has not failed lately, of the own zone, in an order that differs
-// from VM to VM. While all
-// have failed, one that answers is kept: each change costs a whole view, and
-// the views kept overloaded control VMs from confirming anything.
+// from VM to VM. While all have failed, one that answers is kept: each change
+// costs a whole view, and the views kept overloaded control VMs from confirming
+// anything.
 func (f *Follower) choose() (address string, changed bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
