Leave backend servers alone that leave or ask for a pause

Cause: an entry VM learned of a leave from the control VMs only, and a refusal with a time to return was a refusal like any other, so that requests could reach a backend server that had said that it leaves, or that it wants none for a while.

Change: the adapter reads both from the head of an answer (an answer of another instance at the address says nothing). dhlimit.HoldOffs keeps them by instance; Router.choose, the only way to a backend server, leaves those out, also for retries, resumed streams and larger models. The soak's backend servers say both, and its judge checks both promises.

--- a/cmd/dandelionhoist-soak/dhsoak/backend.go
+++ b/cmd/dandelionhoist-soak/dhsoak/backend.go
@@ -43,6 +43,9 @@
 	maxHang = 4 * time.Second
 	// reuseAfter is how long an address rests before another pool gets it.
 	reuseAfter = 2 * time.Second
+	// pauseAsked is how long a refusing backend server wants no request, as each
+	// second refusal says.
+	pauseAsked = 1500 * time.Millisecond
 	// minPool servers of a pool keep their addresses, so that it goes on serving
 	// while a zone is out.
 	minPool = 2
@@ -76,6 +79,7 @@
 	conduct  conduct
 	active   int
 	runs     int
+	refusals int
 	server   *http.Server
 }
 
@@ -180,6 +184,13 @@
 	return b.pool
 }
 
+// instance returns the id of the running incarnation.
+func (b *backend) instance() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.id
+}
+
 func (b *backend) behave(c conduct) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -319,14 +330,28 @@
 		refused: full, backend: id, pool: pool, zone: b.zone, version: b.version, number: b.runs, seal: fmt.Sprintf("seal-%s-%d", id, b.runs),
 	}
 	unsure := b.random.Float64() < unsurePart
+	pause := time.Duration(0)
+	if behaviour == refusing {
+		if b.refusals++; b.refusals%2 == 1 {
+			pause = pauseAsked
+		}
+	}
+	s.leaving = b.leaving
 	b.mu.Unlock()
 	w.Header().Set("Instance-Id", id)
+	if s.leaving {
+		w.Header().Set(platform.HeaderLeaving, "1")
+	}
 	if expected := r.Header.Get(platform.HeaderExpect); expected != "" && expected != id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	b.deployment.judge.Arrived(s)
 	if full {
+		if pause > 0 {
+			w.Header().Set(platform.HeaderRetryAfter, strconv.FormatFloat(pause.Seconds(), 'f', -1, 64))
+			defer b.deployment.judge.ToldPause(s.id, id, pause)
+		}
 		w.Header().Set(platform.HeaderNotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
--- a/cmd/dandelionhoist-soak/dhsoak/deployment.go
+++ b/cmd/dandelionhoist-soak/dhsoak/deployment.go
@@ -280,6 +280,7 @@
 		name := someone.name
 		if f.target%2 == 0 {
 			name = b.name
+			defer d.judge.Disturb(b.instance())()
 		}
 		defer d.judge.Disturb(disturbedBy(someoneElse(d, name))...)()
 		if f.kind == resetLinks {
@@ -306,6 +307,7 @@
 		wait()
 		b.behave(sound)
 	case cutBackend:
+		defer d.judge.Disturb(b.instance())()
 		defer d.network.cut(link{b.name, anyone}, link{anyone, b.name})()
 		wait()
 	}
--- a/cmd/dandelionhoist-soak/dhsoak/dhsoak.go
+++ b/cmd/dandelionhoist-soak/dhsoak/dhsoak.go
@@ -79,6 +79,10 @@
 	// reach a backend server late, before a rule is broken.
 	lostAllowed = 3
 	lateAllowed = 3
+	// pauseAllowed requests of a VM may reach a backend server in a pause that it
+	// asked for, counted from pauseGrace on.
+	pauseAllowed = 2
+	pauseGrace   = 500 * time.Millisecond
 )
 
 // Size is how many processes, backend servers and callers a run has. A zero is
--- a/cmd/dandelionhoist-soak/dhsoak/enum_string.go
+++ b/cmd/dandelionhoist-soak/dhsoak/enum_string.go
@@ -47,6 +47,7 @@
 	}
 	return _faultKind_name[_faultKind_index[idx]:_faultKind_index[idx+1]]
 }
+
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
--- a/cmd/dandelionhoist-soak/dhsoak/judge.go
+++ b/cmd/dandelionhoist-soak/dhsoak/judge.go
@@ -33,10 +33,12 @@
 	// evacuated holds when the evacuation of a zone was acknowledged in the calm span.
 	evacuated map[string]time.Time
 	cold      map[string][]time.Time
-	rollout   *rollout
-	lost      int
-	late      int
-	served    int
+	// told holds what backend servers have told VMs in their answers.
+	told    map[pair]*told
+	rollout *rollout
+	lost    int
+	late    int
+	served  int
 	// calmRequests and calmServed are the requests of the calm span that every
 	// configuration allows.
 	calmRequests, calmServed int
@@ -67,6 +69,8 @@
 	// seal and status are what the backend server answered with.
 	seal   string
 	status int
+	// leaving tells that the answer says that the backend server leaves.
+	leaving bool
 }
 
 type arrival struct {
@@ -82,6 +86,19 @@
 	valid  bool
 }
 
+// pair is a VM and a backend server that has answered it.
+type pair struct{ vm, backend string }
+
+// told is what a backend server has told a VM.
+type told struct {
+	// leaving is when it first said that it leaves.
+	leaving time.Time
+	// paused is when it asked for a pause, until is its end, and arrivals counts
+	// the requests of the VM in it.
+	paused, until time.Time
+	arrivals      int
+}
+
 type disturbance struct {
 	vm       string
 	from, to time.Time
@@ -99,6 +116,7 @@
 		j.requests, j.arrivals = make(map[string]*request), make(map[string][]arrival)
 		j.sent, j.acknowledged = make(map[uint64]sentConfiguration), make(map[uint64]time.Time)
 		j.unserved = make(map[int]int)
+		j.told = make(map[pair]*told)
 		j.left, j.evacuated, j.cold = make(map[string]time.Time), make(map[string]time.Time), make(map[string][]time.Time)
 	}
 }
@@ -137,7 +155,9 @@
 	// cold tells that the backend server is cold.
 	cold bool
 	// refused tells that the backend server says that it does not run the request.
-	refused                            bool
+	refused bool
+	// leaving tells that the answer says that the backend server leaves.
+	leaving                            bool
 	backend, pool, zone, seal, version string
 	// number counts the runs of the backend server.
 	number int
@@ -157,12 +177,13 @@
 		}
 		return
 	}
+	j.checkTold(r, s, now)
 	j.arrivals[s.pool] = append(j.arrivals[s.pool], arrival{at: now, repeat: r.arrived, version: s.version})
 	r.arrived = true
 	if s.refused {
 		return
 	}
-	r.runs = append(r.runs, run{backend: s.backend, pool: s.pool, zone: s.zone, account: s.account, version: s.version, at: now, seal: s.seal})
+	r.runs = append(r.runs, run{backend: s.backend, pool: s.pool, zone: s.zone, account: s.account, version: s.version, at: now, seal: s.seal, leaving: s.leaving})
 	switch {
 	case s.method != r.method || s.path != r.path || s.body != r.body:
 		j.violate("unasked", "request %s runs on %s with method, path or body changed", r.id, s.backend)
@@ -235,6 +256,54 @@
 	}
 }
 
+// checkTold checks that a VM sends a backend server nothing after it has said
+// that it leaves, or while it wants no request.
+func (j *Judge) checkTold(r *request, s seen, now time.Time) {
+	t := j.told[pair{r.entry, s.backend}]
+	if t == nil {
+		return
+	}
+	if !t.leaving.IsZero() && r.sentAt.Sub(t.leaving) > drainBound && !j.disturbed(r.entry, t.leaving, now) {
+		j.violate("drain", "request %s, sent %v after %s told %s that it leaves, reaches it", r.id, r.sentAt.Sub(t.leaving), s.backend, r.entry)
+	}
+	if now.Sub(t.paused) <= pauseGrace || !now.Before(t.until) || j.disturbed(r.entry, t.paused, now) || j.disturbed(s.backend, t.paused.Add(-time.Second), now) {
+		return
+	}
+	if t.arrivals++; t.arrivals == pauseAllowed+1 {
+		j.violate("budget", "request %s reaches %s %v after it asked %s for a pause of %v, as %d others did",
+			r.id, s.backend, now.Sub(t.paused), r.entry, t.until.Sub(t.paused), pauseAllowed)
+	}
+}
+
+// toldLeaving records that a VM has passed on an answer that says that its
+// backend server leaves.
+func (j *Judge) toldLeaving(r *request, backend string) {
+	if t := j.toldTo(r, backend); t.leaving.IsZero() {
+		t.leaving = j.Timers.Now()
+	}
+}
+
+// ToldPause records that a backend server has asked the VM of a request for a pause.
+func (j *Judge) ToldPause(id, backend string, pause time.Duration) {
+	defer j.lock()()
+	r, now := j.requests[id], j.Timers.Now()
+	if r == nil {
+		return
+	}
+	if t := j.toldTo(r, backend); now.Add(pause).After(t.until) {
+		t.paused, t.until, t.arrivals = now, now.Add(pause), 0
+	}
+}
+
+// toldTo returns what a backend server has told the VM of a request.
+func (j *Judge) toldTo(r *request, backend string) *told {
+	p := pair{r.entry, backend}
+	if j.told[p] == nil {
+		j.told[p] = &told{}
+	}
+	return j.told[p]
+}
+
 func (j *Judge) coldArrival(backend string, now time.Time) {
 	list := append(j.cold[backend], now)
 	for now.Sub(list[0]) > time.Second {
@@ -291,6 +360,9 @@
 		}
 	}
 	i := slices.IndexFunc(r.runs, func(run run) bool { return run.seal == o.seal })
+	if i >= 0 && r.runs[i].leaving {
+		j.toldLeaving(r, r.runs[i].backend)
+	}
 	promised := o.status == http.StatusTooManyRequests || o.status == http.StatusServiceUnavailable ||
 		o.status == http.StatusRequestTimeout || o.status == http.StatusMisdirectedRequest
 	switch {
--- a/cmd/dandelionhoist-soak/dhsoak/judge_test.go
+++ b/cmd/dandelionhoist-soak/dhsoak/judge_test.go
@@ -251,6 +251,26 @@
 				h.arrive(h.ask(look, keyAlways), "b", func(s *seen) { s.cold = true })
 			}
 		}},
+		"leaving backend server that gets a request": {"drain", func(h history) {
+			r := h.ask(look, keyAlways)
+			h.arrive(r, "b", func(s *seen) { s.leaving = true })
+			h.Answered(r, good(r, "b"))
+			h.timers.Step(drainBound + time.Millisecond)
+			r = h.ask(look, keyAlways)
+			h.arrive(r, "b", nil)
+		}},
+		"backend server that gets requests in its pause": {"budget", func(h history) {
+			r := h.ask(look, keyAlways)
+			h.arrive(r, "b", func(s *seen) { s.refused = true })
+			h.ToldPause(r.id, "b", pauseAsked)
+			h.timers.Step(pauseGrace + time.Millisecond)
+			for i := range pauseAllowed + 1 {
+				r := h.ask(look, keyAlways)
+				r.id = fmt.Sprint(i)
+				h.Sent(r)
+				h.arrive(r, "b", func(s *seen) { s.refused = true })
+			}
+		}},
 		"bad version exposed": {"exposure", func(h history) {
 			h.RolloutOrdered(poolEngine, true)
 			const requests = 40 // of which 36 are allowed
--- a/dh/dhcode/describe.go
+++ b/dh/dhcode/describe.go
@@ -51,6 +51,7 @@
 	NotAuthenticated:     {"The key does not open this service.", "Use a key of the right kind: a caller's, an operator's or a peer's."},
 	TableFull:            {"A bounded table of the entry VM is full.", "Wait for the retry-after time, or try another entry VM."},
 	BillNotSafe:          {"The bill could not be stored on enough VMs, so that the answer's end is held back.", "Resume at the offset."},
+	PoolHeldOff:          {"All backend servers of the pool that could serve the request leave, or asked for no requests for some time.", "Wait for the retry-after time."},
 	RouteUnknown:         {"No route's host and path prefix match the HTTP request.", "Check host and path; ask the operators."},
 }
 
--- a/dh/dhcode/dhcode.go
+++ b/dh/dhcode/dhcode.go
@@ -79,12 +79,13 @@
 	TableFull                        // table-full
 	BillNotSafe                      // bill-not-safe
 	RouteUnknown                     // route-unknown
+	PoolHeldOff                      // pool-held-off
 )
 
 // Codes returns all result codes in order of their numbers.
 func Codes() []Code {
-	codes := make([]Code, 0, int(RouteUnknown)+1)
-	for c := OK; c <= RouteUnknown; c++ {
+	codes := make([]Code, 0, int(PoolHeldOff)+1)
+	for c := OK; c <= PoolHeldOff; c++ {
 		codes = append(codes, c)
 	}
 	return codes
@@ -121,7 +122,7 @@
 		WaitTooLong, NoBackend, PoolFull, SessionTokenInvalid, IdempotencyKeyNeeded,
 		ClosedNotRun, TablesLeaseLapsed, TablesInvalid, EditConflict, EditIDReused,
 		BaseRevisionUnknown, VoterRolledBack, VoterEpochOld, FencingTokenOld, LeaseHeldElsewhere,
-		SettingsInvalid, NotAuthenticated, TableFull:
+		SettingsInvalid, NotAuthenticated, TableFull, PoolHeldOff:
 		return NotRun
 	case Internal, RetryBudgetSpent, BackendFailed, StreamBroken, DeadlineExceeded, Cancelled,
 		KeyReused, KeyExpired, InProgress, OutcomeUnknown, QuorumUnreachable, EditUnknown,
--- a/dh/dhrouter/deliver.go
+++ b/dh/dhrouter/deliver.go
@@ -100,7 +100,7 @@
 // and, in a cold start, takes a credit.
 func (r *Router) place(s *Snapshot, req dhplacement.Request) (place, error) {
 	for {
-		p, err := r.Placer.Place(s.Backends, req)
+		p, err := r.choose(s, req)
 		if err != nil {
 			return place{}, err
 		}
--- a/dh/dhrouter/dhrouter.go
+++ b/dh/dhrouter/dhrouter.go
@@ -214,6 +214,7 @@
 	paces    paces
 	delays   delays
 	sessions sessions
+	holdOffs dhlimit.HoldOffs
 	arrivals arrivals
 }
 
--- a/dh/dhrouter/forward.go
+++ b/dh/dhrouter/forward.go
@@ -256,10 +256,10 @@
 }
 
 // hint adds a time to return that is spread, so that refused callers do not
-// come back together. It is at most a quarter of the time left, since callers
-// wait for a third of it at most.
+// come back together, after the one that err has. It is at most a quarter of the
+// time left, since callers wait for a third of it at most.
 func (f *forward) hint(err error) error {
-	d := minRetryAfter + time.Duration(f.router.Random()*float64(spreadRetryAfter))
+	d := max(minRetryAfter, dhcode.RetryAfterOf(err)) + time.Duration(f.router.Random()*float64(spreadRetryAfter))
 	if f.limit > 0 {
 		d = min(d, (f.limit-f.router.Timers.Now().Sub(f.received))/4)
 	}
@@ -436,7 +436,7 @@
 	if ctx.Err() != nil {
 		err = withCause(ctx, err)
 	}
-	if dhcode.RanOf(err) == dhcode.NotRun && dhcode.RetryAfterOf(err) == 0 {
+	if dhcode.RanOf(err) == dhcode.NotRun {
 		err = f.hint(err)
 	}
 	return err
--- a/dh/dhrouter/forward_relay.go
+++ b/dh/dhrouter/forward_relay.go
@@ -47,6 +47,7 @@
 		}
 		return 0, f.cause(ctx, err)
 	}
+	f.noteHoldOff(in, b)
 	defer func() { _ = in.Body.Close() }() // the connection is given up when the answer was not read to its end
 	f.router.Placer.FirstToken(p)
 	head := f.router.Timers.Now()
--- a/dh/dhrouter/forward_size.go
+++ b/dh/dhrouter/forward_size.go
@@ -45,7 +45,7 @@
 	if err != nil {
 		return true
 	}
-	place, err := f.router.Placer.Place(s.Backends, req)
+	place, err := f.router.choose(s, req)
 	return err != nil || f.router.paces.expected(f.poolName, model, place.Ahead) > left
 }
 
--- a/dh/dhrouter/message.go
+++ b/dh/dhrouter/message.go
@@ -78,6 +78,11 @@
 	Sealed bool
 	// Events is set when the body is a stream of events.
 	Events bool
+	// Leaving is set when the backend server says that it leaves, so that
+	// nothing new must be sent to it.
+	Leaving bool
+	// Pause is how long the backend server wants no request of this VM, or 0.
+	Pause time.Duration
 	// Confidence is the model's own opinion of the answer in percent, or -1.
 	Confidence int
 	// Length is the length of the body in bytes, or -1 when the head states none.
--- a/dh/dhsession/check_answers.go
+++ b/dh/dhsession/check_answers.go
@@ -177,7 +177,7 @@
 func givenUp(code dhcode.Code) bool {
 	switch code {
 	case dhcode.Leaving, dhcode.RateLimited, dhcode.ConcurrencyLimited, dhcode.QueueFull, dhcode.WaitTooLong,
-		dhcode.NoBackend, dhcode.PoolFull, dhcode.TablesLeaseLapsed, dhcode.RetryBudgetSpent, dhcode.BackendFailed,
+		dhcode.NoBackend, dhcode.PoolFull, dhcode.PoolHeldOff, dhcode.TablesLeaseLapsed, dhcode.RetryBudgetSpent, dhcode.BackendFailed,
 		dhcode.StreamBroken, dhcode.OutcomeUnknown, dhcode.InProgress, dhcode.NoTables, dhcode.BillNotSafe:
 		return true
 	}
