Wait after a start only as long as it helps

Cause: on a VM that has just started, each request waited 0.6 s from its own arrival while backend servers might be missing. Orders did not wait where the only backend servers known were in a zone that is out, and were refused.

Change: the wait counts from the first backend servers that the VM knew, is at most 0.3 of the route's wanted time, and a pool counts as known only with a backend server in a zone that is not out. The waits of a start have a file of their own.

--- a/dh/dhrouter/delays_test.go
+++ b/dh/dhrouter/delays_test.go
@@ -118,6 +118,49 @@
 	}
 }
 
+// Answers the pattern of a loss of all VMs: callers that came while the VMs were
+// down ask together. Each waited as long as the first one for more backend
+// servers, so that all answers that are wanted at once were late; and orders were
+// refused while the only backend servers known were in a zone that is out (found
+// at soojus-tallinn, trouble-1 and scale-2).
+func TestRequestsWaitNoLongerThanHelps(t *testing.T) {
+	partial := func(f *forwarder) *Snapshot {
+		return &Snapshot{Tables: f.Snapshot().Tables, Backends: f.Snapshot().Backends, Partial: true}
+	}
+	// took asks a while after the start and returns how long the answer took.
+	took := func(t *testing.T, f *forwarder, after time.Duration) time.Duration {
+		f.timers.Step(after)
+		start := f.timers.Now()
+		_, _, err := f.ask(t, "look")
+		assert.NilError(t, err)
+		return f.timers.Now().Sub(start)
+	}
+	synctest.Test(t, func(t *testing.T) {
+		f := newForwarder(t, reply(200, text("done")))
+		f.Publish(partial(f))
+		assert.Equal(t, took(t, f, partialWait), time.Duration(0))
+	})
+	synctest.Test(t, func(t *testing.T) {
+		f := newForwarder(t, reply(200, text("done")))
+		s := partial(f)
+		s.Tables = testTables()
+		route, _ := s.Tables.Find("h", "/look/1")
+		route.Objective = 300 * time.Millisecond
+		f.Publish(s)
+		waited := took(t, f, 0)
+		assert.Assert(t, waited > 0 && waited <= 90*time.Millisecond+startPoll, "%v", waited)
+	})
+	synctest.Test(t, func(t *testing.T) {
+		f := newForwarder(t, reply(200, text("done")))
+		whole, out := f.Snapshot(), partial(f)
+		out.ZoneWeight = map[string]float64{"a": 0}
+		f.Publish(out)
+		f.timers.After(partialWait+time.Second/2, func(time.Time) { f.Publish(whole) })
+		waited := took(t, f, partialWait)
+		assert.Assert(t, waited >= time.Second/2 && waited <= time.Second/2+startPoll, "%v", waited)
+	})
+}
+
 func cancelled(t *testing.T) context.Context {
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
--- a/dh/dhrouter/dhrouter.go
+++ b/dh/dhrouter/dhrouter.go
@@ -209,8 +209,10 @@
 	NewRequestID func() string
 
 	snapshot atomic.Pointer[Snapshot]
-	// started is the time of the first Publish.
-	started  atomic.Pointer[time.Time]
+	// started is the time of the first Publish, firstBackends that of the first
+	// one with backend servers.
+	started, firstBackends atomic.Pointer[time.Time]
+
 	paces    paces
 	delays   delays
 	sessions sessions
@@ -224,19 +226,20 @@
 
 // Publish makes s the snapshot that traffic reads.
 func (r *Router) Publish(s *Snapshot) {
-	if r.started.Load() == nil {
-		now := r.Timers.Now()
-		r.started.CompareAndSwap(nil, &now)
+	now := r.Timers.Now()
+	r.started.CompareAndSwap(nil, &now)
+	if s.Backends.Len() > 0 {
+		r.firstBackends.CompareAndSwap(nil, &now)
 	}
 	r.snapshot.Store(s)
 }
 
-// began returns the time of the first Publish.
-func (r *Router) began() time.Time {
-	if t := r.started.Load(); t != nil {
-		return *t
+// since returns the time since one of the router's first times; 0 before it.
+func (r *Router) since(first *atomic.Pointer[time.Time]) time.Duration {
+	if t := first.Load(); t != nil {
+		return r.Timers.Now().Sub(*t)
 	}
-	return r.Timers.Now()
+	return 0
 }
 
 // Snapshot returns the newest snapshot.
--- a/dh/dhrouter/forward.go
+++ b/dh/dhrouter/forward.go
@@ -120,58 +120,6 @@
 	return f.begun, err
 }
 
-const (
-	// startWait is how long a request waits on a VM that has just started for
-	// tables and backend servers, which come within a period of announcements;
-	// a refused caller would return to the same state.
-	startWait = 1500 * time.Millisecond
-	// startPeriod is the time after the start in which requests wait, and
-	// startPoll the time between two looks.
-	startPeriod = 4 * time.Second
-	startPoll   = 50 * time.Millisecond
-	// partialWait is how long a request waits on such a VM while it may know a
-	// part of the backend servers only: about half of a period of announcements.
-	// After a loss of all VMs, the first few that announced themselves were
-	// overrun, and requests were refused while most were free.
-	partialWait = 600 * time.Millisecond
-)
-
-// awaitStart waits on a VM that has just started until it can serve the
-// request, for a bounded time.
-func (f *forward) awaitStart(ctx context.Context) {
-	r, m := f.router, f.message
-	for {
-		now := r.Timers.Now()
-		waited := now.Sub(f.received)
-		if f.canStart(r.Snapshot(), waited) {
-			return
-		}
-		if now.Sub(r.began()) > startPeriod || waited >= startWait || (m.Left > 0 && waited >= m.Left/2) {
-			return
-		}
-		if dhtimer.Sleep(ctx, r.Timers, startPoll) != nil {
-			return
-		}
-	}
-}
-
-// canStart reports whether the tables are known, and, if the request has a
-// route, whether its key can be checked and a backend server is known, after
-// partialWait also where others may be missing.
-func (f *forward) canStart(s *Snapshot, waited time.Duration) bool {
-	if s.Tables == nil {
-		return false
-	}
-	route, ok := s.Tables.Find(f.message.Host, f.message.Path)
-	if !ok {
-		return true
-	}
-	if !route.Public && f.router.Lease != nil && !f.router.Lease.Valid() {
-		return false
-	}
-	return len(s.Backends.Pool(route.Target(0))) > 0 && (!s.Partial || waited >= partialWait)
-}
-
 // admit decides on what the snapshot says whether the request may run at all.
 func (f *forward) admit(s *Snapshot) error {
 	m := f.message
