Let a middle model make answers of which the small one is nearly sure

Change: the smallest larger model that is expected to be sure enough makes the next answer; answers up to a confidence of 58 are dropped for it. How much surer it is than the smaller one is learned by pool (dhrouter/gains.go) from requests that both answered.

--- a/dh/dhrouter/dhrouter.go
+++ b/dh/dhrouter/dhrouter.go
@@ -214,6 +214,7 @@
 	started, firstBackends atomic.Pointer[time.Time]
 
 	paces    paces
+	gains    gains
 	delays   delays
 	sessions sessions
 	holdOffs dhlimit.HoldOffs
--- a/dh/dhrouter/forward.go
+++ b/dh/dhrouter/forward.go
@@ -95,6 +95,8 @@
 	firstAt, lastAt time.Time
 	backend         *dhbackend.Backend
 	answered        bool
+	// unsure is the newest answer that was dropped for a larger model's.
+	unsure *unsureAnswer
 	// failure is a backend server's own failure, passed on when no attempt succeeds.
 	failure *kept
 	// paid is set when the next attempt has been taken from the budget, or adds
--- a/dh/dhrouter/forward_test.go
+++ b/dh/dhrouter/forward_test.go
@@ -118,7 +118,7 @@
 	for i := range 3 {
 		b := &dhbackend.Backend{
 			ID: fmt.Sprint("b", i), Address: "10.0.0.1:80", Zone: "a", Pool: "p", Release: "v1", State: dhbackend.Ready, Slots: 4,
-			Versions: []dhtable.Version{{}, {Model: "small"}, {Model: "large"}}, Seen: timers.Now(),
+			Versions: []dhtable.Version{{}, {Model: "small"}, {Model: "middle"}, {Model: "large"}}, Seen: timers.Now(),
 		}
 		assert.NilError(t, table.Announce(b))
 	}
@@ -141,6 +141,9 @@
 		"plan": route("plan", func(r *dhtable.Route) {
 			r.Stream, r.Resumable, r.Cascade = true, true, []string{"small", "large"}
 		}),
+		"draft": route("draft", func(r *dhtable.Route) {
+			r.Stream, r.Resumable, r.Cascade = true, true, []string{"small", "middle", "large"}
+		}),
 	}
 	accounts := map[string]dhtable.Account{"crew": {Name: "crew", KeyHashes: []dhtable.KeyHash{dhtable.HashKey("key")}}}
 	return dhtable.New(1, accounts, routes, map[string]dhtable.Pool{"p": {Name: "p"}}, nil)
@@ -150,7 +153,7 @@
 func (f *forwarder) ask(t *testing.T, route string, change ...func(m *Message)) (*httptest.ResponseRecorder, bool, error) {
 	t.Helper()
 	m := &Message{ID: "r1", Method: "POST", Host: "h", Path: "/" + route + "/1", Target: "/" + route + "/1", Header: http.Header{}, Key: "key"}
-	if route == "plan" {
+	if route == "plan" || route == "draft" {
 		m.AnyModel, m.Model = true, "*"
 	}
 	for _, c := range change {
