--- a/dh/dhrouter/forward.go
+++ b/dh/dhrouter/forward.go
@@ -93,8 +93,12 @@
 	events  int
 	// firstAt and lastAt are when the first and the newest event came.
 	firstAt, lastAt time.Time
-	backend         *dhbackend.Backend
-	answered        bool
+	// passedAt is when the caller got its newest event, firstPassed the time to
+	// its first one and longestPause the longest time between two.
+	passedAt                  time.Time
+	firstPassed, longestPause time.Duration
+	backend                   *dhbackend.Backend
+	answered                  bool
 	// unsure is the newest answer that was dropped for a larger model's.
 	unsure *unsureAnswer
 	// failure is a backend server's own failure, passed on when no attempt succeeds.
--- a/dh/dhrouter/forward_log.go
+++ b/dh/dhrouter/forward_log.go
@@ -33,6 +33,13 @@
 	return ""
 }
 
+// late reports whether the caller waited longer than its route wants, for the
+// first event or between two.
+func (f *forward) late() bool {
+	r := f.route
+	return (r.Objective > 0 && f.firstPassed > r.Objective) || (r.Pause > 0 && f.longestPause > r.Pause)
+}
+
 // log writes the line that ends the request.
 func (f *forward) log(err error) {
 	now := f.router.Timers.Now()
@@ -52,7 +59,8 @@
 		f.router.Metrics.Observe(dhmetric.WholeAnswer, f.account, f.route.Class, took)
 		f.router.Metrics.Count("answered", name)
 		attrs = append(attrs, slog.Int("status", f.status), slog.String("model", f.model), slog.Int("events", f.events),
-			slog.Duration("first", f.first(f.received)))
+			slog.Duration("first", f.firstPassed),
+			slog.Duration("longest-pause", f.longestPause), slog.Bool("late", f.late()))
 		f.router.Log.LogAttrs(context.Background(), slog.LevelInfo, "answered", attrs...)
 		return
 	}
--- a/dh/dhrouter/forward_relay.go
+++ b/dh/dhrouter/forward_relay.go
@@ -185,7 +185,9 @@
 		return f.endless(errEndless)
 	}
 	f.answered = true
-	f.observe(f.router.Timers.Now())
+	now := f.router.Timers.Now()
+	f.observe(now)
+	f.passed(now)
 	return nil
 }
 
@@ -216,6 +218,7 @@
 	if _, err := f.w.Write(k.body.data); err != nil {
 		return f.lost(err)
 	}
+	f.passed(f.router.Timers.Now())
 	return nil
 }
 
@@ -283,6 +286,7 @@
 		if _, err := f.w.Write(e.Raw); err != nil {
 			return f.lost(err)
 		}
+		f.passed(now)
 		if e.HasID {
 			f.last, f.hasLast = e.ID, true
 		}
@@ -310,6 +314,16 @@
 	return nil
 }
 
+// passed notes that the caller got an event, or a whole answer that is no stream.
+func (f *forward) passed(now time.Time) {
+	if f.passedAt.IsZero() {
+		f.firstPassed = max(now.Sub(f.received), 1)
+	} else {
+		f.longestPause = max(f.longestPause, now.Sub(f.passedAt))
+	}
+	f.passedAt = now
+}
+
 // observe counts an event for the pace of the answer.
 func (f *forward) observe(now time.Time) {
 	if f.events == 0 {
