--- a/dh/dhlimit/dhlimit.go
+++ b/dh/dhlimit/dhlimit.go
@@ -5,7 +5,8 @@
 // A request that cannot be answered within its deadline is refused at once
 // with a code that says "not run" and with the time after which a retry has a
 // chance. Budget bounds retries and hedges, Breakers stop traffic to failing
-// backend servers, and Backoff spaces retries.
+// backend servers, HoldOffs keep it from those that asked for none, and Backoff
+// spaces retries.
 //
 // # Usage
 //
--- a/dh/dhlimit/holdoff.go
+++ b/dh/dhlimit/holdoff.go
@@ -64,6 +64,7 @@
 	return now.Sub(h.until) >= time.Duration(draw*float64(ramp))
 }
 
+// over reports whether a hold-off may be forgotten.
 func (h HoldOff) over(now time.Time) bool {
 	return h.Permits(now, 1) || (h.leaving && now.Sub(h.from) > leaveKept)
 }
--- a/dh/dhrouter/gains.go
+++ b/dh/dhrouter/gains.go
@@ -26,6 +26,7 @@
 	rows map[gainKey]gain
 }
 
+// gainKey is a pool, a model whose answer was dropped and the one that made the next.
 type gainKey struct{ pool, from, to string }
 
 // gain holds a weighed number of answers and the sum of their gains.
