Log and count the rate limits that backend servers state

Callers saw nothing of it: backend servers that stated a limit on the requests of all entry VMs got several times as many.

A malformed or repeated header is a log line and fails nothing. Nothing obeys the limit yet.

--- a/dh/dhentry/dhentry.go
+++ b/dh/dhentry/dhentry.go
@@ -26,6 +26,7 @@
 
 	"dandelionhoist.example/dh/dhbackend"
 	"dandelionhoist.example/dh/dhcold"
+	"dandelionhoist.example/dh/dhgrant"
 	"dandelionhoist.example/dh/dhgroup"
 	"dandelionhoist.example/dh/dhlimit"
 	"dandelionhoist.example/dh/dhmetric"
@@ -73,6 +74,7 @@
 	router   *dhrouter.Router
 	placer   *dhplacement.Placer
 	cold     *dhcold.Rates
+	shares   *dhgrant.Shares
 	budget   *dhlimit.Budget
 	lease    *dhwatch.Lease
 	follower *dhwatch.Follower
@@ -153,10 +155,11 @@
 	e.counts = newCounts(e.Name, e.Incarnation)
 	e.lease = &dhwatch.Lease{Clock: e.Clock, Duration: e.KeyLease}
 	e.cold = &dhcold.Rates{Timers: e.Timers, VM: e.Name}
+	e.shares = &dhgrant.Shares{Timers: e.Timers}
 	e.placer = &dhplacement.Placer{Timers: e.Timers, Zone: e.Zone, Settings: placementSettings(), Seed: rand.Uint64()}
 	e.budget = &dhlimit.Budget{Ratio: e.RetryRatio * earnedFraction, Max: 1}
 	e.router = &dhrouter.Router{
-		Timers: e.Timers, Group: e.group, Log: e.Log, Metrics: e.Metrics, Placer: e.placer, Credits: e.cold,
+		Timers: e.Timers, Group: e.group, Log: e.Log, Metrics: e.Metrics, Placer: e.placer, Credits: e.cold, RateLimits: e.shares,
 		Retries: e.budget, Breakers: &dhlimit.Breakers{Timers: e.Timers, Backoff: breakerBackoff},
 		Transport: e.Transport, Lease: e.lease, Random: rand.Float64, VM: e.Name, Zone: e.Zone, Report: e.countAttempt,
 	}
--- a/dh/dhrouter/dhrouter.go
+++ b/dh/dhrouter/dhrouter.go
@@ -33,6 +33,7 @@
 	"dandelionhoist.example/dh/dhcascade"
 	"dandelionhoist.example/dh/dhclaim"
 	"dandelionhoist.example/dh/dhcode"
+	"dandelionhoist.example/dh/dhgrant"
 	"dandelionhoist.example/dh/dhgroup"
 	"dandelionhoist.example/dh/dhlimit"
 	"dandelionhoist.example/dh/dhmetric"
@@ -70,6 +71,13 @@
 	FirstToken(id string, taken time.Duration)
 }
 
+// RateLimits tracks the limits that backend servers state on the requests of all
+// entry VMs together.
+type RateLimits interface {
+	// Observe records the limit that an answer stated, or that it stated none.
+	Observe(id string, incarnation uint64, o dhgrant.Observation) dhgrant.Change
+}
+
 // Limiter admits requests.
 type Limiter interface {
 	Admit(ctx context.Context, req dhlimit.Request) (release func(), err error)
@@ -185,15 +193,17 @@
 	Versions Versions
 	Placer   Placer
 	Credits  Credits
-	Limiter  Limiter
-	Retries  Retries
-	Breakers Breakers
-	Backoff  func(retry int) time.Duration
-	Claims   Claimer
-	Ledger   Ledger
-	Planner  Planner
-	Ratings  Ratings
-	Engine   Engine
+	// RateLimits may be nil if no backend server states a limit.
+	RateLimits RateLimits
+	Limiter    Limiter
+	Retries    Retries
+	Breakers   Breakers
+	Backoff    func(retry int) time.Duration
+	Claims     Claimer
+	Ledger     Ledger
+	Planner    Planner
+	Ratings    Ratings
+	Engine     Engine
 	// Transport, Lease and Random are used for HTTP requests. A nil Lease is always
 	// valid; Random returns a number in [0, 1).
 	Transport Transport
--- a/dh/dhrouter/forward_relay.go
+++ b/dh/dhrouter/forward_relay.go
@@ -48,6 +48,7 @@
 		return 0, f.attemptError(ctx, err)
 	}
 	f.recordHoldOff(in, b)
+	f.recordRateLimit(in, b, start)
 	defer func() { _ = in.Body.Close() }() // closes the connection if the answer was not read to its end
 	f.router.Placer.FirstToken(p)
 	head := f.router.Timers.Now()
--- a/dh/dhrouter/message.go
+++ b/dh/dhrouter/message.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"dandelionhoist.example/dh/dhbackend"
+	"dandelionhoist.example/dh/dhgrant"
 )
 
 // PromptPart is a part of a prompt that several requests may share.
@@ -89,6 +90,10 @@
 	// Pause is how long the backend server wants to receive no requests from this
 	// VM, or 0.
 	Pause time.Duration
+	// RateLimit is the limit that the answer states on the requests of all entry
+	// VMs together. InvalidRateLimit is set if it states one that cannot be read.
+	RateLimit        dhgrant.Limit
+	InvalidRateLimit bool
 	// Confidence is the model's own confidence in the answer in percent, or -1.
 	Confidence int
 	// Length is the length of the body in bytes, or -1 if the head does not state
