--- a/dh/dhcontrol/cluster_test.go
+++ b/dh/dhcontrol/cluster_test.go
@@ -22,6 +22,7 @@
 	"dandelionhoist.example/dh/dhgroup"
 	"dandelionhoist.example/dh/dhmetric"
 	"dandelionhoist.example/dh/dhpb"
+	"dandelionhoist.example/dh/dhrouter"
 	"dandelionhoist.example/dh/dhtable"
 	"dandelionhoist.example/dh/dhtimer"
 	"dandelionhoist.example/dh/dhwatch"
@@ -37,6 +38,8 @@
 	nodes    map[string]*dhfake.Node
 	entries  map[string]*dhentry.Entry
 	seeds    []string
+	// transport returns the transport of an entry VM; nil gives none.
+	transport func(vm string) dhrouter.Transport
 }
 
 // clock converts the stepped time to a duration since a fixed start.
@@ -82,7 +85,10 @@
 	if err != nil {
 		return nil, dhcode.Wrap(dhcode.TablesInvalid, err)
 	}
-	return dhtable.New(version, nil, nil, map[string]dhtable.Pool{"p": {Name: "p"}}, text), nil
+	route := dhtable.Route{Name: "r", Pool: "p", Repeatable: true, Deadline: 5 * time.Second, Forwarding: dhtable.Forwarding{
+		Match: dhtable.Match{Host: "h", PathPrefix: "/"}, MaxAttempts: 3, Public: true,
+	}}
+	return dhtable.New(version, nil, map[string]dhtable.Route{"r": route}, map[string]dhtable.Pool{"p": {Name: "p"}}, text), nil
 }
 
 // exposure lets a trial use one tenth of the sessions.
@@ -126,6 +132,9 @@
 		RetrySlack: 10, RetryWindow: 10 * time.Second, ColdOvershoot: 1, Decode: decode, Source: peers{node}, Timers: c.timers, Clock: clock{c.timers},
 		Log: slog.New(slog.DiscardHandler), Metrics: dhmetric.New(4),
 	}
+	if c.transport != nil {
+		entry.Transport = c.transport(name)
+	}
 	entry.Build(node.Group().Context())
 	node.Group().Go(entry.Run)
 	c.entries[name], c.nodes[name] = entry, node
--- /dev/null
+++ b/dh/dhcontrol/limit_test.go
@@ -0,0 +1,250 @@
+package dhcontrol_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"dandelionhoist.example/dh/dhcode"
+	"dandelionhoist.example/dh/dhgrant"
+	"dandelionhoist.example/dh/dhgroup"
+	"dandelionhoist.example/dh/dhpb"
+	"dandelionhoist.example/dh/dhrouter"
+	"dandelionhoist.example/dh/dhtimer"
+)
+
+// The bound on the requests to a backend server with a limit, which starts to
+// hold limitContact after the limit was first stated: in any limitWindow,
+// limitFactor times what the limit allows, plus limitSlack, from VMs that
+// received an answer with the limit limitTold earlier.
+const (
+	limitContact = 3 * time.Second
+	limitWindow  = 4 * time.Second
+	limitFactor  = 1.5
+	limitSlack   = 5
+	limitTold    = 500 * time.Millisecond
+)
+
+// limitedPool is a pool of stand-in backend servers that state limits, under load
+// from entry VMs.
+type limitedPool struct {
+	*cluster
+	group *dhgroup.Group
+	began time.Time
+
+	mu       sync.Mutex
+	limits   map[string]dhgrant.Limit
+	servers  map[string]*limitedServer
+	outcomes map[string]*outcomes
+}
+
+// limitedServer is what a stand-in backend server has seen.
+type limitedServer struct {
+	arrivals []limitedArrival
+	// told is when each VM first received an answer with the limit, limitedAt when
+	// the first such answer was given.
+	told      map[string]time.Time
+	limitedAt time.Time
+}
+
+type limitedArrival struct {
+	at    time.Time
+	vm    string
+	limit dhgrant.Limit
+}
+
+// outcomes counts the requests of an entry VM.
+type outcomes struct {
+	answered, refused int
+	// notPromised is the number of refusals that are not marked as "not run" or
+	// that have no retry-after hint.
+	notPromised int
+	// held is the longest time until a refusal.
+	held time.Duration
+}
+
+// answerDelay is how long a stand-in backend server takes to answer.
+const answerDelay = 20 * time.Millisecond
+
+// limitedTransport sends the requests of one entry VM to the pool.
+type limitedTransport struct {
+	pool *limitedPool
+	vm   string
+}
+
+// Send implements dhrouter.Transport.
+func (l limitedTransport) Send(ctx context.Context, o *dhrouter.Outbound) (*dhrouter.Inbound, error) {
+	p := l.pool
+	id := o.Backend.ID
+	p.mu.Lock()
+	server, now, limit := p.servers[id], p.timers.Now(), p.limits[id]
+	server.arrivals = append(server.arrivals, limitedArrival{now, l.vm, limit})
+	p.mu.Unlock()
+	if err := dhtimer.Sleep(ctx, p.timers, answerDelay); err != nil {
+		return nil, dhcode.Wrap(dhcode.Cancelled, err)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	limit = p.limits[id]
+	if now := p.timers.Now(); limit.Stated {
+		if server.limitedAt.IsZero() {
+			server.limitedAt = now
+		}
+		if server.told[l.vm].IsZero() {
+			server.told[l.vm] = now
+		}
+	}
+	return &dhrouter.Inbound{
+		Status: http.StatusOK, RequestID: o.ID, Sealed: true, Confidence: -1, RateLimit: limit, Length: 2,
+		Body: io.NopCloser(strings.NewReader("ok")),
+	}, nil
+}
+
+// setLimit sets the limit that backend servers state from now on.
+func (p *limitedPool) setLimit(limit dhgrant.Limit, ids ...string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, id := range ids {
+		p.limits[id] = limit
+	}
+}
+
+func perSecond(n float64) dhgrant.Limit { return dhgrant.Limit{Stated: true, PerSecond: n} }
+
+// runLimited runs f with entry VMs that send requests to backend servers, once
+// both are up.
+func runLimited(t *testing.T, vms, servers int, load float64, f func(p *limitedPool)) {
+	t.Helper()
+	runCluster(t, func(c *cluster) {
+		p := &limitedPool{
+			cluster: c, group: dhgroup.New(c.t.Context()),
+			limits: map[string]dhgrant.Limit{}, servers: map[string]*limitedServer{}, outcomes: map[string]*outcomes{},
+		}
+		c.transport = func(vm string) dhrouter.Transport { return limitedTransport{p, vm} }
+		c.waitFor(3*time.Second, "the first document", func() bool { return c.replace("c0", 5) == nil })
+		for i := range servers {
+			p.startServer(fmt.Sprint("b", i))
+		}
+		for i := range vms {
+			c.startEntry(fmt.Sprint("e", i))
+		}
+		c.advance(6 * time.Second)
+		for i := range vms {
+			p.startClients(fmt.Sprint("e", i), float64(vms)/load, float64(i)/load)
+		}
+		p.began = c.timers.Now()
+		c.advance(2 * time.Second)
+		f(p)
+		p.group.Stop()
+	})
+}
+
+// startServer announces a backend server periodically to the control VMs that
+// run.
+func (p *limitedPool) startServer(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.servers[id] = &limitedServer{told: map[string]time.Time{}}
+	p.group.Go(func(ctx context.Context) error {
+		for sequence := uint64(1); ; sequence++ {
+			for _, name := range p.seeds {
+				r := &dhpb.BackendRecord{
+					Id: id, Address: id + ":80", Zone: "z0", Pool: "p", State: "ready", Release: "v1", Slots: 64, Incarnation: 1,
+					Sequence: sequence, Versions: []*dhpb.LoadedVersion{{}},
+				}
+				_ = p.controls[name].Announce(ctx, r) // repeated with the next announcement
+			}
+			if dhtimer.Sleep(ctx, p.timers, time.Second) != nil {
+				return nil
+			}
+		}
+	})
+}
+
+// startClients sends requests to an entry VM: one each period, in seconds, after
+// a delay.
+func (p *limitedPool) startClients(vm string, period, delay float64) {
+	p.outcomes[vm] = &outcomes{}
+	p.group.Go(func(ctx context.Context) error {
+		_ = dhtimer.Sleep(ctx, p.timers, time.Duration(delay*float64(time.Second))) // the loop ends with ctx
+		for i := 0; ctx.Err() == nil; i++ {
+			p.group.Go(func(ctx context.Context) error { p.request(ctx, vm, i); return nil })
+			_ = dhtimer.Sleep(ctx, p.timers, time.Duration(period*float64(time.Second))) // the loop ends with ctx
+		}
+		return nil
+	})
+}
+
+func (p *limitedPool) request(ctx context.Context, vm string, number int) {
+	began := p.timers.Now()
+	m := &dhrouter.Message{ID: fmt.Sprint(vm, "-", number), Method: "GET", Host: "h", Path: "/x", Target: "/x", TimeLeft: 4 * time.Second}
+	_, err := p.entries[vm].Router().Forward(ctx, m, httptest.NewRecorder())
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	o := p.outcomes[vm]
+	if err == nil {
+		o.answered++
+		return
+	}
+	o.refused++
+	o.held = max(o.held, p.timers.Now().Sub(began))
+	if dhcode.RanOf(err) != dhcode.NotRun || dhcode.RetryAfterOf(err) <= 0 {
+		o.notPromised++
+	}
+}
+
+// checkLimits fails the test if a backend server got more requests in a window
+// than its limit allows, from VMs that had been told.
+func (p *limitedPool) checkLimits() {
+	p.t.Helper()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, server := range p.servers {
+		if worst, at := server.worstExcess(); worst > 0 {
+			p.t.Errorf("backend server %s got %.1f requests more than its limit allows in the %s before %s", id, worst, limitWindow, at.Sub(p.began))
+		}
+	}
+}
+
+// worstExcess returns by how many requests the bound was exceeded at most, and
+// when. A limit that changes within a window allows what its highest value would.
+func (s *limitedServer) worstExcess() (worst float64, at time.Time) {
+	if s.limitedAt.IsZero() {
+		return 0, at
+	}
+	var window []limitedArrival
+	for _, a := range s.arrivals {
+		told := s.told[a.vm]
+		if a.at.Before(s.limitedAt.Add(limitContact)) || !a.limit.Stated || told.IsZero() || a.at.Before(told.Add(limitTold)) {
+			continue
+		}
+		window = append(window, a)
+		highest := 0.0
+		for len(window) > 0 && a.at.Sub(window[0].at) > limitWindow {
+			window = window[1:]
+		}
+		for _, w := range window {
+			highest = max(highest, w.limit.PerSecond)
+		}
+		if excess := float64(len(window)) - limitFactor*highest*limitWindow.Seconds() - limitSlack; excess > worst {
+			worst, at = excess, a.at
+		}
+	}
+	return worst, at
+}
+
+// Guards against a backend server that gets more requests than the limit it
+// stated, because each entry VM sends as though it were alone (incident LIMIT).
+func TestRateLimitHoldsOverAllEntryVMs(t *testing.T) {
+	runLimited(t, 9, 12, 84, func(p *limitedPool) {
+		p.setLimit(perSecond(1), "b3", "b7")
+		p.advance(20 * time.Second)
+		p.checkLimits()
+	})
+}
