Divide the rate limits of backend servers among the entry VMs

Callers saw nothing of it: a backend server that stated a limit of one request/s got 12 to 16 requests in 4 s (allowed 11) from the entry VMs.

Cause: nothing obeyed the limit, and a bound on the sum over all entry VMs cannot be kept by VMs that each count alone.

Change: entry VMs report the limits that answers state with the watch that exists. One control VM at a time, which holds a lease of the quorum (dhlease), divides each limit of n requests/s into n + 1 parts and grants each to one entry VM for 2 s at most; copies of the table are passed on with the rest of their term. A part that was taken from a VM is granted again only once that VM holds the newer table or the term has passed. An entry VM sends to a limited backend server only within its part; all attempts pass the one place where a request is placed. A VM without a valid table sends nothing. What finds no room is refused at once as not run (pool-rate-limited), with a retry-after hint that follows from the limit and is spread. An unsure answer is kept if no backend server may get the request of the larger model.

--- a/dh/dhcode/class.go
+++ b/dh/dhcode/class.go
@@ -44,7 +44,7 @@
 	case EditConflict, EditIDReused, KeyReused, KeyExpired, VoterEpochOld, FencingTokenOld, LeaseHeldElsewhere:
 		return ClassConflict
 	case DeadlinePast, NoTables, Leaving, RateLimited, ConcurrencyLimited, QueueFull, WaitTooLong, NoBackend,
-		PoolFull, ClosedNotRun, TablesLeaseLapsed, TableFull, PoolHeldOff:
+		PoolFull, ClosedNotRun, TablesLeaseLapsed, TableFull, PoolHeldOff, PoolRateLimited:
 		return ClassUnavailable
 	case RetryBudgetSpent, BackendFailed, StreamBroken, DeadlineExceeded, Cancelled, InProgress, OutcomeUnknown,
 		QuorumUnreachable, EditUnknown, BillNotSafe:
--- a/dh/dhcode/dhcode.go
+++ b/dh/dhcode/dhcode.go
@@ -81,12 +81,13 @@
 	BillNotSafe                      // bill-not-safe
 	RouteUnknown                     // route-unknown
 	PoolHeldOff                      // pool-held-off
+	PoolRateLimited                  // pool-rate-limited
 )
 
 // Codes returns all result codes in order of their numbers.
 func Codes() []Code {
-	codes := make([]Code, 0, int(PoolHeldOff)+1)
-	for c := OK; c <= PoolHeldOff; c++ {
+	codes := make([]Code, 0, int(PoolRateLimited)+1)
+	for c := OK; c <= PoolRateLimited; c++ {
 		codes = append(codes, c)
 	}
 	return codes
@@ -124,7 +125,7 @@
 		WaitTooLong, NoBackend, PoolFull, SessionTokenInvalid, IdempotencyKeyNeeded,
 		ClosedNotRun, TablesLeaseLapsed, TablesInvalid, EditConflict, EditIDReused,
 		BaseRevisionUnknown, VoterRolledBack, VoterEpochOld, FencingTokenOld, LeaseHeldElsewhere,
-		SettingsInvalid, NotAuthenticated, TableFull, PoolHeldOff:
+		SettingsInvalid, NotAuthenticated, TableFull, PoolHeldOff, PoolRateLimited:
 		return NotRun
 	case Internal, RetryBudgetSpent, BackendFailed, StreamBroken, DeadlineExceeded, Cancelled,
 		KeyReused, KeyExpired, InProgress, OutcomeUnknown, QuorumUnreachable, EditUnknown,
--- a/dh/dhcontrol/dhcontrol.go
+++ b/dh/dhcontrol/dhcontrol.go
@@ -92,6 +92,7 @@
 	entries   *entries
 	views     views
 	peers     *peers
+	grantor   *grantor
 	evaluator evaluator
 
 	// confirmed is the reading of Clock since which the durable state is
@@ -136,6 +137,7 @@
 	}
 	c.entries = &entries{timers: c.Timers}
 	c.peers = newPeers(c)
+	c.grantor = newGrantor(c)
 }
 
 // Run serves until ctx ends. A disk fault stops the voter until the disk can be
@@ -149,6 +151,7 @@
 	c.group.Go(c.peers.run)
 	c.group.Go(c.expireBackends)
 	c.group.Go(c.evaluateRollouts)
+	c.group.Go(c.grantor.run)
 	return c.group.Wait()
 }
 
--- a/dh/dhcontrol/entries.go
+++ b/dh/dhcontrol/entries.go
@@ -1,6 +1,8 @@
 package dhcontrol
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
@@ -8,6 +10,7 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"dandelionhoist.example/dh/dhcode"
+	"dandelionhoist.example/dh/dhgrant"
 	"dandelionhoist.example/dh/dhpb"
 	"dandelionhoist.example/dh/dhtimer"
 	"dandelionhoist.example/dh/dhversion"
@@ -57,6 +60,8 @@
 	loads       []*dhpb.BackendLoad
 	counters    []*dhpb.VersionCounter
 	rates       []*dhpb.PoolRate
+	// grants identifies the grant table that the VM holds.
+	grants *dhpb.GrantTableId
 }
 
 type remoteEntries struct {
@@ -67,7 +72,8 @@
 }
 
 // report stores the report of an entry VM that watches this VM.
-func (e *entries) report(vm string, incarnation uint64, r *dhpb.EntryReport) {
+func (e *entries) report(m *dhpb.ControlWatchRequest) {
+	vm, r := m.GetVm(), m.GetReport()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.direct == nil {
@@ -76,7 +82,10 @@
 	if _, known := e.direct[vm]; !known && len(e.direct) >= maxEntries {
 		return
 	}
-	e.direct[vm] = &entry{incarnation: incarnation, lastHeard: e.timers.Now(), loads: r.GetLoads(), counters: r.GetCounters(), rates: r.GetRates()}
+	e.direct[vm] = &entry{
+		incarnation: m.GetIncarnation(), lastHeard: e.timers.Now(), loads: r.GetLoads(), counters: r.GetCounters(), rates: r.GetRates(),
+		grants: m.GetGrants(),
+	}
 }
 
 // merge stores what another control VM reports about its entry VMs. Code:
@@ -96,11 +105,18 @@
 }
 
 // records returns the entry VMs that watch this VM and deletes those that have
-// not reported for longer than entryTTL.
-func (e *entries) records() []*dhpb.EntryRecord {
+// not reported for longer than entryTTL. Their request rates are included only
+// while they are needed to divide rate limits.
+func (e *entries) records(withRates bool) []*dhpb.EntryRecord {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.timers.Now()
+	rates := func(d *entry) []*dhpb.PoolRate {
+		if withRates {
+			return d.rates
+		}
+		return nil
+	}
 	list := make([]*dhpb.EntryRecord, 0, len(e.direct))
 	for vm, d := range e.direct {
 		age := now.Sub(d.lastHeard)
@@ -109,7 +125,8 @@
 			continue
 		}
 		list = append(list, &dhpb.EntryRecord{
-			Vm: vm, Incarnation: d.incarnation, Age: durationpb.New(age), Report: &dhpb.EntryReport{Counters: d.counters},
+			Vm: vm, Incarnation: d.incarnation, Age: durationpb.New(age), Report: &dhpb.EntryReport{Counters: d.counters, Rates: rates(d)},
+			Grants: d.grants,
 		})
 	}
 	return list
@@ -194,6 +211,39 @@
 	return list
 }
 
+// holders returns the entry VMs that have reported within a duration, with their
+// request rates by pool.
+func (e *entries) holders(silence time.Duration) []dhgrant.VM {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.timers.Now()
+	newest := make(map[string]*dhpb.EntryRecord)
+	lastHeard := make(map[string]time.Time)
+	add := func(at time.Time, r *dhpb.EntryRecord) {
+		if vm := r.GetVm(); now.Sub(at) <= silence && at.After(lastHeard[vm]) {
+			lastHeard[vm], newest[vm] = at, r
+		}
+	}
+	for vm, d := range e.direct {
+		add(d.lastHeard, &dhpb.EntryRecord{Vm: vm, Report: &dhpb.EntryReport{Rates: d.rates}, Grants: d.grants})
+	}
+	for _, r := range e.remote {
+		for _, record := range r.entries {
+			add(r.lastHeard.Add(-record.GetAge().AsDuration()), record)
+		}
+	}
+	list := make([]dhgrant.VM, 0, len(newest))
+	for vm, r := range newest {
+		row := dhgrant.VM{Name: vm, Held: r.GetGrants(), Rates: make(map[string]float64)}
+		for _, rate := range r.GetReport().GetRates() {
+			row.Rates[rate.GetPool()] = rate.GetPerSecond()
+		}
+		list = append(list, row)
+	}
+	slices.SortFunc(list, func(a, b dhgrant.VM) int { return cmp.Compare(a.Name, b.Name) })
+	return list
+}
+
 // count returns the number of entry VMs that may be sending requests.
 func (e *entries) count() int {
 	e.mu.Lock()
--- a/dh/dhcontrol/limit_test.go
+++ b/dh/dhcontrol/limit_test.go
@@ -248,3 +248,116 @@
 		p.checkLimits()
 	})
 }
+
+// rate returns the requests per second that backend servers got in the last
+// period.
+func (p *limitedPool) rate(period time.Duration, ids ...string) float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	from, n := p.timers.Now().Add(-period), 0
+	for _, id := range ids {
+		for _, a := range p.servers[id].arrivals {
+			if !a.at.Before(from) {
+				n++
+			}
+		}
+	}
+	return float64(n) / period.Seconds()
+}
+
+// checkRefusals fails the test if a refusal took time or promised too little.
+func (p *limitedPool) checkRefusals() {
+	p.t.Helper()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for vm, o := range p.outcomes {
+		if o.notPromised > 0 || o.held > answerDelay {
+			p.t.Errorf("%s: %d refusals without a promise, longest %s", vm, o.notPromised, o.held)
+		}
+	}
+}
+
+// answered returns the fraction of all requests that were answered.
+func (p *limitedPool) answered() float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	answered, all := 0, 0
+	for _, o := range p.outcomes {
+		answered, all = answered+o.answered, all+o.answered+o.refused
+	}
+	return float64(answered) / float64(all)
+}
+
+func allServers(n int) []string {
+	var ids []string
+	for i := range n {
+		ids = append(ids, fmt.Sprint("b", i))
+	}
+	return ids
+}
+
+// starved is the fraction of the usual service below which a part of it counts as
+// starved.
+const starved = 0.25
+
+// Guards against a limit that starves its backend server, and against requests
+// that wait or fail although other backend servers have room.
+func TestRateLimitIsUsed(t *testing.T) {
+	const usual = 7 // requests/s of each backend server
+	for _, limit := range []float64{0, 0.2, 1, 2.5, 6, 1e6} {
+		t.Run(fmt.Sprint(limit), func(t *testing.T) {
+			runLimited(t, 9, 12, 12*usual, func(p *limitedPool) {
+				p.setLimit(perSecond(limit), "b3", "b7")
+				p.advance(40 * time.Second)
+				used := p.rate(30*time.Second, "b3", "b7") / 2
+				t.Log("requests per second of each limited backend server:", used)
+				if used < starved*min(limit, usual) || (limit >= 1 && used > 1.1*limit) {
+					t.Errorf("%.2f requests/s at a limit of %g", used, limit)
+				}
+				if got := p.answered(); got < 1 {
+					t.Errorf("%.2f of the requests are answered", got)
+				}
+				p.checkLimits()
+			})
+		})
+	}
+}
+
+// Guards against a pool that serves less than its limits allow, or more, when all
+// of its backend servers are limited, and against callers of some VMs that are
+// never served. It runs with as many entry VMs as the deployments have.
+func TestWholePoolLimited(t *testing.T) {
+	for _, c := range []struct {
+		vms, servers int
+		load, limit  float64
+	}{{9, 12, 84, 1}, {13, 12, 84, 0.5}, {49, 12, 120, 1}, {72, 24, 240, 2.5}, {283, 24, 300, 1}} {
+		t.Run(fmt.Sprint(c.vms), func(t *testing.T) {
+			runLimited(t, c.vms, c.servers, c.load, func(p *limitedPool) {
+				ids := allServers(c.servers)
+				p.setLimit(perSecond(c.limit), ids...)
+				p.advance(6 * time.Second)
+				for _, o := range p.outcomes {
+					o.answered = 0
+				}
+				p.advance(60 * time.Second)
+				used := p.rate(50*time.Second, ids...)
+				t.Log("requests per second of the pool:", used)
+				if aim := c.limit * float64(c.servers); used < 0.75*aim || used > 1.1*aim {
+					t.Errorf("%.2f requests/s of %.2f", used, aim)
+				}
+				p.checkLimits()
+				p.checkRefusals()
+				unserved := 0
+				for _, o := range p.outcomes {
+					if o.answered == 0 {
+						unserved++
+					}
+				}
+				t.Log("entry VMs whose callers were never served:", unserved)
+				if unserved > c.vms/10 {
+					t.Errorf("callers of %d entry VMs are never served", unserved)
+				}
+			})
+		})
+	}
+}
--- a/dh/dhcontrol/peers.go
+++ b/dh/dhcontrol/peers.go
@@ -204,6 +204,7 @@
 	var epoch, position uint64
 	lost := true
 	for ctx.Err() == nil && !p.expire(address) {
+		sent := c.Clock.Elapsed()
 		reply, err := p.callWatch(ctx, address, epoch, position)
 		if err != nil {
 			if !lost {
@@ -219,6 +220,8 @@
 		lost = false
 		epoch, position = reply.GetEpoch(), reply.GetPosition()
 		p.merge(address, reply)
+		c.grantor.merge(reply.GetLimits(), false, address)
+		c.grantor.follow(reply.GetGrants(), sent)
 	}
 	return nil
 }
@@ -231,7 +234,7 @@
 	return c.Peers.Watch(ctx, address, &dhpb.ControlWatchRequest{
 		Vm: c.Name, Incarnation: c.Incarnation, Zone: c.Zone, Epoch: epoch, Position: position,
 		Document: document.GetVersion(), Operations: operations.GetNumber(), Wait: durationpb.New(peerWatchWait), Control: p.self(),
-		Heard: p.responsiveAddresses(),
+		Heard: p.responsiveAddresses(), Grants: c.grantor.held(),
 	})
 }
 
--- a/dh/dhcontrol/watch.go
+++ b/dh/dhcontrol/watch.go
@@ -40,7 +40,8 @@
 	if r := m.GetControl(); r != nil {
 		c.peers.observe(r)
 	} else {
-		c.entries.report(m.GetVm(), m.GetIncarnation(), m.GetReport())
+		c.entries.report(m)
+		c.grantor.merge(m.GetReport().GetLimits(), true, m.GetVm())
 	}
 	if m.GetEpoch() != c.Incarnation {
 		return c.buildResponse(m)
@@ -77,7 +78,7 @@
 // hasChanges reports whether there are changes that the caller must receive soon.
 func (c *Control) hasChanges(m *dhpb.ControlWatchRequest) bool {
 	document, operations := c.state()
-	if document.GetVersion() > m.GetDocument() || operations.GetNumber() > m.GetOperations() {
+	if document.GetVersion() > m.GetDocument() || operations.GetNumber() > m.GetOperations() || c.grantor.outdated(m) {
 		return true
 	}
 	if m.GetPosition() == 0 && m.GetControl() == nil {
@@ -108,7 +109,8 @@
 		a.Renewals = c.registry.Renewals(after, func(source string) bool {
 			return source == m.GetControl().GetAddress() || slices.Contains(m.GetHeard(), source)
 		})
-		a.Entries, a.Rates = c.entries.records(), c.entries.directRates()
+		a.Entries, a.Rates = c.entries.records(c.grantor.needed()), c.entries.directRates()
+		a.Limits = c.grantor.records()
 		a.LoadList, err = c.entries.directLoads()
 	} else {
 		a.LoadList, err = c.entries.allLoads()
@@ -131,6 +133,7 @@
 	if operations.GetNumber() > m.GetOperations() {
 		a.Operations = operations
 	}
+	a.Grants = c.grantor.handOut(m)
 	age, confirmed := c.confirmedAge()
 	a.Confirmed, a.ConfirmedAge = confirmed, durationpb.New(age)
 	return a, nil
--- a/dh/dhentry/dhentry.go
+++ b/dh/dhentry/dhentry.go
@@ -155,7 +155,7 @@
 	e.counts = newCounts(e.Name, e.Incarnation)
 	e.lease = &dhwatch.Lease{Clock: e.Clock, Duration: e.KeyLease}
 	e.cold = &dhcold.Rates{Timers: e.Timers, VM: e.Name}
-	e.shares = &dhgrant.Shares{Timers: e.Timers}
+	e.shares = &dhgrant.Shares{Timers: e.Timers, Clock: e.Clock, VM: e.Name}
 	e.placer = &dhplacement.Placer{Timers: e.Timers, Zone: e.Zone, Settings: placementSettings(), Seed: rand.Uint64()}
 	e.budget = &dhlimit.Budget{Ratio: e.RetryRatio * earnedFraction, Max: 1}
 	e.router = &dhrouter.Router{
@@ -169,6 +169,7 @@
 		VM: e.Name, Incarnation: e.Incarnation, Zone: e.Zone, Seeds: e.Seeds, Source: e.Source, Timers: e.Timers, Log: e.Log,
 		Lease: e.lease, Report: e.entryReport, OnUpdate: e.enqueue,
 		Versions: func() (uint64, uint64) { return e.documentVersion.Load(), e.operationsNumber.Load() },
+		Grants:   e.shares.Held,
 	}
 	e.publish()
 }
@@ -224,6 +225,9 @@
 func (e *Entry) apply(u dhwatch.Update) {
 	now := e.Timers.Now()
 	e.applyBackends(u, now)
+	if u.GetGrants() != nil || u.GetConfirmed() {
+		e.shares.Update(u.GetGrants(), u.Sent)
+	}
 	if n := int(u.GetEntryVms()); n > 0 {
 		e.entryVMs = n
 	}
@@ -345,6 +349,7 @@
 		bound.ReturnedZones[zone] = e.Timers.Now().Sub(at) < longestColdStart
 	}
 	e.cold.Update(view.All(), bound)
+	e.shares.Retain(view)
 	e.updateBudget()
 	e.placer.Update(view)
 	e.router.Publish(s)
@@ -402,7 +407,7 @@
 
 // entryReport returns the report sent to control VMs.
 func (e *Entry) entryReport() *dhpb.EntryReport {
-	r := &dhpb.EntryReport{Counters: e.counts.counters(), Rates: e.rates()}
+	r := &dhpb.EntryReport{Counters: e.counts.counters(), Rates: e.rates(), Limits: e.shares.Report()}
 	for _, b := range e.router.Snapshot().Backends.All() {
 		if l := e.placer.Load(b.ID); l.Running > 0 {
 			r.Loads = append(r.Loads, &dhpb.BackendLoad{Id: b.ID, Running: int32(l.Running), Reading: int32(l.PendingPrefill)})
--- a/dh/dhgrant/limits.go
+++ b/dh/dhgrant/limits.go
@@ -2,6 +2,10 @@
 
 import (
 	"time"
+
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"dandelionhoist.example/dh/dhpb"
 )
 
 const (
@@ -28,41 +32,36 @@
 // an earlier incarnation is ignored. An answer without a limit of a backend
 // server that has stated none is not recorded.
 func (l *Limits) Observe(id string, incarnation uint64, o Observation, now time.Time) Change {
-	row := l.byBackend[id]
-	if row == nil || row.incarnation < incarnation {
-		return l.begin(id, incarnation, o, now)
-	}
-	if row.incarnation > incarnation {
-		return Unchanged
-	}
-	before := row.Limit
-	row.Observation = row.WithNewer(o)
-	if row.Limit == before {
-		return Unchanged
-	}
-	row.since = now
+	before, row := l.Get(id), l.byBackend[id]
 	switch {
-	case !row.Limit.Stated:
-		return Ended
-	case !before.Stated:
-		return Begun
+	case row == nil || row.incarnation < incarnation:
+		l.begin(id, incarnation, o, now)
+	case row.incarnation == incarnation:
+		row.Observation = row.WithNewer(o)
 	}
-	return Changed
+	after := l.Get(id)
+	if row := l.byBackend[id]; row != nil && after != before {
+		row.since = now
+	}
+	return changeOf(before, after)
 }
 
 // begin records the first observation of an incarnation. A limit of an earlier
 // one ends with it.
-func (l *Limits) begin(id string, incarnation uint64, o Observation, now time.Time) Change {
-	before := l.Get(id)
+func (l *Limits) begin(id string, incarnation uint64, o Observation, now time.Time) {
 	delete(l.byBackend, id)
-	if o.Limit.Stated && len(l.byBackend) < maxLimits {
-		if l.byBackend == nil {
-			l.byBackend = make(map[string]*known)
-		}
-		l.byBackend[id] = &known{incarnation: incarnation, Observation: o, since: now}
+	if !o.Limit.Stated || len(l.byBackend) >= maxLimits {
+		return
+	}
+	if l.byBackend == nil {
+		l.byBackend = make(map[string]*known)
 	}
-	switch after := l.Get(id); {
-	case after == before:
+	l.byBackend[id] = &known{incarnation: incarnation, Observation: o, since: now}
+}
+
+func changeOf(before, after Limit) Change {
+	switch {
+	case before == after:
 		return Unchanged
 	case !after.Stated:
 		return Ended
@@ -80,6 +79,9 @@
 	return Limit{}
 }
 
+// Len returns the number of backend servers with an observation.
+func (l *Limits) Len() int { return len(l.byBackend) }
+
 // Retain removes backend servers for which keep returns false, and limits that
 // ended long ago.
 func (l *Limits) Retain(now time.Time, keep func(id string, incarnation uint64) bool) {
@@ -89,3 +91,48 @@
 		}
 	}
 }
+
+// Records returns the observations as messages.
+func (l *Limits) Records(now time.Time) []*dhpb.BackendLimit {
+	var list []*dhpb.BackendLimit
+	for id, row := range l.byBackend {
+		list = append(list, row.record(id, now))
+	}
+	return list
+}
+
+// Merge applies a message. An observation that is older than the time for which
+// the end of a limit is kept does not begin a limit.
+func (l *Limits) Merge(r *dhpb.BackendLimit, now time.Time) Change {
+	o := observationOf(r, now)
+	if l.byBackend[r.GetId()] == nil && now.Sub(o.Answered) > endedRetention {
+		return Unchanged
+	}
+	return l.Observe(r.GetId(), r.GetIncarnation(), o, now)
+}
+
+func (k *known) record(id string, now time.Time) *dhpb.BackendLimit {
+	r := &dhpb.BackendLimit{
+		Id: id, Incarnation: k.incarnation,
+		SentAge: durationpb.New(now.Sub(k.Sent)), AnsweredAge: durationpb.New(now.Sub(k.Answered)),
+	}
+	if k.Limit.Stated {
+		r.PerSecond = &k.Limit.PerSecond
+	}
+	return r
+}
+
+func observationOf(r *dhpb.BackendLimit, now time.Time) Observation {
+	return Observation{
+		Limit: Limit{Stated: r.PerSecond != nil, PerSecond: r.GetPerSecond()},
+		Sent:  now.Add(-r.GetSentAge().AsDuration()), Answered: now.Add(-r.GetAnsweredAge().AsDuration()),
+	}
+}
+
+// put records a message in place of an earlier observation.
+func (l *Limits) put(r *dhpb.BackendLimit, now time.Time) {
+	if l.byBackend == nil {
+		l.byBackend = make(map[string]*known)
+	}
+	l.byBackend[r.GetId()] = &known{incarnation: r.GetIncarnation(), Observation: observationOf(r, now), since: now}
+}
--- a/dh/dhrouter/deliver.go
+++ b/dh/dhrouter/deliver.go
@@ -100,17 +100,23 @@
 	done func(err error)
 }
 
-// place chooses a backend server whose circuit breaker permits the attempt and,
-// during a cold start, acquires a credit.
+// place chooses a backend server whose circuit breaker and rate limit permit the
+// attempt and, during a cold start, acquires a credit.
 func (r *Router) place(s *Snapshot, req dhplacement.Request) (reservation, error) {
 	for {
-		p, err := r.placeOutsideHoldOffs(s, req)
+		p, err := r.placePermitted(s, req)
 		if err != nil {
 			return reservation{}, err
 		}
 		id := p.Backend.ID
 		release, ok := r.Credits.Acquire(id)
 		if ok && r.Breakers.Begin(id) {
+			if r.RateLimits != nil && !r.RateLimits.Acquire(p.Backend) {
+				r.Breakers.Cancel(id)
+				release()
+				req.Exclude = append(slices.Clone(req.Exclude), id)
+				continue
+			}
 			r.Placer.Begin(&p, req)
 			return reservation{Placement: p, done: func(err error) {
 				release()
--- a/dh/dhrouter/dhrouter.go
+++ b/dh/dhrouter/dhrouter.go
@@ -76,6 +76,14 @@
 type RateLimits interface {
 	// Observe records the limit that an answer stated, or that it stated none.
 	Observe(id string, incarnation uint64, o dhgrant.Observation) dhgrant.Change
+	// Available reports whether Acquire would permit a request with the random
+	// number draw, from 0 to 1. After a limit has ended, requests with a higher
+	// number are permitted later.
+	Available(b *dhbackend.Backend, draw float64) bool
+	// Acquire permits and counts a request, immediately before it is sent.
+	Acquire(b *dhbackend.Backend) bool
+	// Wait returns the mean time until a limited backend server permits a request.
+	Wait(b *dhbackend.Backend) time.Duration
 }
 
 // Limiter admits requests.
--- a/dh/dhrouter/forward.go
+++ b/dh/dhrouter/forward.go
@@ -414,8 +414,8 @@
 	if ctx.Err() != nil {
 		err = withContextCode(ctx, err)
 	}
-	if dhcode.RanOf(err) == dhcode.NotRun && (dhcode.RetryAfterOf(err) == 0 || dhcode.Of(err) == dhcode.PoolHeldOff) {
-		err = f.withRetryAfter(err) // the hint of a hold-off has no jitter yet
+	if dhcode.RanOf(err) == dhcode.NotRun && (dhcode.RetryAfterOf(err) == 0 || dhcode.Of(err) == dhcode.PoolHeldOff || dhcode.Of(err) == dhcode.PoolRateLimited) {
+		err = f.withRetryAfter(err) // the hint of a hold-off or a rate limit has no jitter yet
 	}
 	return err
 }
--- a/dh/dhrouter/forward_escalation.go
+++ b/dh/dhrouter/forward_escalation.go
@@ -59,23 +59,24 @@
 	return int(threshold * min(max(2*(1-load), 0), 1))
 }
 
-// wouldMissTarget reports whether the first event of a model, if the request is
-// sent to it now, is expected after the target time.
-func (f *forward) wouldMissTarget(model string) bool {
-	left := f.firstEventTarget() - f.router.Timers.Now().Sub(f.received)
-	if left <= 0 {
-		return true
-	}
+// placeFor places the request as though it were sent to a model now. It reports
+// whether a backend server permits it, and whether its first event is expected
+// before the target time.
+func (f *forward) placeFor(model string) (permitted, inTime bool) {
 	previous := f.model
 	f.setModel(model)
 	defer f.setModel(previous)
 	s := f.router.Snapshot()
 	req, err := f.placementRequest(s)
 	if err != nil {
-		return true
+		return false, false
+	}
+	placement, err := f.router.placePermitted(s, req)
+	if err != nil {
+		return false, false
 	}
-	placement, err := f.router.placeOutsideHoldOffs(s, req)
-	return err != nil || f.router.latencyFits.expected(f.poolName, model, placement.PrefillAhead) > left
+	left := f.firstEventTarget() - f.router.Timers.Now().Sub(f.received)
+	return true, left > 0 && f.router.latencyFits.expected(f.poolName, model, placement.PrefillAhead) <= left
 }
 
 // escalate drops a low-confidence answer of the route's smallest model, so that
@@ -92,10 +93,12 @@
 		return nil
 	}
 	larger, threshold := f.escalationTarget(in.Confidence)
-	switch {
-	case in.Confidence >= threshold || f.sends+1 >= f.route.MaxAttempts:
+	if in.Confidence >= threshold || f.sends+1 >= f.route.MaxAttempts {
 		return nil
-	case in.Confidence >= minKeptConfidence && f.wouldMissTarget(larger):
+	}
+	permitted, inTime := f.placeFor(larger)
+	switch {
+	case !permitted, in.Confidence >= minKeptConfidence && !inTime:
 		f.router.Metrics.Count("unsure-kept", f.route.Name)
 		f.router.Log.Info("low-confidence answer kept", slog.String("request", f.message.ID), slog.String("route", f.route.Name),
 			slog.String("model", f.model), slog.Int("confidence", in.Confidence))
--- a/dh/dhrouter/holdoff.go
+++ b/dh/dhrouter/holdoff.go
@@ -30,43 +30,79 @@
 	}
 }
 
-// placeOutsideHoldOffs places a request on a backend server that is not in a
-// hold-off. A backend server whose pause has just ended receives a fraction of
-// the requests, or all of them if no other one is available.
-func (r *Router) placeOutsideHoldOffs(s *Snapshot, req dhplacement.Request) (dhplacement.Placement, error) {
+// placePermitted places a request on a backend server that is not in a hold-off
+// and whose rate limit, if any, permits it. A backend server whose pause or limit
+// has just ended receives a fraction of the requests, or all of them if no other
+// one is available.
+func (r *Router) placePermitted(s *Snapshot, req dhplacement.Request) (dhplacement.Placement, error) {
 	now := r.Timers.Now()
 	draw := 0.0
 	if r.Random != nil {
 		draw = r.Random()
 	}
 	permit := req.Permit
-	heldOff, earliestEnd := false, time.Time{}
+	var d denials
 	req.Permit = func(b *dhbackend.Backend) bool {
-		if permit != nil && !permit(b) {
-			return false
-		}
-		h := r.holdOffs.Get(b.ID, b.Incarnation)
-		if h.Permits(now, draw) {
-			return true
-		}
-		heldOff = true
-		if end := h.Ends(); earliestEnd.IsZero() || (!end.IsZero() && end.Before(earliestEnd)) {
-			earliestEnd = end
-		}
-		return false
+		return (permit == nil || permit(b)) && r.permits(b, now, draw, &d)
 	}
 	p, err := r.Placer.Place(s.Backends, req)
-	if err == nil || !heldOff {
+	if err == nil || !d.any() {
 		return p, err
 	}
-	draw, heldOff, earliestEnd = 0, false, time.Time{}
+	draw, d = 0, denials{}
 	p, err = r.Placer.Place(s.Backends, req)
-	if !heldOff || dhcode.Of(err) != dhcode.NoBackend {
+	if !d.any() || dhcode.Of(err) != dhcode.NoBackend {
 		return p, err
 	}
-	err = dhcode.Errorf(dhcode.PoolHeldOff, "all backend servers of pool %q that could serve the request leave or asked for a pause", req.Pool)
-	if !earliestEnd.IsZero() {
-		err = dhcode.WithRetryAfter(err, earliestEnd.Sub(now))
+	return dhplacement.Placement{}, r.deniedError(req.Pool, now, d)
+}
+
+// denials collects why the candidates of a placement were not permitted.
+type denials struct {
+	heldOff, limited bool
+	// pauseEnd is the end of the first pause, limitWait the shortest wait for a
+	// backend server with a rate limit.
+	pauseEnd  time.Time
+	limitWait time.Duration
+}
+
+func (d *denials) any() bool { return d.heldOff || d.limited }
+
+// permits reports whether hold-off and rate limit of a backend server permit a
+// request with the random number draw.
+func (r *Router) permits(b *dhbackend.Backend, now time.Time, draw float64, d *denials) bool {
+	h := r.holdOffs.Get(b.ID, b.Incarnation)
+	if !h.Permits(now, draw) {
+		d.heldOff = true
+		if end := h.Ends(); d.pauseEnd.IsZero() || (!end.IsZero() && end.Before(d.pauseEnd)) {
+			d.pauseEnd = end
+		}
+		return false
+	}
+	if r.RateLimits == nil || r.RateLimits.Available(b, draw) {
+		return true
+	}
+	if wait := r.RateLimits.Wait(b); !d.limited || wait < d.limitWait {
+		d.limitWait = wait
+	}
+	d.limited = true
+	return false
+}
+
+// deniedError returns the error of a request that no backend server permits.
+func (r *Router) deniedError(pool string, now time.Time, d denials) error {
+	if d.limited {
+		r.Metrics.Count("rate-limit", "refused")
+		spread := 1.0
+		if r.Random != nil {
+			spread += r.Random() // callers do not all return at once
+		}
+		err := dhcode.Errorf(dhcode.PoolRateLimited, "the backend servers of pool %q that could serve the request permit no request of this VM now", pool)
+		return dhcode.WithRetryAfter(err, time.Duration(spread*float64(d.limitWait)))
+	}
+	err := dhcode.Errorf(dhcode.PoolHeldOff, "all backend servers of pool %q that could serve the request leave or asked for a pause", pool)
+	if !d.pauseEnd.IsZero() {
+		err = dhcode.WithRetryAfter(err, d.pauseEnd.Sub(now))
 	}
-	return dhplacement.Placement{}, err
+	return err
 }
--- a/dh/dhrouter/ratelimit_test.go
+++ b/dh/dhrouter/ratelimit_test.go
@@ -22,6 +22,16 @@
 	}
 }
 
+// permissive tracks limits and permits every request.
+type permissive struct{ *dhgrant.Shares }
+
+func (permissive) Available(*dhbackend.Backend, float64) bool { return true }
+func (permissive) Acquire(*dhbackend.Backend) bool            { return true }
+
+type fixedClock time.Duration
+
+func (c fixedClock) Elapsed() time.Duration { return time.Duration(c) }
+
 // Guards against a limit of which the log does not say when it began, changed or
 // ended and on which request's answer, and against an answer that ends a limit
 // although the backend server may not have sent it.
@@ -34,7 +44,7 @@
 		)
 		var log strings.Builder
 		f.Log = slog.New(slog.NewTextHandler(&log, nil))
-		f.RateLimits = &dhgrant.Shares{Timers: f.timers}
+		f.RateLimits = permissive{&dhgrant.Shares{Timers: f.timers, Clock: fixedClock(0)}}
 		f.useOneBackend(t)
 		for i := range 8 {
 			_, _, _ = f.ask(t, "look", func(m *Message) { m.ID = fmt.Sprint("r", i+1) }) // only the log is checked
--- a/dh/dhwatch/dhwatch.go
+++ b/dh/dhwatch/dhwatch.go
@@ -100,6 +100,8 @@
 	*dhpb.ControlWatchResponse
 	// From is the address of the control VM.
 	From string
+	// Sent is when the call was sent, by the clock of the lease.
+	Sent time.Duration
 }
 
 // Follower watches control VMs. Set the exported fields before calling Run.
@@ -119,6 +121,8 @@
 	// Versions returns the versions of the document and of the operations that
 	// this VM has.
 	Versions func() (document, operations uint64)
+	// Grants identifies the grant table that this VM holds; it may be nil.
+	Grants func() *dhpb.GrantTableId
 	// OnUpdate is called with each response, on the goroutine of Run.
 	OnUpdate func(u Update)
 
@@ -158,6 +162,7 @@
 			_ = dhtimer.Sleep(ctx, f.Timers, retryPause) // the loop ends with ctx
 			continue
 		}
+		sent := f.Lease.Clock.Elapsed()
 		reply, err := f.callWatch(ctx, address, epoch, position)
 		if ctx.Err() != nil {
 			return nil
@@ -169,7 +174,7 @@
 		}
 		epoch, position = reply.GetEpoch(), reply.GetPosition()
 		f.updateControls(reply)
-		f.OnUpdate(Update{ControlWatchResponse: reply, From: address})
+		f.OnUpdate(Update{ControlWatchResponse: reply, From: address, Sent: sent})
 		if !reply.GetConfirmed() || reply.GetConfirmedAge().AsDuration() > maxConfirmedAge {
 			f.markFailed(address, true, "")
 			_ = dhtimer.Sleep(ctx, f.Timers, retryPause)
@@ -188,10 +193,14 @@
 	defer cancel()
 	document, operations := f.Versions()
 	began := f.Lease.Clock.Elapsed()
-	reply, err := f.Source.Watch(ctx, address, &dhpb.ControlWatchRequest{
+	request := &dhpb.ControlWatchRequest{
 		Vm: f.VM, Incarnation: f.Incarnation, Zone: f.Zone, Epoch: epoch, Position: position,
 		Document: document, Operations: operations, Wait: durationpb.New(watchWait), Report: f.Report(),
-	})
+	}
+	if f.Grants != nil {
+		request.Grants = f.Grants()
+	}
+	reply, err := f.Source.Watch(ctx, address, request)
 	if err != nil {
 		return nil, err
 	}
