Test rate limits under cuts, restarts and changes

Callers saw nothing; these tests look for a sum above a limit, a starved backend server and refusals that wait.

Cluster tests play cuts between zones, of control VMs from each other and of entry VMs from all, stops, restarts, late VMs, falling, rising and ended limits and new incarnations; a seeded test plays random sequences.

--- a/dh/dhcontrol/limit_test.go
+++ b/dh/dhcontrol/limit_test.go
@@ -4,8 +4,11 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -42,6 +45,12 @@
 	limits   map[string]dhgrant.Limit
 	servers  map[string]*limitedServer
 	outcomes map[string]*outcomes
+	// down holds the entry VMs that do not run, born the incarnation of each
+	// backend server.
+	down map[string]bool
+	born map[string]uint64
+	// startedAt is when each entry VM was started again.
+	startedAt map[string]time.Time
 }
 
 // limitedServer is what a stand-in backend server has seen.
@@ -69,6 +78,10 @@
 	held time.Duration
 }
 
+// startupPeriod is the time after the start of an entry VM in which requests may
+// wait for its tables.
+const startupPeriod = 4 * time.Second
+
 // answerDelay is how long a stand-in backend server takes to answer.
 const answerDelay = 20 * time.Millisecond
 
@@ -106,12 +119,52 @@
 	}, nil
 }
 
-// setLimit sets the limit that backend servers state from now on.
+// setLimit sets the limit that backend servers state from now on. After the end of
+// a limit, no VM knows of the next one before it has received an answer with it.
 func (p *limitedPool) setLimit(limit dhgrant.Limit, ids ...string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, id := range ids {
 		p.limits[id] = limit
+		if !limit.Stated {
+			p.servers[id].told, p.servers[id].limitedAt = map[string]time.Time{}, time.Time{}
+		}
+	}
+}
+
+// stopEntry stops entry VMs, startAgain starts them again. They know of no limit
+// then.
+func (p *limitedPool) stopEntry(vms ...string) {
+	p.mu.Lock()
+	for _, vm := range vms {
+		p.down[vm] = true
+		for _, s := range p.servers {
+			delete(s.told, vm)
+		}
+	}
+	p.mu.Unlock()
+	p.crash(vms...)
+}
+
+func (p *limitedPool) startAgain(vms ...string) {
+	for _, vm := range vms {
+		p.startEntry(vm)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, vm := range vms {
+		p.down[vm], p.startedAt[vm] = false, p.timers.Now()
+	}
+}
+
+// restartServers starts backend servers again under their ids, without a limit.
+func (p *limitedPool) restartServers(ids ...string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, id := range ids {
+		p.born[id]++
+		p.limits[id] = dhgrant.Limit{}
+		p.servers[id] = &limitedServer{told: map[string]time.Time{}}
 	}
 }
 
@@ -125,6 +178,7 @@
 		p := &limitedPool{
 			cluster: c, group: dhgroup.New(c.t.Context()),
 			limits: map[string]dhgrant.Limit{}, servers: map[string]*limitedServer{}, outcomes: map[string]*outcomes{},
+			down: map[string]bool{}, born: map[string]uint64{}, startedAt: map[string]time.Time{},
 		}
 		c.transport = func(vm string) dhrouter.Transport { return limitedTransport{p, vm} }
 		c.waitFor(3*time.Second, "the first document", func() bool { return c.replace("c0", 5) == nil })
@@ -151,11 +205,15 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.servers[id] = &limitedServer{told: map[string]time.Time{}}
+	p.born[id] = 1
 	p.group.Go(func(ctx context.Context) error {
 		for sequence := uint64(1); ; sequence++ {
+			p.mu.Lock()
+			born := p.born[id]
+			p.mu.Unlock()
 			for _, name := range p.seeds {
 				r := &dhpb.BackendRecord{
-					Id: id, Address: id + ":80", Zone: "z0", Pool: "p", State: "ready", Release: "v1", Slots: 64, Incarnation: 1,
+					Id: id, Address: id + ":80", Zone: "z0", Pool: "p", State: "ready", Release: "v1", Slots: 64, Incarnation: born,
 					Sequence: sequence, Versions: []*dhpb.LoadedVersion{{}},
 				}
 				_ = p.controls[name].Announce(ctx, r) // repeated with the next announcement
@@ -183,6 +241,12 @@
 
 func (p *limitedPool) request(ctx context.Context, vm string, number int) {
 	began := p.timers.Now()
+	p.mu.Lock()
+	down := p.down[vm]
+	p.mu.Unlock()
+	if down {
+		return
+	}
 	m := &dhrouter.Message{ID: fmt.Sprint(vm, "-", number), Method: "GET", Host: "h", Path: "/x", Target: "/x", TimeLeft: 4 * time.Second}
 	_, err := p.entries[vm].Router().Forward(ctx, m, httptest.NewRecorder())
 	p.mu.Lock()
@@ -193,7 +257,9 @@
 		return
 	}
 	o.refused++
-	o.held = max(o.held, p.timers.Now().Sub(began))
+	if began.Sub(p.startedAt[vm]) > startupPeriod {
+		o.held = max(o.held, p.timers.Now().Sub(began))
+	}
 	if dhcode.RanOf(err) != dhcode.NotRun || dhcode.RetryAfterOf(err) <= 0 {
 		o.notPromised++
 	}
@@ -361,3 +427,186 @@
 		})
 	}
 }
+
+// cut separates a zone with a third of the control VMs and of the entry VMs.
+func (p *limitedPool) cut() {
+	p.network.Partition([]string{"c0", "e0", "e1", "e2"}, []string{"c1", "c2", "e3", "e4", "e5", "e6", "e7", "e8"})
+}
+
+// Guards against an allowance that is spent twice or kept for ever when VMs are
+// cut off, stop and start while limits are in force, and against limits that do
+// not change or end with the answers of their backend servers.
+func TestRateLimitHoldsUnderFaults(t *testing.T) {
+	// The load is high enough that each part is used, and the limits that a second
+	// use of the same allowance exceeds the bound.
+	const servers, load, usual = 4, 160, 40
+	seconds := func(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
+	for _, c := range []struct {
+		name string
+		// limited is the number of backend servers with a limit.
+		limited int
+		limit   float64
+		script  func(p *limitedPool, ids []string)
+	}{
+		{"a zone is cut off", 2, 6, func(p *limitedPool, _ []string) {
+			p.cut()
+			p.advance(seconds(8))
+			p.network.Partition()
+		}},
+		{"a zone is cut off and all are limited", 4, 6, func(p *limitedPool, _ []string) {
+			p.cut()
+			p.advance(seconds(8))
+			p.network.Partition()
+		}},
+		{"a zone is cut off again and again", 4, 6, func(p *limitedPool, _ []string) {
+			for range 5 {
+				p.cut()
+				p.advance(seconds(2.5))
+				p.network.Partition()
+				p.advance(seconds(1.5))
+			}
+		}},
+		{"entry VMs without control VMs", 3, 6, func(p *limitedPool, _ []string) {
+			p.network.Partition([]string{"e0", "e1", "e2", "e3"})
+			p.advance(seconds(10))
+			p.network.Partition()
+		}},
+		{"control VMs cut from each other", 3, 6, func(p *limitedPool, _ []string) {
+			p.network.Partition([]string{"c0", "e0"}, []string{"c1", "e1"}, []string{"c2", "e2"})
+			p.advance(seconds(10))
+			p.network.Partition()
+		}},
+		{"each control VM stops in turn", 3, 6, func(p *limitedPool, _ []string) {
+			for _, name := range p.seeds {
+				p.crash(name)
+				p.advance(seconds(4))
+				p.startControl(name, true)
+				p.advance(seconds(4))
+			}
+		}},
+		{"all control VMs restart", 3, 6, func(p *limitedPool, _ []string) {
+			p.crash(p.seeds...)
+			p.advance(seconds(3))
+			for _, name := range p.seeds {
+				p.startControl(name, true)
+			}
+		}},
+		{"entry VMs restart", 3, 6, func(p *limitedPool, _ []string) {
+			for range 4 {
+				p.stopEntry("e0", "e1", "e2", "e3")
+				p.advance(seconds(1))
+				p.startAgain("e0", "e1", "e2", "e3")
+				p.advance(seconds(2))
+			}
+		}},
+		{"an entry VM joins late", 3, 6, func(p *limitedPool, _ []string) {
+			p.startEntry("e9")
+			p.startClients("e9", 0.1, 0)
+		}},
+		{"the limit falls", 3, 40, func(p *limitedPool, ids []string) {
+			for _, n := range []float64{20, 8, 3, 1, 0.5} {
+				p.setLimit(perSecond(n), ids...)
+				p.advance(seconds(4))
+			}
+		}},
+		{"the limit rises and falls with each second", 3, 1, func(p *limitedPool, ids []string) {
+			for i := range 12 {
+				p.setLimit(perSecond([]float64{1, 6, 2, 0, 9}[i%5]), ids...)
+				p.advance(seconds(1))
+			}
+		}},
+		{"a backend server restarts under its id", 2, 6, func(p *limitedPool, ids []string) {
+			p.restartServers(ids...)
+			p.advance(seconds(3))
+			if got := p.rate(time.Second, ids...) / 2; got < usual/2 {
+				p.t.Errorf("%.1f requests/s after a restart without a limit", got)
+			}
+			p.setLimit(perSecond(1), ids...)
+		}},
+		{"the limits end", 4, 6, func(p *limitedPool, ids []string) {
+			p.setLimit(dhgrant.Limit{}, ids...)
+			p.advance(seconds(3))
+			if got := p.rate(time.Second, ids...) / 4; got < usual/2 || got > 2*usual {
+				p.t.Errorf("%.1f requests/s after the end of the limits, %d are usual", got, usual)
+			}
+			p.setLimit(perSecond(1), ids...)
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			runLimited(t, 9, servers, load, func(p *limitedPool) {
+				ids := allServers(c.limited)
+				p.setLimit(perSecond(c.limit), ids...)
+				p.advance(8 * time.Second)
+				c.script(p, ids)
+				p.advance(8 * time.Second)
+				p.setLimit(perSecond(6), ids...)
+				p.advance(20 * time.Second)
+				p.checkLimits()
+				p.checkRefusals()
+				if used := p.rate(10*time.Second, ids...) / float64(len(ids)); used < starved*6 {
+					t.Errorf("%.2f requests/s at a limit of 6 after the faults", used)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a sum above a limit in any sequence of cuts, stops, restarts and
+// changes of limits. RATE_LIMIT_SEEDS sets the number of seeds of a longer run.
+func TestRateLimitUnderRandomFaults(t *testing.T) {
+	seeds := 6
+	if n, err := strconv.Atoi(os.Getenv("RATE_LIMIT_SEEDS")); err == nil {
+		seeds = n
+	}
+	for seed := range uint64(seeds) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			random := rand.New(rand.NewPCG(seed, 30))
+			vms, servers := 3+random.IntN(12), 1+random.IntN(6)
+			runLimited(t, vms, servers, 60*float64(1+random.IntN(3)), func(p *limitedPool) {
+				for range 30 {
+					p.randomFault(random, vms, servers)
+					p.advance(time.Duration(random.IntN(2500)) * time.Millisecond)
+				}
+				p.checkLimits()
+				p.checkRefusals()
+			})
+		})
+	}
+}
+
+// randomFault changes limits, connections or processes at random.
+func (p *limitedPool) randomFault(random *rand.Rand, vms, servers int) {
+	entry := fmt.Sprint("e", random.IntN(vms))
+	control := p.seeds[random.IntN(len(p.seeds))]
+	server := fmt.Sprint("b", random.IntN(servers))
+	switch random.IntN(9) {
+	case 0:
+		p.network.Partition()
+	case 1, 2:
+		groups := make([][]string, 3)
+		for _, name := range p.seeds {
+			i := random.IntN(len(groups))
+			groups[i] = append(groups[i], name)
+		}
+		for i := range vms {
+			i, name := random.IntN(len(groups)), fmt.Sprint("e", i)
+			groups[i] = append(groups[i], name)
+		}
+		p.network.Partition(groups...)
+	case 3:
+		if !p.down[entry] {
+			p.stopEntry(entry)
+		} else {
+			p.startAgain(entry)
+		}
+	case 4:
+		p.crash(control)
+		p.startControl(control, true)
+	case 5:
+		p.restartServers(server)
+	case 6:
+		p.setLimit(dhgrant.Limit{}, server)
+	default:
+		p.setLimit(perSecond([]float64{0, 0.2, 1, 2.5, 6, 20, 1e6}[random.IntN(7)]), server)
+	}
+}
