Judge the speed of a rollout's target while its answers run

Cause: four parts of one fault. (1) The trial of a rollout of 15 s had 4 to 8 answers: the margin at its end took the accepted exposure. (2) Speed was counted at the end of an answer, so that slow streams were missing. Answers that were dropped for a larger model's were never counted. (3) The usual times were means, which a few slow answers raise, with a factor of 3. (4) No speed was judged once all sessions had moved.

Change: the router reports the time to the first token when it arrives and the pace after 8 events, of dropped answers too; usual times are moving averages of logarithms; first tokens and paces are tested as kinds of their own, after the move against a rate that allows for cold caches and full load. The plan gives the trial the answers it needs before it lengthens the margin.

--- a/dh/dhcontrol/cluster_test.go
+++ b/dh/dhcontrol/cluster_test.go
@@ -622,6 +622,25 @@
 	})
 }
 
+// Guards against a trial that has too few answers for any verdict, because a long
+// margin at the end of the rollout uses up the accepted exposure: 4 to 8 answers
+// completed a version that was several times slower (scenario hasty, EXPOSURE).
+func TestTrialEvidenceComesBeforeMargin(t *testing.T) {
+	runCluster(t, func(c *cluster) {
+		c.waitFor(3*time.Second, "the first document", func() bool { return c.replace("c0", 5) == nil })
+		const rate, accepted, slack = 62.0, 0.15, 30.0
+		duration := 15 * time.Second
+		c.controls["c1"].Exposure, c.controls["c1"].ExposureSlack = accepted, slack
+		c.reportRate("c1", rate)
+		assert.NilError(t, c.call(func(ctx context.Context) error { return c.controls["c1"].StartRollout(ctx, "p", "v2", duration) }))
+		r := c.readRollout("c2")
+		last := (r.GetMargin().AsDuration() + 1200*time.Millisecond).Seconds()
+		assert.Assert(t, r.GetShare()*rate*(duration.Seconds()-last) >= 20, "share %.3f, margin %s", r.GetShare(), r.GetMargin().AsDuration())
+		exposed := rate * (r.GetShare()*(duration.Seconds()-last) + last)
+		assert.Assert(t, exposed <= accepted*rate*duration.Seconds()+slack, "%.0f requests", exposed)
+	})
+}
+
 // Guards against a trial share that relies on the exposure slack while the
 // request rate is underestimated, which violates EXPOSURE (scenario
 // servers-adrift --vary --seed 1012248586032).
--- a/dh/dhcontrol/entries.go
+++ b/dh/dhcontrol/entries.go
@@ -318,6 +318,9 @@
 	release     string
 }
 
+// observations returns a number that increases with each change of a counter.
+func observations(c *dhpb.VersionCounter) int64 { return c.GetAnswers() + c.GetRated() + c.GetPaced() }
+
 // counts sums the answers counted during a rollout, separately for the other
 // versions (before) and the target (after).
 func (e *entries) counts(pool, target string, number uint64) (before, after dhversion.Counts) {
@@ -327,7 +330,7 @@
 	add := func(vm string, incarnation uint64, counters []*dhpb.VersionCounter) {
 		for _, c := range counters {
 			k := counterKey{vm, incarnation, c.GetVersion()}
-			if c.GetPool() == pool && c.GetRolloutRevision() == number && c.GetAnswers() >= newest[k].GetAnswers() {
+			if c.GetPool() == pool && c.GetRolloutRevision() == number && observations(c) >= observations(newest[k]) {
 				newest[k] = c
 			}
 		}
@@ -349,6 +352,8 @@
 		sum.Bad += c.GetBad()
 		sum.Timed += c.GetRated()
 		sum.Slow += c.GetLow()
+		sum.Paced += c.GetPaced()
+		sum.SlowPaced += c.GetSlowPaced()
 	}
 	return before, after
 }
--- a/dh/dhcontrol/operators.go
+++ b/dh/dhcontrol/operators.go
@@ -127,8 +127,10 @@
 	// target, even if the end of the rollout leaves no room for them in the
 	// accepted exposure. Without evidence from the trial, a bad version is
 	// detected only when all sessions use it (reproduced by the soak test with
-	// seed 1796379163051793904).
-	minTrialAnswers = 12
+	// seed 1796379163051793904). With enoughTrialAnswers, a version of which half
+	// of the answers are slow is detected in the trial.
+	minTrialAnswers    = 12
+	enoughTrialAnswers = 40
 	// minMargin and maxMargin bound how long before the end of its duration a
 	// rollout completes. Operators measure the duration from their first request
 	// and poll the state about once per second.
@@ -141,8 +143,8 @@
 // trial moves its share of the already running sessions, including those that
 // entry VMs have no record of, so the share is as small as the required evidence
 // allows. The requests that all sessions send to the target at the end must fit
-// into the accepted exposure as well. The margin is as long as the exposure
-// allows.
+// into the accepted exposure as well. The trial's evidence comes first: the margin
+// is as long as the exposure left by enough answers of the trial allows.
 func (c *Control) rolloutPlan(pool string, duration time.Duration) (share float64, margin time.Duration) {
 	rate := c.entries.rate(pool)
 	if rate <= 0 {
@@ -150,11 +152,13 @@
 	}
 	slack := min(slackFraction*c.ExposureSlack/(rate*duration.Seconds()), maxSlackFraction*c.Exposure)
 	accepted := exposureFraction*c.Exposure + slack
-	last := time.Duration((accepted - minTrialShare) * float64(duration))
-	margin = min(max(last-minShiftDuration, minMargin), maxMargin)
+	shareFor := func(answers float64) float64 {
+		return answers / (rate * max(duration-minShiftDuration-margin, duration/2).Seconds())
+	}
+	left := accepted - max(min(trialRate/rate, shareFor(enoughTrialAnswers)), minTrialShare)
+	margin = min(max(time.Duration(left*float64(duration))-minShiftDuration, minMargin), maxMargin)
 	available := accepted - float64(minShiftDuration+margin)/float64(duration)
-	needed := minTrialAnswers / (rate * max(duration-minShiftDuration-margin, duration/2).Seconds())
-	return min(max(min(trialRate/rate, available), needed, minTrialShare), c.Exposure*trialExposureFraction), margin
+	return min(max(min(trialRate/rate, available), shareFor(minTrialAnswers), minTrialShare), c.Exposure*trialExposureFraction), margin
 }
 
 // ReadRollout returns the latest rollout of a pool, or nil if there is none.
--- a/dh/dhcontrol/rollout.go
+++ b/dh/dhcontrol/rollout.go
@@ -104,7 +104,9 @@
 	c.Log.Info("rollout decided", slog.String("pool", r.GetPool()), slog.String("target", r.GetTarget()),
 		slog.String("from", r.GetState().String()), slog.String("to", next.String()), slog.Float64("evidence", evidence),
 		slog.Int64("answers", after.Answers), slog.Int64("bad", after.Bad), slog.Int64("slow", after.Slow),
+		slog.Int64("timed", after.Timed), slog.Int64("paced", after.Paced), slog.Int64("slow-paced", after.SlowPaced),
 		slog.Int64("old-answers", before.Answers), slog.Int64("old-bad", before.Bad), slog.Int64("old-slow", before.Slow),
+		slog.Int64("old-timed", before.Timed), slog.Int64("old-paced", before.Paced), slog.Int64("old-slow-paced", before.SlowPaced),
 		slog.Duration("elapsed", elapsed(r, t, now)))
 	ctx, cancel := dhtimer.WithTimeout(ctx, c.Timers, quorumTimeout)
 	defer cancel()
--- a/dh/dhentry/counts.go
+++ b/dh/dhentry/counts.go
@@ -1,6 +1,7 @@
 package dhentry
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -9,9 +10,11 @@
 )
 
 const (
-	// slowFactor is the multiple of the baseline latency above which an answer
-	// counts as slow. Load alone does not raise the latency that far.
-	slowFactor = 3
+	// slowFirstFactor is the multiple of the usual time to the first event above
+	// which an answer counts as slow, slowPaceFactor that of the usual time between
+	// two events, which varies less with prompts, caches and load.
+	slowFirstFactor = 2.5
+	slowPaceFactor  = 1.5
 	// baselineWeight is the weight of one answer in the moving average of the
 	// baseline.
 	baselineWeight = 1.0 / 16
@@ -42,11 +45,25 @@
 // baselineKey groups answers with similar latencies.
 type baselineKey struct{ pool, class, model string }
 
-// baseline is the moving average of the time to the first event and between two
-// events.
-type baseline struct {
-	first, between time.Duration
-	count          int
+// baseline holds the usual time to the first event and between two events.
+type baseline struct{ first, between average }
+
+// average is a moving average of the logarithms of durations. A few very slow
+// answers raise it far less than they would raise the mean.
+type average struct {
+	log   float64
+	count int
+}
+
+func (a *average) add(d time.Duration) {
+	a.count++
+	a.log += max(baselineWeight, 1/float64(a.count)) * (math.Log(float64(d)) - a.log)
+}
+
+// slow reports whether a duration is above the average by more than a factor, and
+// whether the average is based on enough answers to tell.
+func (a *average) slow(d time.Duration, factor float64) (slow, known bool) {
+	return math.Log(float64(d)) > a.log+math.Log(factor), a.count >= minBaselineSamples
 }
 
 func newCounts(vm string, incarnation uint64) *counts {
@@ -85,61 +102,64 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	rollout := c.rollouts[e.Pool]
-	onTarget := rollout != nil && e.Version.Name == rollout.GetTarget()
-	slow, timed := c.classify(e, onTarget)
 	if rollout == nil {
 		return
 	}
-	k := countKey{e.Pool, e.Version.Name, rollout.GetNumber()}
-	row := c.rows[k]
-	if row == nil {
-		row = &dhpb.VersionCounter{Vm: c.vm, Incarnation: c.incarnation, Pool: e.Pool, Version: e.Version.Name, RolloutRevision: rollout.GetNumber()}
-		c.rows[k] = row
-	}
+	row := c.row(e.Pool, e.Version.Name, rollout)
 	row.Answers++
 	if e.Failed {
 		row.Bad++
 	}
-	if timed {
-		row.Rated++
-	}
-	if slow {
-		row.Low++
-	}
 }
 
-// classify compares the latency of an answer with the baseline of its class and
-// model. Answers of versions other than the rollout's target update the baseline.
-func (c *counts) classify(e dhrouter.Event, onTarget bool) (slow, timed bool) {
-	if e.Failed || e.FirstToken <= 0 {
-		return false, false
-	}
-	k := baselineKey{e.Pool, e.Class, e.Version.Model}
+// addSpeed counts the speed of an answer. Answers of versions other than the
+// rollout's target update the baseline of their class and model.
+func (c *counts) addSpeed(s dhrouter.Speed) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	k := baselineKey{s.Pool, s.Class, s.Version.Model}
 	p := c.baselines[k]
 	if p == nil {
 		if len(c.baselines) >= maxBaselines {
-			return false, false
+			return
 		}
 		p = &baseline{}
 		c.baselines[k] = p
 	}
-	if p.count >= minBaselineSamples {
-		timed = true
-		slow = e.FirstToken > slowFactor*p.first || (p.between > 0 && e.MeanEventInterval > slowFactor*p.between)
+	usual, d, factor := &p.first, s.FirstToken, slowFirstFactor
+	if s.MeanEventInterval > 0 {
+		usual, d, factor = &p.between, s.MeanEventInterval, slowPaceFactor
+	}
+	slow, known := usual.slow(d, factor)
+	rollout := c.rollouts[s.Pool]
+	if rollout == nil || s.Version.Name != rollout.GetTarget() {
+		usual.add(d)
+	}
+	if rollout == nil || !known {
+		return
+	}
+	row, low := c.row(s.Pool, s.Version.Name, rollout), int64(0)
+	if slow {
+		low = 1
 	}
-	if !onTarget {
-		p.add(e)
+	if s.MeanEventInterval > 0 {
+		row.Paced++
+		row.SlowPaced += low
+	} else {
+		row.Rated++
+		row.Low += low
 	}
-	return slow, timed
 }
 
-func (p *baseline) add(e dhrouter.Event) {
-	p.count++
-	weight := max(baselineWeight, 1/float64(p.count))
-	p.first += time.Duration(weight * float64(e.FirstToken-p.first))
-	if e.MeanEventInterval > 0 {
-		p.between += time.Duration(weight * float64(e.MeanEventInterval-p.between))
+// row returns the counters of a version during a rollout.
+func (c *counts) row(pool, release string, rollout *dhpb.RolloutRecord) *dhpb.VersionCounter {
+	k := countKey{pool, release, rollout.GetNumber()}
+	row := c.rows[k]
+	if row == nil {
+		row = &dhpb.VersionCounter{Vm: c.vm, Incarnation: c.incarnation, Pool: pool, Version: release, RolloutRevision: rollout.GetNumber()}
+		c.rows[k] = row
 	}
+	return row
 }
 
 // counters returns the counters of the rollouts in progress.
@@ -150,7 +170,7 @@
 	for _, row := range c.rows {
 		list = append(list, &dhpb.VersionCounter{
 			Vm: row.Vm, Incarnation: row.Incarnation, Pool: row.Pool, Version: row.Version, RolloutRevision: row.RolloutRevision,
-			Answers: row.Answers, Bad: row.Bad, Rated: row.Rated, Low: row.Low,
+			Answers: row.Answers, Bad: row.Bad, Rated: row.Rated, Low: row.Low, Paced: row.Paced, SlowPaced: row.SlowPaced,
 		})
 	}
 	return list
--- a/dh/dhentry/dhentry.go
+++ b/dh/dhentry/dhentry.go
@@ -161,7 +161,7 @@
 	e.router = &dhrouter.Router{
 		Timers: e.Timers, Group: e.group, Log: e.Log, Metrics: e.Metrics, Placer: e.placer, Credits: e.cold, RateLimits: e.shares,
 		Retries: e.budget, Breakers: &dhlimit.Breakers{Timers: e.Timers, Backoff: breakerBackoff},
-		Transport: e.Transport, Lease: e.lease, Random: rand.Float64, VM: e.Name, Zone: e.Zone, Report: e.countAttempt,
+		Transport: e.Transport, Lease: e.lease, Random: rand.Float64, VM: e.Name, Zone: e.Zone, Report: e.countAttempt, ReportSpeed: func(s dhrouter.Speed) { e.counts.addSpeed(s) },
 	}
 	e.router.AnswerMemory.Max = e.AnswerBytes
 	e.router.SetSessionTimeout(e.SessionTimeout)
--- a/dh/dhrouter/dhrouter.go
+++ b/dh/dhrouter/dhrouter.go
@@ -184,11 +184,20 @@
 	// Unreachable is set if the backend server could not be reached or stalled.
 	Unreachable bool
 	// Answered is set if the backend server itself completed the answer, whether
-	// successful or failed. Class is the request's class and MeanEventInterval the
-	// mean time between two events. The three fields are set for HTTP requests only.
-	Answered          bool
-	Class             string
-	MeanEventInterval time.Duration
+	// successful or failed. Class is the request's class. Both are set for HTTP
+	// requests only.
+	Answered bool
+	Class    string
+}
+
+// Speed reports the speed of an answer to an HTTP request as soon as it is known,
+// since a slow answer may end too late to count. One of the durations is set:
+// first FirstToken, then for streams MeanEventInterval, the mean time between the
+// first events.
+type Speed struct {
+	Pool, Class                   string
+	Version                       dhtable.Version
+	FirstToken, MeanEventInterval time.Duration
 }
 
 // Router answers requests. Its exported fields must be set before use.
@@ -226,6 +235,9 @@
 	MaxAttempts int
 	// Report receives the events of attempts; it must not block.
 	Report func(Event)
+	// ReportSpeed receives the speeds of answers to HTTP requests; it must not block
+	// and may be nil.
+	ReportSpeed func(Speed)
 	// NewRequestID returns an id for a request or session that has none.
 	NewRequestID func() string
 
--- a/dh/dhrouter/forward.go
+++ b/dh/dhrouter/forward.go
@@ -344,14 +344,10 @@
 }
 
 func (f *forward) event(b *dhbackend.Backend, first time.Duration, failed bool) Event {
-	e := Event{
+	return Event{
 		Pool: f.poolName, Backend: b.ID, Version: dhtable.Version{Model: f.model, Name: b.Release},
 		Failed: failed, FirstToken: first, Answered: f.answered, Class: f.route.Class,
 	}
-	if f.events > 1 {
-		e.MeanEventInterval = f.lastEventAt.Sub(f.firstEventAt) / time.Duration(f.events-1)
-	}
-	return e
 }
 
 // repeatable reports whether the request may run more than once.
--- a/dh/dhrouter/forward_relay.go
+++ b/dh/dhrouter/forward_relay.go
@@ -12,6 +12,7 @@
 	"dandelionhoist.example/dh/dhevent"
 	"dandelionhoist.example/dh/dhmetric"
 	"dandelionhoist.example/dh/dhplacement"
+	"dandelionhoist.example/dh/dhtable"
 )
 
 // bufferedAnswer is a complete answer in memory.
@@ -54,6 +55,9 @@
 	head := f.router.Timers.Now()
 	watch.progress(head)
 	f.router.delays.observe(f.poolName, f.model, head.Sub(start), head)
+	if in.Sealed && in.Status < http.StatusBadRequest && in.RequestID == f.message.ID {
+		f.reportSpeed(Speed{FirstToken: max(head.Sub(start), 1)})
+	}
 	if f.route.Stream && in.Events {
 		f.router.latencyFits.observe(f.poolName, f.model, p.PrefillAhead, head.Sub(start))
 	}
@@ -310,6 +314,9 @@
 // the held events.
 func (f *forward) finishStream(in *Inbound, held []byte, flush *http.ResponseController) error {
 	f.answered = true
+	if f.events > 1 && f.events < pacedEvents {
+		f.reportPace()
+	}
 	if !f.begun {
 		f.writeHead(in.Status, in.Header, -1)
 	}
@@ -344,4 +351,24 @@
 	}
 	f.events++
 	f.lastEventAt = now
+	if f.events == pacedEvents {
+		f.reportPace()
+	}
+}
+
+// pacedEvents is the number of events after which the pace of a stream is
+// reported. Shorter streams are reported at their end.
+const pacedEvents = 8
+
+// reportPace reports the mean time between the events so far.
+func (f *forward) reportPace() {
+	f.reportSpeed(Speed{MeanEventInterval: max(f.lastEventAt.Sub(f.firstEventAt)/time.Duration(f.events-1), 1)})
+}
+
+func (f *forward) reportSpeed(s Speed) {
+	if f.router.ReportSpeed == nil {
+		return
+	}
+	s.Pool, s.Class, s.Version = f.poolName, f.route.Class, dhtable.Version{Model: f.model, Name: f.backend.Release}
+	f.router.ReportSpeed(s)
 }
--- a/dh/dhversion/rollout.go
+++ b/dh/dhversion/rollout.go
@@ -41,23 +41,34 @@
 // Counts holds the answer counts of a version, summed over all VMs.
 type Counts struct {
 	Answers, Bad int64
-	// Timed is the number of answers whose speed was assessed, Slow the number
-	// of those that were far slower than usual.
-	Timed, Slow int64
+	// Timed is the number of answers whose time to first token was assessed, Slow
+	// the number of those that were far slower than usual. Paced and SlowPaced are
+	// the same for the pace of streams.
+	Timed, Slow      int64
+	Paced, SlowPaced int64
 }
 
 // RolloutTest tests whether the target of a rollout is worse than the versions
-// that it replaces. The zero value is ready to use. Only the control goroutine
+// that it replaces: it fails more often, its first token takes longer or its
+// streams are slower. The zero value is ready to use. Only the control goroutine
 // uses it.
-type RolloutTest struct{ test rolloutTest }
+type RolloutTest struct{ answers, first, pace sequentialTest }
+
+// A version that has just received all sessions takes longer to its first tokens,
+// because its caches are empty, and its streams are slower, because its backend
+// servers have more requests than in the trial.
+const (
+	coldTolerance = 3
+	loadTolerance = 1.5
+)
 
 // Update takes the cumulative totals of the previous versions and the target,
 // and returns the logarithm of the evidence that the target is worse. If the
 // target is put on hold when the result reaches log(1/alpha), a target that is no
 // worse is held with probability at most alpha.
 func (t *RolloutTest) Update(before, target Counts) float64 {
-	return t.test.update(
-		count{before.Answers, before.Bad, before.Timed, before.Slow},
-		count{target.Answers, target.Bad, target.Timed, target.Slow},
-	)
+	t.answers.update(sample{before.Answers, before.Bad, target.Answers, target.Bad}, unpaired{1})
+	t.first.update(sample{before.Timed, before.Slow, target.Timed, target.Slow}, unpaired{coldTolerance})
+	t.pace.update(sample{before.Paced, before.SlowPaced, target.Paced, target.SlowPaced}, unpaired{loadTolerance})
+	return logMean(slices.Concat(t.answers.evidence[:], t.first.evidence[:], t.pace.evidence[:]))
 }
--- a/dh/dhversion/rollout_test.go
+++ b/dh/dhversion/rollout_test.go
@@ -78,3 +78,42 @@
 		assert.Equal(t, evidence >= math.Log(1000), c.withdrawn, "%d bad answers of 61: evidence %.1f", target.Bad, evidence)
 	}
 }
+
+// Guards against a slow target that is completed because its trial has few answers
+// (scenario hasty, EXPOSURE). A stream is paced after a few events, so that a trial
+// with 10 streams suffices.
+func TestTrialFindsSlowTarget(t *testing.T) {
+	var trial dhversion.RolloutTest
+	var before, target dhversion.Counts
+	evidence := 0.0
+	for n := int64(1); n <= 10; n++ {
+		before.Timed, before.Slow, before.Paced, before.SlowPaced = 100*n, 8*n, 40*n, 6*n
+		target.Timed, target.Slow, target.Paced, target.SlowPaced = 2*n, n/3, n, n-n/10
+		evidence = trial.Update(before, target)
+	}
+	assert.Assert(t, evidence >= math.Log(1000), "%.1f", evidence)
+}
+
+// Guards against a slow target that is completed although its answers are slow once
+// all sessions use it, and against a good one that is withdrawn because its caches
+// are empty then.
+func TestSpeedIsJudgedAfterTheShift(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		slow, paced int64 // of 20 answers each in a block
+		suspect     bool
+	}{{"usual", 1, 2, false}, {"cold caches", 4, 3, false}, {"slow", 12, 13, true}} {
+		var trial dhversion.RolloutTest
+		before := dhversion.Counts{Timed: 1000, Slow: 80, Paced: 300, SlowPaced: 40}
+		target := dhversion.Counts{Timed: 20, Paced: 5}
+		trial.Update(before, target)
+		evidence := 0.0
+		for range 3 {
+			before.Timed, before.Paced = before.Timed+1, before.Paced+1
+			target.Timed, target.Slow = target.Timed+20, target.Slow+c.slow
+			target.Paced, target.SlowPaced = target.Paced+20, target.SlowPaced+c.paced
+			evidence = trial.Update(before, target)
+		}
+		assert.Equal(t, evidence >= math.Log(10), c.suspect, "%s: evidence %.1f", c.name, evidence)
+	}
+}
--- a/dh/dhversion/sequential.go
+++ b/dh/dhversion/sequential.go
@@ -27,6 +27,20 @@
 	unpairedPriorBad   = 1.5
 )
 
+// unpaired is how a kind of counts is tested in unpaired blocks: a version counts
+// as good if its rate is at most tolerance times the stable rate, up to
+// maxTolerated. Unpaired blocks are not tested if the tolerance is 0.
+type unpaired struct{ tolerance float64 }
+
+// maxTolerated is the highest rate of bad answers that counts as good because of a
+// tolerance.
+const maxTolerated = 0.5
+
+// nullRate returns the highest rate of bad answers that counts as good.
+func (u unpaired) nullRate(stable float64) float64 {
+	return max(min(u.tolerance*stable, maxTolerated), stable)
+}
+
 // rolloutTest tests whether a rollout has a higher rate of bad answers or of
 // low ratings than the stable version.
 //
@@ -49,8 +63,8 @@
 // update takes the totals of both versions and returns the logarithm of the
 // evidence against the rollout.
 func (t *rolloutTest) update(stable, rollout count) float64 {
-	t.answers.update(sample{stable.answers, stable.bad, rollout.answers, rollout.bad}, true)
-	t.low.update(sample{stable.rated, stable.low, rollout.rated, rollout.low}, false)
+	t.answers.update(sample{stable.answers, stable.bad, rollout.answers, rollout.bad}, unpaired{1})
+	t.low.update(sample{stable.rated, stable.low, rollout.rated, rollout.low}, unpaired{})
 	return logMean(append(t.answers.evidence[:], t.low.evidence[:]...))
 }
 
@@ -66,30 +80,28 @@
 
 // update adds the block of answers since the last one to the evidence, using the
 // stable rate estimated from the answers before the block. A block needs answers
-// of both versions or, if allowUnpaired is true, enough answers of the rollout.
-// Unpaired blocks test only for bad answers, not for speed: a version that has just
-// received all sessions may be slow at first, because its caches are empty, but it
-// must not fail.
-func (s *sequentialTest) update(total sample, allowUnpaired bool) {
+// of both versions or, unless unpaired blocks are ignored, enough answers of the
+// rollout.
+func (s *sequentialTest) update(total sample, u unpaired) {
 	b := sample{
 		total.stable - s.seen.stable, total.stableBad - s.seen.stableBad,
 		total.rollout - s.seen.rollout, total.rolloutBad - s.seen.rolloutBad,
 	}
-	unpaired := allowUnpaired && b.rollout > unpairedFactor*b.stable
+	alone := u.tolerance > 0 && b.rollout > unpairedFactor*b.stable
 	switch {
-	case unpaired && b.rollout < unpairedMinAnswers && b.stable >= 0:
+	case alone && b.rollout < unpairedMinAnswers && b.stable >= 0:
 		return // wait for more answers
-	case !unpaired && b.stable == 0 && b.stableBad == 0 && b.rollout > 0:
+	case !alone && b.stable == 0 && b.stableBad == 0 && b.rollout > 0:
 		return
 	}
 	stable := (float64(s.seen.stableBad) + priorBad) / (float64(s.seen.stable) + priorAnswers)
 	s.seen = total
 	// Totals decrease when a counter is dropped; such a block is ignored.
-	if b.rollout <= 0 || b.stable < 0 || (b.stable == 0 && !unpaired) || b.rolloutBad < 0 || b.stableBad < 0 || b.rolloutBad > b.rollout || b.stableBad > b.stable {
+	if b.rollout <= 0 || b.stable < 0 || (b.stable == 0 && !alone) || b.rolloutBad < 0 || b.stableBad < 0 || b.rolloutBad > b.rollout || b.stableBad > b.stable {
 		return
 	}
-	if unpaired {
-		s.updateUnpaired(b, total)
+	if alone {
+		s.updateUnpaired(b, total, u)
 		return
 	}
 	for i, ratio := range ratios {
@@ -102,8 +114,8 @@
 }
 
 // updateUnpaired tests the rollout's answers of a block against the stable rate so far.
-func (s *sequentialTest) updateUnpaired(b, total sample) {
-	stable := (float64(total.stableBad) + priorBad + unpairedPriorBad) / (float64(total.stable) + priorAnswers)
+func (s *sequentialTest) updateUnpaired(b, total sample, u unpaired) {
+	stable := u.nullRate((float64(total.stableBad) + priorBad + unpairedPriorBad) / (float64(total.stable) + priorAnswers))
 	for i, ratio := range ratios {
 		rollout := min(ratio*stable, max(maxRate, stable))
 		s.evidence[i] += logLikelihood(b.rolloutBad, b.rollout, rollout) - logLikelihood(b.rolloutBad, b.rollout, stable)
