Divide bounds by the highest recent number of entry VMs

A bound on the sum over all entry VMs is divided by their number as one control VM knows it. One that has just started tells the first entry VM that watches it that it is alone, and that VM takes the whole bound: the rate of cold backend servers and the slack of retries.

Still open: with more entry VMs than requests per second, cold backend servers are given to a random subset, which keeps the sum on average only.

--- a/dh/dhcontrol/cluster_test.go
+++ b/dh/dhcontrol/cluster_test.go
@@ -88,9 +88,13 @@
 	route := dhtable.Route{Name: "r", Pool: "p", Repeatable: true, Deadline: 5 * time.Second, Forwarding: dhtable.Forwarding{
 		Match: dhtable.Match{Host: "h", PathPrefix: "/"}, MaxAttempts: 3, Public: true,
 	}}
-	return dhtable.New(version, nil, map[string]dhtable.Route{"r": route}, map[string]dhtable.Pool{"p": {Name: "p"}}, text), nil
+	return dhtable.New(version, nil, map[string]dhtable.Route{"r": route}, map[string]dhtable.Pool{"p": {Name: "p", Traits: dhtable.Traits{ColdPerSecond: coldPerSecond}}}, text), nil
 }
 
+// coldPerSecond is the accepted rate of requests to a backend server in a cold
+// start.
+const coldPerSecond = 8
+
 // exposure lets a trial use one tenth of the sessions.
 const exposure = 0.2
 
--- a/dh/dhcontrol/limit_test.go
+++ b/dh/dhcontrol/limit_test.go
@@ -49,6 +49,8 @@
 	// backend server.
 	down map[string]bool
 	born map[string]uint64
+	// cold holds the backend servers that are in a cold start.
+	cold map[string]bool
 	// startedAt is when each entry VM was started again.
 	startedAt map[string]time.Time
 }
@@ -178,7 +180,7 @@
 		p := &limitedPool{
 			cluster: c, group: dhgroup.New(c.t.Context()),
 			limits: map[string]dhgrant.Limit{}, servers: map[string]*limitedServer{}, outcomes: map[string]*outcomes{},
-			down: map[string]bool{}, born: map[string]uint64{}, startedAt: map[string]time.Time{},
+			down: map[string]bool{}, born: map[string]uint64{}, cold: map[string]bool{}, startedAt: map[string]time.Time{},
 		}
 		c.transport = func(vm string) dhrouter.Transport { return limitedTransport{p, vm} }
 		c.waitFor(3*time.Second, "the first document", func() bool { return c.replace("c0", 5) == nil })
@@ -209,11 +211,14 @@
 	p.group.Go(func(ctx context.Context) error {
 		for sequence := uint64(1); ; sequence++ {
 			p.mu.Lock()
-			born := p.born[id]
+			born, state := p.born[id], "ready"
+			if p.cold[id] {
+				state = "cold"
+			}
 			p.mu.Unlock()
 			for _, name := range p.seeds {
 				r := &dhpb.BackendRecord{
-					Id: id, Address: id + ":80", Zone: "z0", Pool: "p", State: "ready", Release: "v1", Slots: 64, Incarnation: born,
+					Id: id, Address: id + ":80", Zone: "z0", Pool: "p", State: state, Release: "v1", Slots: 64, Incarnation: born,
 					Sequence: sequence, Versions: []*dhpb.LoadedVersion{{}},
 				}
 				_ = p.controls[name].Announce(ctx, r) // repeated with the next announcement
@@ -610,3 +615,37 @@
 		p.setLimit(perSecond([]float64{0, 0.2, 1, 2.5, 6, 20, 1e6}[random.IntN(7)]), server)
 	}
 }
+
+// Guards against a cold backend server that gets more requests than it can take,
+// because a control VM that has just started tells each entry VM that it is alone,
+// and the entry VM takes the whole rate for its share.
+func TestColdRateHoldsWhenControlVMsRestart(t *testing.T) {
+	runLimited(t, 4, 1, 80, func(p *limitedPool) {
+		p.mu.Lock()
+		p.cold["b0"] = true
+		p.mu.Unlock()
+		p.advance(2 * time.Second)
+		from := p.timers.Now()
+		for range 3 {
+			p.crash(p.seeds...)
+			for _, name := range p.seeds {
+				p.startControl(name, true)
+			}
+			p.advance(3 * time.Second)
+		}
+		worst := 0
+		arrivals := p.servers["b0"].arrivals
+		for i, a := range arrivals {
+			n := 0
+			for ; i+n < len(arrivals) && arrivals[i+n].at.Sub(a.at) < time.Second; n++ {
+			}
+			if a.at.After(from) {
+				worst = max(worst, n)
+			}
+		}
+		t.Log("most requests in a second:", worst)
+		if worst > coldPerSecond || worst == 0 {
+			t.Errorf("%d requests in a second, at most %d are accepted", worst, coldPerSecond)
+		}
+	})
+}
--- a/dh/dhentry/dhentry.go
+++ b/dh/dhentry/dhentry.go
@@ -16,7 +16,6 @@
 package dhentry
 
 import (
-	"cmp"
 	"context"
 	"log/slog"
 	"math/rand/v2"
@@ -89,7 +88,7 @@
 	// returnedAt holds when each zone that had been taken out was put back into
 	// service.
 	returnedAt map[string]time.Time
-	entryVMs   int
+	entryVMs   recentMaximum
 	// complete is set once a control VM has sent a complete view of the backend
 	// servers.
 	complete         bool
@@ -229,7 +228,7 @@
 		e.shares.Update(u.GetGrants(), u.Sent)
 	}
 	if n := int(u.GetEntryVms()); n > 0 {
-		e.entryVMs = n
+		e.entryVMs.observe(now, n)
 	}
 	if o := u.GetOperations(); o.GetNumber() > e.operations.GetNumber() {
 		for _, zone := range e.operations.GetZonesOut() {
@@ -249,6 +248,9 @@
 	e.publish()
 }
 
+// vmCount returns the number of entry VMs among which bounds are divided.
+func (e *Entry) vmCount() int { return max(e.entryVMs.value(), 1) }
+
 func (e *Entry) applyDocument(d *dhpb.Document, from string) {
 	tables, err := e.Decode(d.GetText())
 	if err != nil {
@@ -332,7 +334,7 @@
 		}
 	}
 	bound := dhcold.Bound{
-		Overshoot: e.ColdOvershoot, Slack: e.ColdSlack, VMs: cmp.Or(e.entryVMs, 1), PerSecond: make(map[string]float64), ReturnedZones: make(map[string]bool),
+		Overshoot: e.ColdOvershoot, Slack: e.ColdSlack, VMs: e.vmCount(), PerSecond: make(map[string]float64), ReturnedZones: make(map[string]bool),
 	}
 	longestColdStart := time.Duration(0)
 	if e.tables != nil {
@@ -359,7 +361,7 @@
 // of the slack, plus the retries that the window permits beyond those credited
 // with each request.
 func (e *Entry) updateBudget() {
-	slack := e.RetrySlack / float64(max(e.entryVMs, 1))
+	slack := e.RetrySlack / float64(e.vmCount())
 	for pool, rate := range e.router.Arrivals() {
 		rest := e.RetryRatio * (1 - earnedFraction) * rate * e.RetryWindow.Seconds()
 		e.budget.SetMax(pool, max(savedFraction*(slack+rest), 1))
