--- a/cmd/dandelionhoist-soak/dhsoak/backend.go
+++ b/cmd/dandelionhoist-soak/dhsoak/backend.go
@@ -82,6 +82,16 @@
 	runs      int
 	refusals  int
 	server    *http.Server
+	// limit is stated until limitEnd.
+	limit    float64
+	limitEnd time.Time
+}
+
+// setLimit makes the present incarnation state a limit on its requests per second.
+func (b *backend) setLimit(limit float64, d time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.limit, b.limitEnd = limit, b.deployment.soak.Timers.Now().Add(d)
 }
 
 // start begins a new incarnation that is cold for the given time.
@@ -95,7 +105,7 @@
 	b.starts++
 	b.id, b.sequence, b.leaving = fmt.Sprintf("%s-%d", b.name, b.starts), 0, false
 	b.startedAt = b.deployment.soak.Timers.Now()
-	b.coldUntil = b.startedAt.Add(cold)
+	b.coldUntil, b.limitEnd = b.startedAt.Add(cold), time.Time{}
 	server := &http.Server{Handler: b}
 	b.server = server
 	b.deployment.group.Go(func(context.Context) error {
@@ -340,7 +350,7 @@
 			pause = requestedPause
 		}
 	}
-	s.leaving = b.leaving
+	s.leaving, s.limit, s.limited = b.leaving, b.limit, timers.Now().Before(b.limitEnd)
 	b.mu.Unlock()
 	w.Header().Set("Instance-Id", id)
 	if s.leaving {
@@ -351,7 +361,11 @@
 		return
 	}
 	b.deployment.checker.Arrived(s)
+	if s.limited {
+		w.Header().Set(platform.HeaderLimit, strconv.FormatFloat(s.limit, 'f', -1, 64))
+	}
 	if full {
+		b.deployment.checker.LimitStated(s)
 		if pause > 0 {
 			w.Header().Set(platform.HeaderRetryAfter, strconv.FormatFloat(pause.Seconds(), 'f', -1, 64))
 			defer b.deployment.checker.PauseRequested(s.id, id, pause)
@@ -396,6 +410,7 @@
 	if dhtimer.Sleep(ctx, b.deployment.soak.Timers, plainDuration*factor) != nil {
 		panic(http.ErrAbortHandler) // the caller has disconnected
 	}
+	b.deployment.checker.LimitStated(s)
 	text := plainBody(s.backend, s.id)
 	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
 	if behaviour == breakingOff {
@@ -425,6 +440,9 @@
 		if dhtimer.Sleep(r.Context(), b.deployment.soak.Timers, eventGap*factor) != nil {
 			panic(http.ErrAbortHandler)
 		}
+		if n == last+1 {
+			b.deployment.checker.LimitStated(s)
+		}
 		text := event(s.id, n)
 		if behaviour == breakingOff && n > lastEvent/2 {
 			_, _ = io.WriteString(w, text[:len(text)/2]) // the caller may have disconnected
--- a/cmd/dandelionhoist-soak/dhsoak/checker.go
+++ b/cmd/dandelionhoist-soak/dhsoak/checker.go
@@ -33,6 +33,8 @@
 	// evacuated holds when the evacuation of a zone was acknowledged in the calm phase.
 	evacuated map[string]time.Time
 	cold      map[string][]time.Time
+	// limits holds the request limits that backend servers state.
+	limits map[string]*statedLimit
 	// notices holds the leave and pause notices that backend servers have sent to VMs
 	// in their answers.
 	notices      map[vmBackend]*notices
@@ -122,6 +124,7 @@
 		j.unserved = make(map[int]int)
 		j.notices = make(map[vmBackend]*notices)
 		j.left, j.evacuated, j.cold = make(map[string]time.Time), make(map[string]time.Time), make(map[string][]time.Time)
+		j.limits = make(map[string]*statedLimit)
 	}
 }
 
@@ -161,7 +164,10 @@
 	// refused is true if the backend server refuses to run the request.
 	refused bool
 	// leaving is true if the answer announces that the backend server leaves.
-	leaving                            bool
+	leaving bool
+	// limited is true if the answer states a limit of requests per second.
+	limited                            bool
+	limit                              float64
 	backend, pool, zone, seal, version string
 	// number is the count of requests that the backend server has run so far.
 	number int
@@ -183,6 +189,7 @@
 		return
 	}
 	j.checkNotices(r, s, now)
+	j.checkLimit(r, s, now)
 	j.arrivals[s.pool] = append(j.arrivals[s.pool], arrival{at: now, repeat: r.arrived, version: s.version})
 	r.arrived = true
 	if s.refused {
--- a/cmd/dandelionhoist-soak/dhsoak/checker_test.go
+++ b/cmd/dandelionhoist-soak/dhsoak/checker_test.go
@@ -251,6 +251,19 @@
 				h.arrive(h.ask(look, keyAlways), "b", func(s *backendRequest) { s.cold = true })
 			}
 		}},
+		"limited backend server overrun": {"limit", func(h harness) {
+			limited := func(s *backendRequest) { s.limited, s.limit = true, 1 }
+			for i := range int(limitFactor*limitWindow.Seconds()+limitSlack) + 2 {
+				r := h.ask(look, keyAlways)
+				r.id = fmt.Sprint(i)
+				h.Sent(r)
+				h.arrive(r, "b", limited)
+				if i == 0 {
+					h.LimitStated(backendRequest{id: r.id, backend: "b", limited: true, limit: 1})
+					h.timers.Step(limitContact)
+				}
+			}
+		}},
 		"leaving backend server that gets a request": {"drain", func(h harness) {
 			r := h.ask(look, keyAlways)
 			h.arrive(r, "b", func(s *backendRequest) { s.leaving = true })
--- a/cmd/dandelionhoist-soak/dhsoak/deployment.go
+++ b/cmd/dandelionhoist-soak/dhsoak/deployment.go
@@ -310,6 +310,8 @@
 		b.setConduct(f.conduct)
 		wait()
 		b.setConduct(healthy)
+	case limitRequests:
+		b.setLimit(requestLimits[f.target%len(requestLimits)], f.duration+limitAfterFault)
 	case cutBackend:
 		defer d.checker.Disturb(b.instance())()
 		defer d.network.cut(link{b.name, wildcard}, link{wildcard, b.name})()
--- a/cmd/dandelionhoist-soak/dhsoak/fault.go
+++ b/cmd/dandelionhoist-soak/dhsoak/fault.go
@@ -38,6 +38,9 @@
 	misbehave                       // misbehaving-backend
 	cutBackend                      // cut-backend
 	faultKindCount                  // fault-kinds
+	// limitRequests is drawn after all others, so that seeds from before it keep
+	// their faults.
+	limitRequests // limit-requests
 )
 
 // conduct is how a backend server responds to requests.
@@ -117,5 +120,21 @@
 			}
 		}
 	}
+	for range random.IntN(maxLimits + 1) {
+		f := fault{start: time.Duration(random.Int64N(int64(storm))), kind: limitRequests, target: random.IntN(1 << 16)}
+		f.duration = time.Duration(random.Int64N(int64(storm - f.start)))
+		list = append(list, f)
+	}
 	return list
 }
+
+const (
+	// maxLimits is the largest number of request limits in a storm.
+	maxLimits = 6
+	// limitAfterFault is how long a limit lasts after its fault, and after the storm.
+	limitAfterFault = 8 * time.Second
+)
+
+// requestLimits are the limits that a backend server may state, in requests per
+// second.
+var requestLimits = []float64{0, 0.2, 1, 2.5, 6, 20}
--- a/dh/dhcontrol/limit_test.go
+++ b/dh/dhcontrol/limit_test.go
@@ -635,12 +635,12 @@
 		}
 		worst := 0
 		arrivals := p.servers["b0"].arrivals
-		for i, a := range arrivals {
-			n := 0
-			for ; i+n < len(arrivals) && arrivals[i+n].at.Sub(a.at) < time.Second; n++ {
+		for first, last := 0, 0; last < len(arrivals); last++ {
+			for arrivals[last].at.Sub(arrivals[first].at) >= time.Second {
+				first++
 			}
-			if a.at.After(from) {
-				worst = max(worst, n)
+			if arrivals[first].at.After(from) {
+				worst = max(worst, last-first+1)
 			}
 		}
 		t.Log("most requests in a second:", worst)
