--- a/dh/dhgrant/shares.go
+++ b/dh/dhgrant/shares.go
@@ -172,19 +172,19 @@
 }
 
 // Wait returns the mean time until a request to a limited backend server may be
-// sent, as far as this VM knows.
-func (s *Shares) Wait(b *dhbackend.Backend) time.Duration {
+// sent, as far as this VM knows, and the limit.
+func (s *Shares) Wait(b *dhbackend.Backend) (time.Duration, Limit) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	limit, _ := s.known(b.ID, b.Incarnation)
 	if !limit.Stated {
-		return returnRamp / 2
+		return returnRamp / 2, limit
 	}
 	missing, rate := 1.0, math.Max(limit.PerSecond, minRate)
 	if p := s.refill(b.ID, limit); p != nil {
 		missing, rate = max(1-p.tokens, 0), p.rate
 	}
-	return time.Duration(missing / rate * float64(time.Second))
+	return time.Duration(missing / rate * float64(time.Second)), limit
 }
 
 // Update applies the table in a response of a control VM to a call that was sent
--- a/dh/dhrouter/dhrouter.go
+++ b/dh/dhrouter/dhrouter.go
@@ -82,8 +82,9 @@
 	Available(b *dhbackend.Backend, draw float64) bool
 	// Acquire permits and counts a request, immediately before it is sent.
 	Acquire(b *dhbackend.Backend) bool
-	// Wait returns the mean time until a limited backend server permits a request.
-	Wait(b *dhbackend.Backend) time.Duration
+	// Wait returns the mean time until a limited backend server permits a request,
+	// and its limit.
+	Wait(b *dhbackend.Backend) (time.Duration, dhgrant.Limit)
 }
 
 // Limiter admits requests.
--- a/dh/dhrouter/holdoff.go
+++ b/dh/dhrouter/holdoff.go
@@ -6,6 +6,7 @@
 
 	"dandelionhoist.example/dh/dhbackend"
 	"dandelionhoist.example/dh/dhcode"
+	"dandelionhoist.example/dh/dhgrant"
 	"dandelionhoist.example/dh/dhplacement"
 )
 
@@ -46,6 +47,9 @@
 		return (permit == nil || permit(b)) && r.permits(b, now, draw, &d)
 	}
 	p, err := r.Placer.Place(s.Backends, req)
+	if d.limited {
+		r.Metrics.Count("rate-limit", "held-back")
+	}
 	if err == nil || !d.any() {
 		return p, err
 	}
@@ -60,10 +64,13 @@
 // denials collects why the candidates of a placement were not permitted.
 type denials struct {
 	heldOff, limited bool
-	// pauseEnd is the end of the first pause, limitWait the shortest wait for a
-	// backend server with a rate limit.
-	pauseEnd  time.Time
+	// pauseEnd is the end of the first pause.
+	pauseEnd time.Time
+	// limitWait is the shortest wait for a backend server with a rate limit, limiting
+	// that backend server and limit its limit.
 	limitWait time.Duration
+	limiting  string
+	limit     dhgrant.Limit
 }
 
 func (d *denials) any() bool { return d.heldOff || d.limited }
@@ -82,8 +89,8 @@
 	if r.RateLimits == nil || r.RateLimits.Available(b, draw) {
 		return true
 	}
-	if wait := r.RateLimits.Wait(b); !d.limited || wait < d.limitWait {
-		d.limitWait = wait
+	if wait, limit := r.RateLimits.Wait(b); !d.limited || wait < d.limitWait {
+		d.limitWait, d.limiting, d.limit = wait, b.ID, limit
 	}
 	d.limited = true
 	return false
@@ -92,12 +99,12 @@
 // deniedError returns the error of a request that no backend server permits.
 func (r *Router) deniedError(pool string, now time.Time, d denials) error {
 	if d.limited {
-		r.Metrics.Count("rate-limit", "refused")
 		spread := 1.0
 		if r.Random != nil {
 			spread += r.Random() // callers do not all return at once
 		}
-		err := dhcode.Errorf(dhcode.PoolRateLimited, "the backend servers of pool %q that could serve the request permit no request of this VM now", pool)
+		err := dhcode.Errorf(dhcode.PoolRateLimited, "the backend servers of pool %q that could serve the request permit no request of this VM now; the first to do so is %q, which limits all VMs to %s requests/s",
+			pool, d.limiting, d.limit)
 		return dhcode.WithRetryAfter(err, time.Duration(spread*float64(d.limitWait)))
 	}
 	err := dhcode.Errorf(dhcode.PoolHeldOff, "all backend servers of pool %q that could serve the request leave or asked for a pause", pool)
--- a/dh/dhrouter/ratelimit.go
+++ b/dh/dhrouter/ratelimit.go
@@ -20,8 +20,9 @@
 		r.Log.Warn("rate limit of backend server not read", slog.String("backend", b.ID), slog.String("request", f.message.ID),
 			slog.String("limit", in.RateLimit.String()))
 	}
-	own := (in.Sealed || in.NotRun) && in.RequestID == f.message.ID && !in.InvalidRateLimit
-	if !in.RateLimit.Stated && !own {
+	sameID := in.RequestID == f.message.ID
+	own := (in.Sealed && sameID) || (in.NotRun && (sameID || in.RequestID == ""))
+	if !in.RateLimit.Stated && (!own || in.InvalidRateLimit) {
 		return
 	}
 	o := dhgrant.Observation{Limit: in.RateLimit, Sent: sent, Answered: r.Timers.Now()}
