Keep the parts of a silent entry VM for a whole term

Callers would see refusals when control VMs are overloaded: a VM whose reports were 1.5 s late lost its parts, though its copy of the table was still valid. Found by reading, not by a run. The part is still granted again only after the term.

--- a/dh/dhcontrol/limits.go
+++ b/dh/dhcontrol/limits.go
@@ -30,8 +30,9 @@
 	allocatePeriod = 200 * time.Millisecond
 	// grantorRegister names the lease of the grantor among the registers.
 	grantorRegister = "rate-limits"
-	// entrySilence is how long an entry VM that does not report keeps its parts.
-	entrySilence = 1500 * time.Millisecond
+	// entrySilence is how long an entry VM that does not report keeps its parts. Its
+	// copy of the table has expired by then.
+	entrySilence = grantTerm
 )
 
 // grantor holds the rate limits that entry VMs report and the table that divides
