Let the newest of two records of a bill win at a restore

Operators could lose an acknowledged revision of a bill, and get back a bill that was exported and removed, after a crash that follows a compaction.

A record appended meanwhile stands before the older part in the file, and the restore let the last one win. The list of bills was not sorted by sequence number after such a restore either, so that a cursor could miss bills.

Change: a restored bill with a lower sequence number than the known one, or of a removed request, is ignored; the list is sorted when it is first read.

--- a/dh/dhledger/dhledger_test.go
+++ b/dh/dhledger/dhledger_test.go
@@ -203,6 +203,42 @@
 	assert.Equal(t, codeOf(store.Restore([]byte("torn"))), "disk-corrupt")
 }
 
+// Guards against an acknowledged bill that a restart replaces by an earlier one, a
+// removed one that comes back, and a cursor that misses bills: a snapshot is written
+// in parts, and records appended meanwhile precede older parts in the file.
+func TestRecordsAppendedDuringSnapshot(t *testing.T) {
+	j := &journal{}
+	store := &dhledger.Store{VoterID: "a", Journal: j}
+	for i := range 20 {
+		assert.NilError(t, store.Put([]*dhpb.Bill{bill(fmt.Sprint(i), 3, i)}))
+	}
+	snapshot := store.Snapshot()
+	appended := len(j.records)
+	assert.NilError(t, store.Put([]*dhpb.Bill{bill("4", 2, 4), bill("new", 1, 0)}))
+	assert.NilError(t, store.Forget([]string{"7"}))
+	file := append(slices.Clone(j.records[appended:]), slices.Collect(snapshot)...)
+	restored := &dhledger.Store{VoterID: "a", Journal: &journal{}}
+	for _, record := range file {
+		assert.NilError(t, restored.Restore(record))
+	}
+	for after := uint64(0); ; {
+		want, end := store.List(after, 3)
+		got, next := restored.List(after, 3)
+		assert.Equal(t, next, end)
+		assert.Equal(t, len(got), len(want))
+		for i := range got {
+			assert.Assert(t, proto.Equal(got[i], want[i]), "%v", got[i])
+		}
+		if len(want) == 0 {
+			break
+		}
+		after = end
+	}
+	assert.NilError(t, restored.Put([]*dhpb.Bill{bill("7", 1, 1)}))
+	n, _ := restored.Len()
+	assert.Equal(t, n, 20)
+}
+
 // Guards against a bill that is charged again after it was exported and removed,
 // before or after a restart, and against cursors that go back.
 func TestForgottenBillsStayForgotten(t *testing.T) {
--- a/dh/dhledger/store.go
+++ b/dh/dhledger/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"crypto/sha256"
 	"fmt"
 	"slices"
@@ -54,6 +55,8 @@
 	// than half of the rows are replaced.
 	order    []*row
 	replaced int
+	// unsorted is set while order may not be sorted, after a restore.
+	unsorted bool
 	// bytes is the encoded size of the bills in rows.
 	bytes   int
 	writing bool
@@ -240,14 +243,19 @@
 		s.rows = make(map[digest]*row)
 	}
 	for i, bill := range record.GetBills() {
-		id := digestOf(bill.GetRequestId())
-		if old, ok := s.rows[id]; ok {
+		id, sequence := digestOf(bill.GetRequestId()), record.GetSequences()[i]
+		old, ok := s.rows[id]
+		if s.digests[id] || (ok && old.sequence >= sequence) {
+			continue // a snapshot has it as it was before records that precede it in the file
+		}
+		if ok {
 			old.replaced = true
 			s.replaced++
 			s.bytes -= proto.Size(old.bill)
 		}
-		r := &row{bill: bill, sequence: record.GetSequences()[i]}
+		r := &row{bill: bill, sequence: sequence}
 		s.rows[id] = r
+		s.unsorted = s.unsorted || (len(s.order) > 0 && s.order[len(s.order)-1].sequence > sequence)
 		s.order = append(s.order, r)
 		s.bytes += proto.Size(bill)
 		s.sequence = max(s.sequence, r.sequence)
@@ -261,7 +269,8 @@
 }
 
 // Restore applies a record that was read back from the journal. Records must be
-// restored in the order in which they were appended.
+// restored in the order in which they were appended. Those of a snapshot, which is
+// written in parts, may be older than records before them.
 func (s *Store) Restore(data []byte) error {
 	record := &dhpb.BillRecord{}
 	if err := proto.Unmarshal(data, record); err != nil {
@@ -293,6 +302,10 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.unsorted {
+		slices.SortStableFunc(s.order, func(a, b *row) int { return cmp.Compare(a.sequence, b.sequence) })
+		s.unsorted = false
+	}
 	at, _ := slices.BinarySearchFunc(s.order, after-base+1, func(r *row, n uint64) int {
 		return int(int64(r.sequence) - int64(n))
 	})
