Count the failures of one request once against a version

Change: an answer after a failure of the same request is marked, and does not count for or against a version.

TestFailuresOfOneRequestCountOnce, TestFailuresOfOneRequestAreMarked.

--- a/dh/dhentry/counts.go
+++ b/dh/dhentry/counts.go
@@ -94,9 +94,10 @@
 
 // add counts the end of an attempt. Attempts without an answer are ignored: a
 // broken connection is no evidence against a version, since a backend server of
-// any version may crash.
+// any version may crash. So are those after a failure: the failures of one request
+// are no independent evidence.
 func (c *counts) add(e dhrouter.Event) {
-	if !e.Answered {
+	if !e.Answered || e.AfterFailure {
 		return
 	}
 	c.mu.Lock()
--- a/dh/dhentry/counts_test.go
+++ b/dh/dhentry/counts_test.go
@@ -46,3 +46,17 @@
 	assert.Equal(t, counted["v1"].GetRated(), int64(1))
 	assert.Equal(t, counted["v1"].GetLow()+counted["v1"].GetSlowPaced(), int64(0))
 }
+
+// Guards against a good version that is withdrawn because one request, which every
+// version fails, was tried again and counted for each attempt.
+func TestFailuresOfOneRequestCountOnce(t *testing.T) {
+	c := newCounts("e0", 1)
+	c.setRollouts(&dhpb.Operations{Rollouts: []*dhpb.RolloutRecord{{Pool: "p", Target: "v2", Number: 3, State: dhpb.RolloutState_ROLLOUT_STATE_TRIAL}}})
+	e := dhrouter.Event{Pool: "p", Version: dhtable.Version{Name: "v2"}, Answered: true, Failed: true}
+	c.add(e)
+	e.AfterFailure = true
+	c.add(e)
+	row := c.counters()[0]
+	assert.Equal(t, row.GetAnswers(), int64(1))
+	assert.Equal(t, row.GetBad(), int64(1))
+}
--- a/dh/dhrouter/dhrouter.go
+++ b/dh/dhrouter/dhrouter.go
@@ -189,6 +189,9 @@
 	// requests only.
 	Answered bool
 	Class    string
+	// AfterFailure is set if a backend server has already answered this request with
+	// a failure. Such a request often fails again, on any version.
+	AfterFailure bool
 }
 
 // Speed reports the speed of an answer to an HTTP request as soon as it is known,
--- a/dh/dhrouter/forward.go
+++ b/dh/dhrouter/forward.go
@@ -112,6 +112,8 @@
 	// escalatedFrom is the newest answer that was dropped in favor of a larger
 	// model's.
 	escalatedFrom *droppedAnswer
+	// failedBefore is set once a backend server has answered with a failure.
+	failedBefore bool
 	// failure is the newest error answer of a backend server itself. It is relayed
 	// if no attempt succeeds.
 	failure *bufferedAnswer
@@ -328,6 +330,7 @@
 		return Event{}, false // the answer is valid, so the backend server did not fail
 	}
 	e := f.event(b, first, true)
+	f.failedBefore = f.failedBefore || f.answered
 	e.Unreachable = (notRun && !refused) || errors.Is(err, errStalled) || errors.Is(err, errEndless) || errors.Is(err, syscall.ETIMEDOUT)
 	f.excluded = append(f.excluded, b.ID)
 	if f.message.AnyModel && !f.begun && len(f.route.Cascade) > 0 {
@@ -346,7 +349,7 @@
 func (f *forward) event(b *dhbackend.Backend, first time.Duration, failed bool) Event {
 	return Event{
 		Pool: f.poolName, Backend: b.ID, Version: dhtable.Version{Model: f.model, Name: b.Release},
-		Failed: failed, FirstToken: first, Answered: f.answered, Class: f.route.Class,
+		Failed: failed, FirstToken: first, Answered: f.answered, Class: f.route.Class, AfterFailure: f.failedBefore,
 	}
 }
 
--- a/dh/dhrouter/speed_test.go
+++ b/dh/dhrouter/speed_test.go
@@ -47,3 +47,15 @@
 		assert.Equal(t, len(reported), 2, "a short stream is paced at its end")
 	})
 }
+
+// Guards against a second failure of a request that is reported like the first one.
+func TestFailuresOfOneRequestAreMarked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestRouter(t, reply(500, text("")), reply(500, text("")), reply(200, text("done")))
+		var after []bool
+		f.Report = func(e Event) { after = append(after, e.AfterFailure) }
+		_, _, err := f.ask(t, "look")
+		assert.NilError(t, err)
+		assert.DeepEqual(t, after, []bool{false, true, true})
+	})
+}
