Pass on the announcements of leaving backend servers whole

Cause: on one control VM the lease of the backend server had ended, and the others had learned of that. When it then announced to one of them that it leaves, nothing changed there, so that the announcement was passed on as a renewal. The first control VM took it for a sign of life and returned the record to ready, with a higher sequence number.

Evidence: core-mrc-b-1 logs state=ready sequence=29 from=core-mrc-a-1 0.2 s after the leave, which core-mrc-a-1 had acknowledged.

Change: announcements of leaving backend servers are passed on as whole records, not as renewals.

--- a/dh/dhbackend/log.go
+++ b/dh/dhbackend/log.go
@@ -212,21 +212,27 @@
 
 // Renewals returns the announcements after a position of records whose content
 // did not change after it. It leaves out those received from a control VM that
-// the caller receives from directly, as reported by receivesFrom.
-func (l *Registry) Renewals(after uint64, receivesFrom func(source string) bool) []*dhpb.BackendRenewal {
+// the caller receives from directly, as reported by receivesFrom. Announcements of
+// backend servers that leave are returned as whole records: the lease of the record
+// may have ended elsewhere, where a renewal would return the backend server to the
+// state before.
+func (l *Registry) Renewals(after uint64, receivesFrom func(source string) bool) (renewals []*dhpb.BackendRenewal, leaving []*dhpb.BackendRecord) {
 	now := l.Timers.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var renewals []*dhpb.BackendRenewal
 	for id, row := range l.entries {
 		if row.announced <= after || row.content > after || (row.source != "" && receivesFrom(row.source)) {
 			continue
 		}
+		if row.record.GetState() == Leaving.String() {
+			leaving = append(leaving, row.withAge(now))
+			continue
+		}
 		renewals = append(renewals, &dhpb.BackendRenewal{
 			Id: id, Incarnation: row.record.GetIncarnation(), Sequence: row.record.GetSequence(), Age: durationpb.New(now.Sub(row.seen)),
 		})
 	}
-	return renewals
+	return renewals, leaving
 }
 
 // HasContent reports whether the content of a record changed after a position.
--- a/dh/dhbackend/log_test.go
+++ b/dh/dhbackend/log_test.go
@@ -29,6 +29,12 @@
 	return c
 }
 
+// renewals returns the renewals after a position.
+func renewals(l *dhbackend.Registry, position uint64, receivesFrom func(source string) bool) []*dhpb.BackendRenewal {
+	list, _ := l.Renewals(position, receivesFrom)
+	return list
+}
+
 func usableStates(l *dhbackend.Registry) map[string]string {
 	all := map[string]string{}
 	for _, b := range l.Backends() {
@@ -99,10 +105,10 @@
 	announce(t, l, announcement("b1", "10.0.0.1:80", "ready", 100, 1))
 	_, position := l.Content(0)
 	l.Renew(renewal("b1", 100, 2), "c1")
-	assert.Equal(t, len(l.Renewals(position, func(source string) bool { return source == "c1" })), 0)
-	assert.Equal(t, len(l.Renewals(position, receivesFromNone)), 1)
+	assert.Equal(t, len(renewals(l, position, func(source string) bool { return source == "c1" })), 0)
+	assert.Equal(t, len(renewals(l, position, receivesFromNone)), 1)
 	announce(t, l, announcement("b1", "10.0.0.1:80", "ready", 100, 3))
-	assert.Equal(t, len(l.Renewals(position, func(string) bool { return true })), 1)
+	assert.Equal(t, len(renewals(l, position, func(string) bool { return true })), 1)
 }
 
 // Guards against a renewal that adds a backend server that has left or another
@@ -138,9 +144,9 @@
 	assert.Assert(t, !announce(t, l, announcement("b1", "10.0.0.1:80", "ready", 100, 2)).Content)
 	records, _ = l.Content(position)
 	assert.Equal(t, len(records), 0)
-	assert.Equal(t, len(l.Renewals(position, receivesFromNone)), 1)
+	assert.Equal(t, len(renewals(l, position, receivesFromNone)), 1)
 	_, position = l.Content(position)
-	assert.Equal(t, len(l.Renewals(position, receivesFromNone)), 0)
+	assert.Equal(t, len(renewals(l, position, receivesFromNone)), 0)
 	announce(t, l, announcement("b1", "10.0.0.1:80", "leaving", 100, 3))
 	records, _ = l.Content(position)
 	assert.Equal(t, records[0].GetState(), "leaving")
@@ -175,3 +181,36 @@
 	_, ok := table.Get("b1")
 	assert.Assert(t, !ok)
 }
+
+// Guards against a backend server that gets requests again after it announced that
+// it leaves: on one control VM its lease had ended shortly before, which the others
+// knew, so that its leave changed nothing for them and came back to the first one as
+// a renewal of the state before (scenario cold-and-silent --vary --seed 963960140557,
+// DRAIN).
+func TestLeaveAfterExpiryIsNoRenewal(t *testing.T) {
+	first, timers := newLog()
+	second := &dhbackend.Registry{Timers: timers, Lease: 4 * time.Second, KeepLeaving: time.Minute, MaxBackends: 8}
+	for _, l := range []*dhbackend.Registry{first, second} {
+		announce(t, l, announcement("b1", "10.0.0.1:80", "ready", 100, 24))
+	}
+	timers.Step(5 * time.Second)
+	assert.Assert(t, first.Expire())
+	records, _ := first.Content(1)
+	assert.Equal(t, len(records), 1)
+	_, err := second.AddForwarded(records[0], "first")
+	assert.NilError(t, err)
+	_, position := second.Content(0)
+
+	announce(t, second, announcement("b1", "10.0.0.1:80", "leaving", 100, 29))
+	list, leaving := second.Renewals(position, receivesFromNone)
+	for _, n := range list {
+		first.Renew(n, "second")
+	}
+	for _, r := range leaving {
+		_, err := first.AddForwarded(r, "second")
+		assert.NilError(t, err)
+	}
+	assert.DeepEqual(t, usableStates(first), map[string]string{})
+	announce(t, first, announcement("b1", "10.0.0.1:80", "ready", 100, 28)) // delayed
+	assert.DeepEqual(t, usableStates(first), map[string]string{})
+}
--- a/dh/dhcontrol/watch.go
+++ b/dh/dhcontrol/watch.go
@@ -106,9 +106,10 @@
 		return nil, err
 	}
 	if m.GetControl() != nil {
-		a.Renewals = c.registry.Renewals(after, func(source string) bool {
+		renewals, leaving := c.registry.Renewals(after, func(source string) bool {
 			return source == m.GetControl().GetAddress() || slices.Contains(m.GetHeard(), source)
 		})
+		a.Renewals, a.Backends = renewals, append(a.Backends, leaving...)
 		a.Entries, a.Rates = c.entries.records(c.grantor.needed()), c.entries.directRates()
 		a.Limits = c.grantor.records()
 		a.LoadList, err = c.entries.directLoads()
