Keep the limit of one incarnation out of the next one's

Callers would not have been sent to a backend server that restarted under its id and states no limit, until a second answer. Found by reading.

Cause: the end of a limit known from the grant table was recorded by copying the table's row, whatever its incarnation.

Measured: TestRestartedBackendHasNoLimit fails before.

--- a/dh/dhgrant/shares.go
+++ b/dh/dhgrant/shares.go
@@ -81,9 +81,9 @@
 	defer s.mu.Unlock()
 	defer s.updateCount()
 	before, _ := s.known(id, incarnation)
-	if _, listed := s.granted.byBackend[id]; listed && !o.Limit.Stated && s.own.byBackend[id] == nil {
+	if g := s.granted.byBackend[id]; g != nil && g.incarnation == incarnation && !o.Limit.Stated && s.own.byBackend[id] == nil {
 		// The end of a limit is recorded only after its beginning.
-		s.own.Observe(id, incarnation, s.granted.byBackend[id].Observation, s.Timers.Now())
+		s.own.Observe(id, incarnation, g.Observation, s.Timers.Now())
 	}
 	s.own.Observe(id, incarnation, o, s.Timers.Now())
 	after, _ := s.known(id, incarnation)
--- a/dh/dhgrant/shares_test.go
+++ b/dh/dhgrant/shares_test.go
@@ -166,6 +166,19 @@
 	})
 }
 
+// Guards against a limit of an earlier incarnation that an answer of the next one
+// brings back.
+func TestRestartedBackendHasNoLimit(t *testing.T) {
+	runShares(t, func(s testShares) {
+		s.grant(1, 1, 2, "e1")
+		restarted := &dhbackend.Backend{ID: limited.ID, Incarnation: 2}
+		assert.Assert(t, s.Available(restarted, 0))
+		s.Observe(restarted.ID, 2, Observation{Sent: s.timers.Now().Add(-time.Second), Answered: s.timers.Now()})
+		assert.Assert(t, s.Available(restarted, 0))
+		assert.Equal(t, len(s.Report()), 0)
+	})
+}
+
 // Guards against work for requests while no backend server states a limit.
 func TestSharesCostNothingWithoutLimits(t *testing.T) {
 	runShares(t, func(s testShares) {
