--- a/dh/dhgrant/dhgrant.go
+++ b/dh/dhgrant/dhgrant.go
@@ -25,7 +25,7 @@
 //	if shares.Acquire(b) { ... } // before each send
 //
 //	allocator := &dhgrant.Allocator{Term: 2 * time.Second}
-//	table := allocator.Allocate(now, backends, vms) // on the grantor, periodically
+//	table := allocator.Allocate(now, limits, backends, vms) // on the grantor, periodically
 package dhgrant
 
 import (
