Count failures against a version that do not go with the request

Callers saw good versions withdrawn and bad ones completed, since most failures that were counted had nothing to do with a version.

Change: during a rollout a repeatable request without a session that the target fails goes to the other versions next. Its failure counts when that attempt does not fail too. An attempt whose time runs out counts as slow, also if it had no answer. The estimate of the usual rate has no prior beside its grid, so that a class that always fails is no evidence; a rollout is completed from odds of 1.6 to 1 on. rollout decided lists the counts by class.

TestFailureIsConfirmedByAnotherVersion; the tests of dhrouter, dhentry, dhversion and dhcontrol pass.

--- a/dh/dhcontrol/rollout.go
+++ b/dh/dhcontrol/rollout.go
@@ -74,9 +74,9 @@
 		t.shiftedAt = now
 		t.test.BeginShift()
 	}
-	oldByClass, byClass := c.entries.counts(r.GetPool(), r.GetTarget(), r.GetNumber())
-	evidence := t.test.Update(oldByClass, byClass)
-	before, after := oldByClass.Total(), byClass.Total()
+	oldByClass, newByClass := c.entries.counts(r.GetPool(), r.GetTarget(), r.GetNumber())
+	evidence := t.test.Update(oldByClass, newByClass)
+	before, after := oldByClass.Total(), newByClass.Total()
 	next := c.nextState(r, t, now, evidence, after.Answers)
 	if next == r.GetState() {
 		t.decision = 0
@@ -94,7 +94,7 @@
 		slog.Int64("timed", after.Timed), slog.Int64("paced", after.Paced), slog.Int64("slow-paced", after.SlowPaced),
 		slog.Int64("old-answers", before.Answers), slog.Int64("old-bad", before.Bad), slog.Int64("old-slow", before.Slow),
 		slog.Int64("old-timed", before.Timed), slog.Int64("old-paced", before.Paced), slog.Int64("old-slow-paced", before.SlowPaced),
-		slog.Any("bad-by-class", badByClass(oldByClass, byClass)), slog.Duration("elapsed", elapsed(r, t, now)))
+		slog.Any("by-class", byClass(oldByClass, newByClass)), slog.Duration("elapsed", elapsed(r, t, now)))
 	ctx, cancel := dhtimer.WithTimeout(ctx, c.Timers, quorumTimeout)
 	defer cancel()
 	number := r.GetNumber()
@@ -112,12 +112,12 @@
 	})
 }
 
-// badByClass lists bad and all answers of the target and of the other versions by
-// class.
-func badByClass(before, target dhversion.ClassCounts) (list []string) {
+// byClass lists, for each class, bad and all answers, and slow and all assessed first
+// tokens, of the target and of the other versions.
+func byClass(before, target dhversion.ClassCounts) (list []string) {
 	for _, class := range slices.Sorted(maps.Keys(target)) {
 		b, t := before[class], target[class]
-		list = append(list, fmt.Sprintf("%s:%d/%d,%d/%d", class, t.Bad, t.Answers, b.Bad, b.Answers))
+		list = append(list, fmt.Sprintf("%s:%d/%d,%d/%d,slow:%d/%d,%d/%d", class, t.Bad, t.Answers, b.Bad, b.Answers, t.Slow, t.Timed, b.Slow, b.Timed))
 	}
 	return list
 }
--- a/dh/dhentry/counts.go
+++ b/dh/dhentry/counts.go
@@ -98,9 +98,9 @@
 // add counts the end of an attempt. Attempts without an answer are ignored: a
 // broken connection is no evidence against a version, since a backend server of
 // any version may crash. So are those after a failure: the failures of one request
-// are no independent evidence.
+// are no independent evidence. An attempt whose time ran out counts as a slow answer.
 func (c *counts) add(e dhrouter.Event) {
-	if !e.Answered || e.AfterFailure {
+	if (!e.Answered && !e.OutOfTime) || e.AfterFailure {
 		return
 	}
 	c.mu.Lock()
@@ -110,6 +110,11 @@
 		return
 	}
 	row := c.row(e.Pool, e.Version.Name, e.Class, rollout)
+	if e.OutOfTime {
+		row.Rated++
+		row.Low++
+		return
+	}
 	row.Answers++
 	if e.Failed {
 		row.Bad++
--- a/dh/dhrouter/deliver.go
+++ b/dh/dhrouter/deliver.go
@@ -80,6 +80,9 @@
 	if !ok || (err != nil && ctx.Err() != nil) {
 		// The result does not show whether the backend server is healthy.
 		r.Breakers.Cancel(b.ID)
+		if ok && e.OutOfTime {
+			r.Report(e)
+		}
 		return
 	}
 	if e.Unreachable {
--- a/dh/dhrouter/dhrouter.go
+++ b/dh/dhrouter/dhrouter.go
@@ -192,6 +192,8 @@
 	// AfterFailure is set if a backend server has already answered this request with
 	// a failure. Such a request often fails again, on any version.
 	AfterFailure bool
+	// OutOfTime is set if the request's time ran out at the backend server.
+	OutOfTime bool
 }
 
 // Speed reports the speed of an answer to an HTTP request as soon as it is known,
--- a/dh/dhrouter/forward.go
+++ b/dh/dhrouter/forward.go
@@ -117,6 +117,7 @@
 	// failure is the newest error answer of a backend server itself. It is relayed
 	// if no attempt succeeds.
 	failure *bufferedAnswer
+	suspicion
 	// retryPaid is set if the next attempt has already been taken from the retry
 	// budget, or adds no load to backend servers.
 	retryPaid bool
@@ -135,6 +136,7 @@
 		err = f.conclude(limited, err)
 		cancel()
 	}
+	f.reportSuspicion()
 	f.setFailure(nil)
 	f.log(err)
 	return f.begun, err
@@ -250,7 +252,7 @@
 		version = dhtable.Version{} // plain services have no models
 	}
 	rollout := s.Rollouts[f.poolName]
-	on := f.onRolloutTarget(rollout)
+	on := f.onRolloutTarget(rollout) && !f.leftTarget
 	return dhplacement.Request{
 		Pool: f.poolName, Version: version, Prefix: f.prefix, PrefixTokens: f.prefixTokens,
 		Shared: max(len(f.prefix)-1, 0), Lane: f.lane(), RelativePrefillTime: f.relativePace(s.Tables.Pools[f.poolName]), PromptTokens: f.message.PromptTokens, MaxTokens: f.message.MaxTokens, ZoneWeights: s.ZoneWeight,
@@ -324,12 +326,15 @@
 	}
 	f.mayHaveRun = f.mayHaveRun || !notRun
 	if err == nil {
+		f.reportSuspicion()
 		return f.event(b, first, false), true
 	}
 	if errors.Is(err, errLowConfidence) {
 		return Event{}, false // the answer is valid, so the backend server did not fail
 	}
 	e := f.event(b, first, true)
+	e.OutOfTime = (f.answered && f.answerStatus == http.StatusGatewayTimeout) || errors.Is(err, context.DeadlineExceeded)
+	f.suspect(b, &e)
 	f.failedBefore = f.failedBefore || f.answered
 	e.Unreachable = (notRun && !refused) || errors.Is(err, errStalled) || errors.Is(err, errEndless) || errors.Is(err, syscall.ETIMEDOUT)
 	f.excluded = append(f.excluded, b.ID)
--- a/dh/dhrouter/forward_relay.go
+++ b/dh/dhrouter/forward_relay.go
@@ -129,6 +129,7 @@
 		return dhcode.WithRan(dhcode.Errorf(dhcode.BackendFailed, format, args...), ran)
 	}
 	id := f.backend.ID
+	f.answerStatus = in.Status
 	switch {
 	case in.RequestID != f.message.ID && (in.RequestID != "" || !in.NotRun):
 		return failed(dhcode.RanUnknown, "backend server %q answers request %q instead", id, in.RequestID)
--- a/dh/dhversion/excess.go
+++ b/dh/dhversion/excess.go
@@ -14,10 +14,13 @@
 // of the other versions are in trouble, which does not excuse the target.
 const maxUsualFailures = 0.15
 
+// highestUsualRate is above the usual rates that are considered.
+const highestUsualRate = 0.97
+
 // usualRates are the rates among which the usual rate lies, in steps of about a
 // tenth, since the evidence depends on their ratio.
 var usualRates = func() (rates []float64) {
-	for r := 0.0025; r < maxTolerated+minSlowExcess; r *= 1.09 {
+	for r := 0.0025; r < highestUsualRate; r *= 1.09 {
 		rates = append(rates, r)
 	}
 	return rates
@@ -47,7 +50,7 @@
 	}
 	sound, bad := make([]float64, len(usualRates)), make([]float64, len(usualRates))
 	for i, rate := range usualRates {
-		weight := priorBad*math.Log(rate) + (priorAnswers-priorBad)*math.Log1p(-rate) + logLikelihood(s.stableBad, s.stable, rate)
+		weight := logLikelihood(s.stableBad, s.stable, rate)
 		usual := x.usual(rate)
 		sound[i] = weight + logLikelihood(s.rolloutBad, s.rollout, usual)
 		bad[i] = weight + logLikelihood(s.rolloutBad, s.rollout, min(usual+x.least, maxRate))
@@ -64,7 +67,7 @@
 // kindsOf returns the kinds of counts. Only the first tokens of streams depend on
 // caches.
 func kindsOf(before Counts) []kind {
-	cold := unpaired{1}
+	cold := unpaired{loadTolerance}
 	if before.Paced > 0 {
 		cold = unpaired{coldTolerance}
 	}
--- a/dh/dhversion/plan.go
+++ b/dh/dhversion/plan.go
@@ -139,9 +139,10 @@
 	// bad answers is at most soundExcess, and bad from badExcess on. In between, the
 	// rollout is prolonged by up to prolongedFraction of its duration, or
 	// minProlongation if that is longer. It then ends as sound at lateSoundExcess,
-	// which is lower since the evidence is looked at several times. Before the end,
-	// only earlySoundExcess completes it.
-	soundExcess       = 0.0
+	// which is lower since the evidence is looked at several times, and at the end of
+	// the prolongation as what is more likely. Before the end, only earlySoundExcess
+	// completes it.
+	soundExcess       = -0.5
 	lateSoundExcess   = -1.0
 	earlySoundExcess  = -4.0
 	badExcess         = 3.0
@@ -198,7 +199,7 @@
 		return Completed
 	case m.Left > -max(time.Duration(prolongedFraction*float64(p.Duration)), minProlongation):
 		return Shift
-	case e.Excess <= soundExcess:
+	case e.Excess <= 0:
 		return Completed
 	}
 	return Reverted
