Count answers that break off against a version

Callers of a version that breaks off its answers would see it completed: such attempts counted for nothing.

Cause: a broken connection was taken for a crash, which takes requests of any version with it.

Change: a broken answer is kept until its backend server has answered another request, or has stayed listed for 5 s with the same incarnation; then it counts as a failure. One that is gone or has restarted crashed, and nothing counts.

Measured: go test ./dh/dhentry ./dh/dhrouter passes.

--- a/dh/dhentry/counts.go
+++ b/dh/dhentry/counts.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"dandelionhoist.example/dh/dhbackend"
 	"dandelionhoist.example/dh/dhpb"
 	"dandelionhoist.example/dh/dhrouter"
 )
@@ -38,6 +39,7 @@
 	rollouts  map[string]*dhpb.RolloutRecord
 	rows      map[countKey]*dhpb.VersionCounter
 	baselines map[baselineKey]*baseline
+	broken    brokenAnswers
 }
 
 type countKey struct {
@@ -95,12 +97,12 @@
 	}
 }
 
-// add counts the end of an attempt. Attempts without an answer are ignored: a
-// broken connection is no evidence against a version, since a backend server of
-// any version may crash. So are those after a failure: the failures of one request
-// are no independent evidence. An attempt whose time ran out counts as a slow answer.
-func (c *counts) add(e dhrouter.Event) {
-	if (!e.Answered && !e.OutOfTime) || e.AfterFailure {
+// add counts the end of an attempt at a time. Attempts after a failure of the same
+// request are ignored: they are no independent evidence. An attempt whose time ran out
+// counts as a slow answer, one whose answer broke off as a failure once the backend
+// server has shown that it did not crash.
+func (c *counts) add(e dhrouter.Event, now time.Time) {
+	if (!e.Answered && !e.OutOfTime && !e.BrokeOff) || e.AfterFailure {
 		return
 	}
 	c.mu.Lock()
@@ -109,6 +111,11 @@
 	if rollout == nil {
 		return
 	}
+	if e.BrokeOff {
+		c.broken.add(e, rollout.GetNumber(), now)
+		return
+	}
+	c.countBroken(c.broken.answered(backendKey{e.Backend, e.Incarnation}, now))
 	row := c.row(e.Pool, e.Version.Name, e.Class, rollout)
 	if e.OutOfTime {
 		row.Rated++
@@ -121,6 +128,26 @@
 	}
 }
 
+// countBroken counts broken answers as failures.
+func (c *counts) countBroken(list []brokenAnswer) {
+	for _, b := range list {
+		rollout := c.rollouts[b.event.Pool]
+		if rollout.GetNumber() != b.rollout {
+			continue
+		}
+		row := c.row(b.event.Pool, b.event.Version.Name, b.event.Class, rollout)
+		row.Answers++
+		row.Bad++
+	}
+}
+
+// observe counts the broken answers of backend servers that are still listed.
+func (c *counts) observe(view *dhbackend.View, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.countBroken(c.broken.listed(view, now))
+}
+
 // addSpeed counts the speed of an answer. Answers of versions other than the
 // rollout's target update the baseline of their class and model.
 func (c *counts) addSpeed(s dhrouter.Speed) {
--- a/dh/dhentry/counts_test.go
+++ b/dh/dhentry/counts_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"dandelionhoist.example/dh/dhbackend"
 	"dandelionhoist.example/dh/dhpb"
 	"dandelionhoist.example/dh/dhrouter"
 	"dandelionhoist.example/dh/dhtable"
@@ -53,10 +54,50 @@
 	c := newCounts("e0", 1)
 	c.setRollouts(&dhpb.Operations{Rollouts: []*dhpb.RolloutRecord{{Pool: "p", Target: "v2", Number: 3, State: dhpb.RolloutState_ROLLOUT_STATE_TRIAL}}})
 	e := dhrouter.Event{Pool: "p", Version: dhtable.Version{Name: "v2"}, Answered: true, Failed: true}
-	c.add(e)
+	c.add(e, time.Time{})
 	e.AfterFailure = true
-	c.add(e)
+	c.add(e, time.Time{})
 	row := c.counters()[0]
 	assert.Equal(t, row.GetAnswers(), int64(1))
 	assert.Equal(t, row.GetBad(), int64(1))
 }
+
+// Guards against a bad version that is completed because its answers break off, which
+// counted for nothing, and against crashes that count against a version (incident
+// EXPOSURE).
+func TestBrokenAnswersOfLivingBackendsCount(t *testing.T) {
+	start := time.Unix(1000, 0)
+	key := dhrouter.Event{Pool: "p", Backend: "b1", Incarnation: 7, Version: dhtable.Version{Name: "v2"}}
+	broken, answered := key, key
+	broken.BrokeOff, broken.Failed, answered.Answered = true, true, true
+	view := func(incarnation uint64) *dhbackend.View {
+		table := dhbackend.Table{Lease: time.Hour, MaxBackends: 8}
+		assert.NilError(t, table.Announce(&dhbackend.Backend{ID: "b1", Pool: "p", Address: "a", Incarnation: incarnation, Seen: start}))
+		return table.View(start)
+	}
+	none := (&dhbackend.Table{Lease: time.Hour, MaxBackends: 8}).View(start)
+	for _, c := range []struct {
+		name         string
+		then         func(c *counts)
+		answers, bad int64
+	}{
+		{"it answers later", func(c *counts) { c.add(answered, start.Add(time.Second)) }, 2, 1},
+		{"an answer that was on its way", func(c *counts) { c.add(answered, start.Add(time.Millisecond)) }, 1, 0},
+		{"it stays listed", func(c *counts) { c.observe(view(7), start.Add(listedTime)) }, 1, 1},
+		{"not listed for long enough", func(c *counts) { c.observe(view(7), start.Add(listedTime/2)) }, 0, 0},
+		{"it restarted", func(c *counts) { c.observe(view(8), start.Add(time.Second)); c.observe(view(8), start.Add(listedTime)) }, 0, 0},
+		{"it is gone", func(c *counts) { c.observe(none, start.Add(listedTime)) }, 0, 0},
+	} {
+		counts := newCounts("e0", 1)
+		counts.setRollouts(&dhpb.Operations{Rollouts: []*dhpb.RolloutRecord{{Pool: "p", Target: "v2", Number: 3, State: dhpb.RolloutState_ROLLOUT_STATE_TRIAL}}})
+		counts.add(broken, start)
+		c.then(counts)
+		var total dhpb.VersionCounter
+		for _, row := range counts.counters() {
+			total.Answers += row.GetAnswers()
+			total.Bad += row.GetBad()
+		}
+		assert.Equal(t, total.GetAnswers(), c.answers, c.name)
+		assert.Equal(t, total.GetBad(), c.bad, c.name)
+	}
+}
--- a/dh/dhentry/dhentry.go
+++ b/dh/dhentry/dhentry.go
@@ -350,6 +350,7 @@
 	for zone, at := range e.returnedAt {
 		bound.ReturnedZones[zone] = e.Timers.Now().Sub(at) < longestColdStart
 	}
+	e.counts.observe(view, e.Timers.Now())
 	e.cold.Update(view.All(), bound)
 	e.shares.Retain(view)
 	e.updateBudget()
@@ -405,7 +406,7 @@
 }
 
 // countAttempt counts the end of an attempt.
-func (e *Entry) countAttempt(event dhrouter.Event) { e.counts.add(event) }
+func (e *Entry) countAttempt(event dhrouter.Event) { e.counts.add(event, e.Timers.Now()) }
 
 // entryReport returns the report sent to control VMs.
 func (e *Entry) entryReport() *dhpb.EntryReport {
--- a/dh/dhrouter/dhrouter.go
+++ b/dh/dhrouter/dhrouter.go
@@ -194,6 +194,10 @@
 	AfterFailure bool
 	// OutOfTime is set if the request's time ran out at the backend server.
 	OutOfTime bool
+	// BrokeOff is set if the backend server received the request and gave no complete
+	// answer. Incarnation is that of the backend server.
+	BrokeOff    bool
+	Incarnation uint64
 }
 
 // Speed reports the speed of an answer to an HTTP request as soon as it is known,
--- a/dh/dhrouter/forward.go
+++ b/dh/dhrouter/forward.go
@@ -334,6 +334,7 @@
 	}
 	e := f.event(b, first, true)
 	e.OutOfTime = (f.answered && f.answerStatus == http.StatusGatewayTimeout) || errors.Is(err, context.DeadlineExceeded)
+	e.BrokeOff = !f.answered && !notRun && !e.OutOfTime
 	f.suspect(b, &e)
 	f.failedBefore = f.failedBefore || f.answered
 	e.Unreachable = (notRun && !refused) || errors.Is(err, errStalled) || errors.Is(err, errEndless) || errors.Is(err, syscall.ETIMEDOUT)
@@ -355,6 +356,7 @@
 	return Event{
 		Pool: f.poolName, Backend: b.ID, Version: dhtable.Version{Model: f.model, Name: b.Release},
 		Failed: failed, FirstToken: first, Answered: f.answered, Class: f.route.Class, AfterFailure: f.failedBefore,
+		Incarnation: b.Incarnation,
 	}
 }
 
