Continue broken streams with events only

Callers whose stream broke off found the text of an error in the middle of it, or a stream that ended as if it were complete.

Cause: an answer to the request that continues a stream was judged like a first answer. One with 302, 404 or 429 and a signature, one with 200 that is no stream, or 429 as an event stream was written into the caller's stream and ended the request as complete. A continued stream without any event, or with a gap, ended it too.

Change: once the caller has events, only a 200 event stream of this request continues them; anything else is a failed attempt. A stream that ends without an event was broken off, and so is a continued one whose first event is further from the last one than any two before. When the attempts are used up, the connection is broken off.

--- a/dh/dhrouter/forward.go
+++ b/dh/dhrouter/forward.go
@@ -58,6 +58,8 @@
 	// errMoved ends an attempt at an address that now belongs to another backend
 	// server.
 	errMoved = errors.New("another backend server is at the address")
+	// errNoEvents ends an attempt whose stream ended before its first event.
+	errNoEvents = errors.New("the stream ended without an event")
 	// errLowConfidence ends an attempt whose answer is dropped because of the
 	// model's low confidence.
 	errLowConfidence = errors.New("the model is unsure of its answer")
@@ -98,6 +100,7 @@
 	// lastID is the number of the newest event that the caller has received.
 	lastID    int64
 	hasLastID bool
+	steps     idSteps
 	events    int
 	// firstEventAt and lastEventAt are when the first and the newest event of the
 	// attempt arrived.
--- a/dh/dhrouter/forward_relay.go
+++ b/dh/dhrouter/forward_relay.go
@@ -140,6 +140,8 @@
 		return dhcode.WithRan(err, dhcode.NotRun)
 	case !in.Sealed:
 		return failed(dhcode.RanUnknown, "backend server %q answers with status %d without its signature", id, in.Status)
+	case f.begun && (!in.Events || in.Status != http.StatusOK):
+		return failed(dhcode.DidRun, "backend server %q answers with status %d instead of continuing the stream", id, in.Status)
 	case in.Status >= http.StatusInternalServerError:
 		body, err := readAnswer(in.Body, in.Length, &f.router.AnswerMemory)
 		if errors.Is(err, errEndless) {
@@ -258,7 +260,7 @@
 	events := dhevent.NewReader(in.Body)
 	defer events.Release()
 	flush := http.NewResponseController(f.w)
-	unnumbered := 0
+	unnumbered, resumed := 0, f.begun
 	// held holds events without a number that precede the first numbered one. As
 	// long as nothing has been written to the caller, the stream can be restarted
 	// at another backend server.
@@ -266,6 +268,9 @@
 	for {
 		e, err := events.Next()
 		if errors.Is(err, io.EOF) {
+			if f.events == 0 && (resumed || !f.hasLastID) {
+				return dhcode.WithRan(dhcode.Wrap(dhcode.StreamBroken, errNoEvents), dhcode.DidRun)
+			}
 			return f.finishStream(in, held, flush)
 		}
 		if dhcode.Of(err) == dhcode.RequestTooLarge {
@@ -282,6 +287,9 @@
 		} else if unnumbered += len(e.Raw); unnumbered > maxUnnumberedBytes {
 			return f.endlessError(errEndless)
 		}
+		if resumed && e.HasID && !repeated && f.skips(e.ID) {
+			return dhcode.WithRan(dhcode.Errorf(dhcode.StreamBroken, "backend server %q continues with event %d after event %d", f.backend.ID, e.ID, f.lastID), dhcode.DidRun)
+		}
 		f.recordEvent(now)
 		if repeated {
 			continue
@@ -301,7 +309,8 @@
 		}
 		f.recordWrite(now)
 		if e.HasID {
-			f.lastID, f.hasLastID = e.ID, true
+			f.recordID(e.ID)
+			resumed = false
 		}
 		if !events.More() {
 			if err := flush.Flush(); err != nil {
@@ -311,6 +320,31 @@
 	}
 }
 
+// idSteps holds how the numbers of the events that the caller has received increase.
+type idSteps struct {
+	longest int64
+	count   int
+}
+
+// minIDSteps is the number of steps after which a longer one means that events are
+// missing.
+const minIDSteps = 2
+
+// recordID records the number of an event that the caller has received.
+func (f *forward) recordID(id int64) {
+	if f.hasLastID {
+		f.steps.longest = max(f.steps.longest, id-f.lastID)
+		f.steps.count++
+	}
+	f.lastID, f.hasLastID = id, true
+}
+
+// skips reports whether events are missing before the first one of a continued
+// stream.
+func (f *forward) skips(id int64) bool {
+	return f.steps.count >= minIDSteps && id-f.lastID > f.steps.longest
+}
+
 // finishStream completes a stream that its backend server has ended: it writes
 // the held events.
 func (f *forward) finishStream(in *Inbound, held []byte, flush *http.ResponseController) error {
--- a/dh/dhrouter/forward_test.go
+++ b/dh/dhrouter/forward_test.go
@@ -253,6 +253,57 @@
 	})
 }
 
+// Guards against a stream that broke off and goes on with another answer: the text of
+// an error in the middle of the stream, a stream that looks complete after it, or
+// one with a gap.
+func TestForwardContinuesStreamsWithEventsOnly(t *testing.T) {
+	const event9 = "id: 9\ndata: i\n\n"
+	broken := func(ctx context.Context, o *Outbound) (*Inbound, error) {
+		return reply(200, resetAfter(event1+event2+event3), events)(ctx, o)
+	}
+	for _, c := range []struct {
+		name   string
+		second func(context.Context, *Outbound) (*Inbound, error)
+	}{
+		{"redirect", reply(302, text("elsewhere"))},
+		{"not found", reply(404, text("no such thing"))},
+		{"too many requests", reply(429, text("later"))},
+		{"too many requests as events", reply(429, text("data: later\n\n"), events)},
+		{"success that is no stream", reply(200, text("whole"))},
+		{"failure", reply(500, text("no"))},
+		{"failure as events", reply(500, text("data: no\n\n"), events)},
+		{"not run", reply(503, text(""), notRun)},
+		{"not signed", reply(200, text(event3), events, func(in *Inbound) { in.Sealed = false })},
+		{"another request", reply(200, text(event3), events, func(in *Inbound) { in.RequestID = "r0" })},
+		{"no events", reply(200, text(""), events)},
+		{"a gap", reply(200, text(event9), events)},
+		{"the beginning of an event", reply(200, text(event1+event2[:5]), events)},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			const event4 = "id: 4\ndata: d\n\n"
+			f := newTestRouter(t, broken, c.second, reply(200, text(event3+event4), events))
+			w, _, err := f.ask(t, "plan")
+			assert.NilError(t, err, c.name)
+			assert.Equal(t, w.Body.String(), event1+event2+event3+event4, c.name)
+
+			f = newTestRouter(t, broken, c.second)
+			w, begun, err := f.ask(t, "plan")
+			assert.Assert(t, begun && err != nil, c.name)
+			assert.Equal(t, w.Body.String(), event1+event2+event3, c.name)
+		})
+	}
+}
+
+// Guards against a stream without any event that is passed on as a complete answer.
+func TestForwardRepeatsEmptyStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestRouter(t, reply(200, text(""), events), reply(200, text(event1), events))
+		w, _, err := f.ask(t, "plan")
+		assert.NilError(t, err)
+		assert.Equal(t, w.Body.String(), event1)
+	})
+}
+
 // Guards against a stalled backend server that blocks a stream, and against a
 // stream that is ended for a stall although it cannot be continued at another
 // backend server.
