--- /dev/null
+++ b/dh/dhcontrol/crash_test.go
@@ -0,0 +1,318 @@
+package dhcontrol_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"dandelionhoist.example/dh/dhcode"
+	"dandelionhoist.example/dh/dhgroup"
+	"dandelionhoist.example/dh/dhpb"
+	"dandelionhoist.example/dh/dhrouter"
+	"dandelionhoist.example/dh/dhtimer"
+)
+
+// The bound on requests with a part that crashes backend servers: from crashContact
+// after the crash number crashCount, at most crashAllowed of them reach one.
+const (
+	crashContact = 3 * time.Second
+	crashCount   = 5
+	crashAllowed = 3
+)
+
+// badPart is the part that crashes backend servers, firstParts is the number of first
+// parts and commonParts that of the parts after them, which sound requests share.
+const (
+	badPart     = 1 << 40
+	firstParts  = 3
+	commonParts = 60
+)
+
+// crashPool is a pool of stand-in backend servers that a prompt part crashes.
+type crashPool struct {
+	*cluster
+	group  *dhgroup.Group
+	random *rand.Rand
+
+	mu      sync.Mutex
+	servers map[string]*crashServer
+	down    map[string]bool
+	// crashes are the times of the crashes by the bad part, arrivals those at which
+	// requests with it reached a backend server.
+	crashes, arrivals []time.Time
+	// sound holds when requests without the part began and whether they were answered
+	// at the first attempt, by first part.
+	sound    []soundRequest
+	number   int
+	badShare float64
+	// badRefused counts requests with the part that were refused as not run with a
+	// time to come back, soundRefused the sound ones that were refused.
+	badRefused, soundRefused int
+}
+
+type soundRequest struct {
+	at    time.Time
+	first uint64
+	ok    bool
+}
+
+// crashServer is one address of the pool. Each start is a new incarnation.
+type crashServer struct {
+	incarnation uint64
+	// upAt is when it takes requests again after a crash; ended is closed when the
+	// present incarnation ends.
+	upAt  time.Time
+	ended chan struct{}
+}
+
+// crashTransport sends the requests of one entry VM to the pool.
+type crashTransport struct {
+	pool *crashPool
+	vm   string
+}
+
+const (
+	serverRestart  = 2500 * time.Millisecond
+	firstEventTime = 80 * time.Millisecond
+	answerTime     = 400 * time.Millisecond
+)
+
+// Send implements dhrouter.Transport.
+func (s crashTransport) Send(ctx context.Context, o *dhrouter.Outbound) (*dhrouter.Inbound, error) {
+	p, id := s.pool, o.Backend.ID
+	bad := false
+	for _, part := range o.Prompt {
+		bad = bad || part.ID == badPart
+	}
+	p.mu.Lock()
+	server := p.servers[id]
+	if p.timers.Now().Before(server.upAt) {
+		p.mu.Unlock()
+		return nil, dhcode.WithRan(dhcode.Errorf(dhcode.BackendFailed, "connection refused"), dhcode.NotRun)
+	}
+	if server.incarnation != o.Backend.Incarnation {
+		p.mu.Unlock()
+		return &dhrouter.Inbound{Status: http.StatusMisdirectedRequest, RequestID: o.ID, NotRun: true, AddressReused: true, Confidence: -1, Body: http.NoBody}, nil
+	}
+	ended := server.ended
+	if bad {
+		p.arrivals = append(p.arrivals, p.timers.Now())
+	}
+	p.mu.Unlock()
+	broken := dhcode.WithRan(dhcode.Errorf(dhcode.BackendFailed, "connection reset"), dhcode.RanUnknown)
+	wait := func(d time.Duration) error {
+		after, cancel := dhtimer.WithTimeout(ctx, p.timers, d)
+		defer cancel()
+		select {
+		case <-ended:
+			return broken
+		case <-after.Done():
+			return ctx.Err()
+		}
+	}
+	if err := wait(firstEventTime); err != nil {
+		return nil, err
+	}
+	if bad {
+		p.crash(id)
+		return nil, broken
+	}
+	if err := wait(answerTime); err != nil {
+		return nil, err
+	}
+	return &dhrouter.Inbound{
+		Status: http.StatusOK, RequestID: o.ID, Sealed: true, Confidence: -1, Length: 2, Body: io.NopCloser(strings.NewReader("ok")),
+	}, nil
+}
+
+// crash ends the present incarnation of a backend server because of the bad part.
+func (p *crashPool) crash(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.end(id) {
+		p.crashes = append(p.crashes, p.timers.Now())
+	}
+}
+
+// end ends the present incarnation of a backend server and reports whether it ran.
+func (p *crashPool) end(id string) bool {
+	s := p.servers[id]
+	if p.timers.Now().Before(s.upAt) {
+		return false
+	}
+	close(s.ended)
+	s.ended, s.upAt = make(chan struct{}), p.timers.Now().Add(serverRestart)
+	s.incarnation++
+	return true
+}
+
+// runCrashing runs f with entry VMs under load, of which badShare requests have the
+// bad part from then on.
+func runCrashing(t *testing.T, seed uint64, vms, servers int, load float64, f func(p *crashPool)) {
+	t.Helper()
+	runCluster(t, func(c *cluster) {
+		p := &crashPool{cluster: c, group: dhgroup.New(c.t.Context()), random: rand.New(rand.NewPCG(seed, 33)), servers: map[string]*crashServer{}, down: map[string]bool{}}
+		c.transport = func(vm string) dhrouter.Transport { return crashTransport{p, vm} }
+		c.waitFor(3*time.Second, "the first document", func() bool { return c.replace("c0", 5) == nil })
+		for i := range servers {
+			p.startServer(fmt.Sprint("b", i))
+		}
+		for i := range vms {
+			c.startEntry(fmt.Sprint("e", i))
+		}
+		c.advance(6 * time.Second)
+		p.startClients(vms, load)
+		c.advance(8 * time.Second)
+		f(p)
+		p.group.Stop()
+	})
+}
+
+// startServer announces a backend server periodically while it runs.
+func (p *crashPool) startServer(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.servers[id] = &crashServer{incarnation: 1, ended: make(chan struct{})}
+	p.group.Go(func(ctx context.Context) error {
+		for sequence := uint64(1); ; sequence++ {
+			p.mu.Lock()
+			incarnation, up := p.servers[id].incarnation, !p.timers.Now().Before(p.servers[id].upAt)
+			p.mu.Unlock()
+			for _, name := range p.seeds {
+				if r := p.record(id, incarnation, sequence); up {
+					_ = p.controls[name].Announce(ctx, r) // repeated with the next announcement
+				}
+			}
+			if dhtimer.Sleep(ctx, p.timers, time.Second) != nil {
+				return nil
+			}
+		}
+	})
+}
+
+func (p *crashPool) record(id string, incarnation, sequence uint64) *dhpb.BackendRecord {
+	return &dhpb.BackendRecord{
+		Id: id, Address: id + ":80", Zone: "z0", Pool: "p", State: "ready", Release: "v1", Slots: 64, Incarnation: incarnation,
+		Sequence: sequence, Versions: []*dhpb.LoadedVersion{{}},
+	}
+}
+
+// startClients sends requests to random entry VMs at a rate per second.
+func (p *crashPool) startClients(vms int, load float64) {
+	p.group.Go(func(ctx context.Context) error {
+		for ctx.Err() == nil {
+			p.mu.Lock()
+			vm, m := fmt.Sprint("e", p.random.IntN(vms)), p.message()
+			pause := time.Duration(p.random.ExpFloat64() / load * float64(time.Second))
+			p.mu.Unlock()
+			p.group.Go(func(ctx context.Context) error { p.request(ctx, vm, m); return nil })
+			_ = dhtimer.Sleep(ctx, p.timers, pause) // the loop ends with ctx
+		}
+		return nil
+	})
+}
+
+// message returns the next request: a first part, a common one, for some requests the
+// bad one, and one of its own.
+func (p *crashPool) message() *dhrouter.Message {
+	p.number++
+	// A few of the common parts are hot.
+	common := int(float64(commonParts) * p.random.Float64() * p.random.Float64() * p.random.Float64())
+	ids := []uint64{uint64(p.random.IntN(firstParts)) + 1, uint64(common) + 100}
+	if p.random.Float64() < p.badShare {
+		ids = append(ids, badPart)
+	}
+	ids = append(ids, uint64(p.number)+1_000_000)
+	m := &dhrouter.Message{ID: fmt.Sprint("r", p.number), Method: "GET", Host: "h", Path: "/x", Target: "/x", TimeLeft: 4 * time.Second}
+	for _, id := range ids {
+		m.Prompt = append(m.Prompt, dhrouter.PromptPart{ID: id, Tokens: 10})
+	}
+	return m
+}
+
+func (p *crashPool) request(ctx context.Context, vm string, m *dhrouter.Message) {
+	began := p.timers.Now()
+	p.mu.Lock()
+	down := p.down[vm]
+	p.mu.Unlock()
+	if down {
+		return
+	}
+	_, err := p.entries[vm].Router().Forward(ctx, m, httptest.NewRecorder())
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	bad := false
+	for _, part := range m.Prompt {
+		bad = bad || part.ID == badPart
+	}
+	refused := err != nil && dhcode.RanOf(err) == dhcode.NotRun
+	switch {
+	case bad && refused && dhcode.RetryAfterOf(err) > 0:
+		p.badRefused++
+	case !bad:
+		p.sound = append(p.sound, soundRequest{began, m.Prompt[0].ID, err == nil})
+		if refused {
+			p.soundRefused++
+		}
+	}
+}
+
+// checkCrashes fails the test if too many requests with the bad part reached backend
+// servers after the crash number crashCount.
+func (p *crashPool) checkCrashes() {
+	p.t.Helper()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	after := 0
+	if len(p.crashes) >= crashCount {
+		from := p.crashes[crashCount-1].Add(crashContact)
+		for _, at := range p.arrivals {
+			if at.After(from) {
+				after++
+			}
+		}
+	}
+	p.t.Logf("%d crashes, %d requests with the bad part reached backend servers, %d of them from %s after crash %d, %d were refused; %d sound ones refused",
+		len(p.crashes), len(p.arrivals), after, crashContact, crashCount, p.badRefused, p.soundRefused)
+	if after > crashAllowed {
+		p.t.Errorf("%d requests with the part were sent from %s after crash %d, %d are allowed", after, crashContact, crashCount, crashAllowed)
+	}
+}
+
+// answeredSince returns the fraction of the sound requests since a time that were
+// answered.
+func (p *crashPool) answeredSince(from time.Time) float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	ok, all := 0, 0
+	for _, s := range p.sound {
+		if !s.at.Before(from) {
+			all++
+			if s.ok {
+				ok++
+			}
+		}
+	}
+	return float64(ok) / float64(max(all, 1))
+}
+
+// Guards against requests with a prompt part that crashes every backend server which
+// begins to answer them and are sent to one after the other, and against refusing the
+// sound requests that share their other parts (incident BUDGET).
+func TestCrashingPartIsHeldBack(t *testing.T) {
+	runCrashing(t, 1, 9, 12, 84, func(p *crashPool) {
+		p.badShare = 0.03
+		p.advance(25 * time.Second)
+		p.checkCrashes()
+		if got := p.answeredSince(p.timers.Now().Add(-15 * time.Second)); got < 0.97 {
+			p.t.Errorf("%.2f of the sound requests are answered", got)
+		}
+	})
+}
