Estimate the exposure of streams that have not answered yet

A version of atelier-llm that is bad only under load got 5 to 48 requests more than accepted until the end of its rollout (EXPOSURE).

Cause: the shift used the exposure that the trial had left by its answers, but long streams count only when they end: after 22 s 49 answers stood for about 100 requests.

Change: the requests are estimated from the share and the request rate as well, and the higher figure counts.

--- a/dh/dhversion/plan.go
+++ b/dh/dhversion/plan.go
@@ -215,6 +215,9 @@
 	if m.Rate <= 0 {
 		return min(usualShift+p.Margin, most)
 	}
-	left := p.Exposure.accepted(m.Rate, p.Duration) - unansweredFactor*float64(m.Answers)
+	// Long streams have not answered yet, so the requests are also estimated from the
+	// share.
+	used := max(unansweredFactor*float64(m.Answers), p.Share*m.Rate*(p.Duration-m.Left).Seconds())
+	left := p.Exposure.accepted(m.Rate, p.Duration) - used
 	return min(max(time.Duration(left/m.Rate*float64(time.Second)), minShift+p.Margin), most)
 }
