Count the streams that the end of a rollout moves as exposure

A version of atelier-llm that is bad only under load got 4 to 48 requests more than accepted until the end of its rollout (EXPOSURE).

Cause: when a rollout is completed, the old backend servers stop at once and the target receives the streams that ran there; the plan did not count them, and a margin of up to 2 s was spent whatever the trial had left.

Change: half of the requests that run on the old backend servers are taken from the exposure before the shift, which may be as short as 0.6 s, and a rollout completes as late as 0.8 s before its end then.

Measured: go test ./dh/dhversion passes with the same bounds; the tests of rollouts in dh/dhcontrol pass.

--- a/dh/dhcontrol/rollout.go
+++ b/dh/dhcontrol/rollout.go
@@ -137,7 +137,7 @@
 	}
 	stage, m := dhversion.Trial, dhversion.Moment{
 		Left: plan.Duration - elapsed(r, t, now), Rate: c.entries.rate(r.GetPool()), Answers: answers,
-		TargetReady: c.targetReady(r), OldIdle: c.oldIdle(r),
+		TargetReady: c.targetReady(r), OldRunning: c.oldRunning(r),
 	}
 	if r.GetState() == dhpb.RolloutState_ROLLOUT_STATE_SHIFT {
 		stage, m.SinceShift = dhversion.Shift, now.Sub(t.shiftedAt)
@@ -179,16 +179,17 @@
 	return target > 0 && float64(target) >= minTargetFraction*float64(old)
 }
 
-// oldIdle reports whether no backend server of another version has running
-// requests.
-func (c *Control) oldIdle(r *dhpb.RolloutRecord) bool {
+// oldRunning returns the number of requests that run on backend servers of another
+// version.
+func (c *Control) oldRunning(r *dhpb.RolloutRecord) int {
 	loads := c.entries.loadSums()
+	running := 0
 	for _, b := range c.registry.Backends() {
-		if b.Pool == r.GetPool() && b.Release != r.GetTarget() && loads[b.ID].GetRunning() > 0 {
-			return false
+		if b.Pool == r.GetPool() && b.Release != r.GetTarget() {
+			running += int(loads[b.ID].GetRunning())
 		}
 	}
-	return true
+	return running
 }
 
 // rank returns the position of this VM, from 0, among the responsive control VMs
--- a/dh/dhversion/plan.go
+++ b/dh/dhversion/plan.go
@@ -50,6 +50,9 @@
 	// unansweredFactor estimates the requests that the target has received from its
 	// answers: some are retries, and some have no answer yet.
 	unansweredFactor = 1.15
+	// resumedFraction estimates the requests on the old backend servers that the target
+	// receives when those stop. The others end during the shift.
+	resumedFraction = 0.5
 )
 
 // accepted returns the number of requests that a rollout may send to its target.
@@ -119,9 +122,10 @@
 	// Answers the number of answers of the target so far.
 	Rate    float64
 	Answers int64
-	// TargetReady is set if the target has enough backend servers for all sessions,
-	// OldIdle if the old backend servers have no running requests.
-	TargetReady, OldIdle bool
+	// TargetReady is set if the target has enough backend servers for all sessions.
+	TargetReady bool
+	// OldRunning is the number of requests that run on the old backend servers.
+	OldRunning int
 }
 
 const (
@@ -180,7 +184,7 @@
 	case m.SinceShift < minShift:
 		return stage
 	case !ends:
-		if m.OldIdle && m.SinceShift >= usualShift && e.Excess <= earlySoundExcess {
+		if m.OldRunning == 0 && m.SinceShift >= usualShift && e.Excess <= earlySoundExcess {
 			return Completed
 		}
 		return stage
@@ -218,6 +222,6 @@
 	// Long streams have not answered yet, so the requests are also estimated from the
 	// share.
 	used := max(unansweredFactor*float64(m.Answers), p.Share*m.Rate*(p.Duration-m.Left).Seconds())
-	left := p.Exposure.accepted(m.Rate, p.Duration) - used
-	return min(max(time.Duration(left/m.Rate*float64(time.Second)), minShift+p.Margin), most)
+	left := p.Exposure.accepted(m.Rate, p.Duration) - used - resumedFraction*float64(m.OldRunning)
+	return min(max(time.Duration(left/m.Rate*float64(time.Second)), minShift+minMargin), most)
 }
--- a/dh/dhversion/plan_test.go
+++ b/dh/dhversion/plan_test.go
@@ -70,7 +70,7 @@
 		evidence := test.Update(known.before, known.target)
 		m := dhversion.Moment{
 			Left: d.duration - now, SinceShift: now - shiftedAt, Rate: d.rate, Answers: known.target.Total().Answers,
-			TargetReady: true, OldIdle: true,
+			TargetReady: true,
 		}
 		next := plan.Next(stage, m, evidence)
 		if next != stage && next == dhversion.Shift {
