Quarantine prompt parts that crash backend servers

Cause: nothing related the ends of backend servers to the requests. Each entry VM sees a broken connection or two of a crash, takes it for a failure of the backend server and repeats the request at up to two others, the one that caused it like its neighbours. The class of fault: an input that ends whatever reads it, carried on by retries.

Change: package dhquarantine. A request whose connection broke early at two backend servers, or that has a suspected part, goes to no other. The ids of parts behind an entry that cannot be read are considered too.

Verdicts survive restarts of all VMs in turn and the loss of the majority.

--- a/dh/dhcode/class.go
+++ b/dh/dhcode/class.go
@@ -44,7 +44,8 @@
 	case EditConflict, EditIDReused, KeyReused, KeyExpired, VoterEpochOld, FencingTokenOld, LeaseHeldElsewhere:
 		return ClassConflict
 	case DeadlinePast, NoTables, Leaving, RateLimited, ConcurrencyLimited, QueueFull, WaitTooLong, NoBackend,
-		PoolFull, ClosedNotRun, TablesLeaseLapsed, TableFull, PoolHeldOff, PoolRateLimited:
+		PoolFull, ClosedNotRun, TablesLeaseLapsed, TableFull, PoolHeldOff, PoolRateLimited,
+		PromptQuarantined:
 		return ClassUnavailable
 	case RetryBudgetSpent, BackendFailed, StreamBroken, DeadlineExceeded, Cancelled, InProgress, OutcomeUnknown,
 		QuorumUnreachable, EditUnknown, BillNotSafe:
--- a/dh/dhcode/describe.go
+++ b/dh/dhcode/describe.go
@@ -53,6 +53,7 @@
 	BillNotSafe:          {"The bill could not be stored on enough VMs, so that the answer's end is held back.", "Resume at the offset."},
 	PoolHeldOff:          {"All backend servers of the pool that could serve the request leave, or asked for no requests for some time.", "Wait for the retry-after time."},
 	PoolRateLimited:      {"The backend servers of the pool that could serve the request state rate limits, of which this VM has no part left now.", "Wait for the retry-after time."},
+	PromptQuarantined:    {"A part of the prompt is in quarantine: backend servers that began to answer requests with it ended.", "Do not repeat the request before the retry-after time; ask the operators about the part."},
 	RouteUnknown:         {"No route's host and path prefix match the HTTP request.", "Check host and path; ask the operators."},
 }
 
--- a/dh/dhcode/dhcode.go
+++ b/dh/dhcode/dhcode.go
@@ -82,12 +82,13 @@
 	RouteUnknown                     // route-unknown
 	PoolHeldOff                      // pool-held-off
 	PoolRateLimited                  // pool-rate-limited
+	PromptQuarantined                // prompt-quarantined
 )
 
 // Codes returns all result codes in order of their numbers.
 func Codes() []Code {
-	codes := make([]Code, 0, int(PoolRateLimited)+1)
-	for c := OK; c <= PoolRateLimited; c++ {
+	codes := make([]Code, 0, int(PromptQuarantined)+1)
+	for c := OK; c <= PromptQuarantined; c++ {
 		codes = append(codes, c)
 	}
 	return codes
@@ -125,7 +126,7 @@
 		WaitTooLong, NoBackend, PoolFull, SessionTokenInvalid, IdempotencyKeyNeeded,
 		ClosedNotRun, TablesLeaseLapsed, TablesInvalid, EditConflict, EditIDReused,
 		BaseRevisionUnknown, VoterRolledBack, VoterEpochOld, FencingTokenOld, LeaseHeldElsewhere,
-		SettingsInvalid, NotAuthenticated, TableFull, PoolHeldOff, PoolRateLimited:
+		SettingsInvalid, NotAuthenticated, TableFull, PoolHeldOff, PoolRateLimited, PromptQuarantined:
 		return NotRun
 	case Internal, RetryBudgetSpent, BackendFailed, StreamBroken, DeadlineExceeded, Cancelled,
 		KeyReused, KeyExpired, InProgress, OutcomeUnknown, QuorumUnreachable, EditUnknown,
--- a/dh/dhcontrol/crash_test.go
+++ b/dh/dhcontrol/crash_test.go
@@ -15,6 +15,7 @@
 	"dandelionhoist.example/dh/dhcode"
 	"dandelionhoist.example/dh/dhgroup"
 	"dandelionhoist.example/dh/dhpb"
+	"dandelionhoist.example/dh/dhquarantine"
 	"dandelionhoist.example/dh/dhrouter"
 	"dandelionhoist.example/dh/dhtimer"
 )
@@ -316,3 +317,127 @@
 		}
 	})
 }
+
+// Guards against a bound that holds for one size of deployment only.
+func TestCrashingPartIsHeldBackAtAnySize(t *testing.T) {
+	for _, c := range []struct {
+		vms, servers   int
+		load, badShare float64
+	}{{8, 4, 30, 0.05}, {9, 12, 84, 0.2}, {9, 12, 84, 0.005}, {49, 24, 200, 0.02}, {283, 48, 300, 0.02}} {
+		t.Run(fmt.Sprint(c.vms, "-", c.servers, "-", c.badShare), func(t *testing.T) {
+			runCrashing(t, 2, c.vms, c.servers, c.load, func(p *crashPool) {
+				p.badShare = c.badShare
+				p.advance(20 * time.Second)
+				p.checkCrashes()
+				if got := p.answeredSince(p.timers.Now().Add(-8 * time.Second)); got < 0.97 {
+					p.t.Errorf("%.2f of the sound requests are answered", got)
+				}
+			})
+		})
+	}
+}
+
+// restartEntry starts an entry VM again, which knows of nothing then.
+func (p *crashPool) restartEntry(vm string) {
+	p.mu.Lock()
+	p.down[vm] = true
+	p.mu.Unlock()
+	p.crashVMs(vm)
+	p.startEntry(vm)
+	p.mu.Lock()
+	p.down[vm] = false
+	p.mu.Unlock()
+}
+
+func (p *crashPool) crashVMs(names ...string) { p.cluster.crash(names...) }
+
+// Guards against a verdict that is forgotten: by entry and control VMs that start again
+// one after the other, without a majority of the control VMs, and on a VM that has just
+// started (incident BUDGET).
+func TestVerdictSurvivesRestarts(t *testing.T) {
+	runCrashing(t, 3, 9, 12, 84, func(p *crashPool) {
+		p.badShare = 0.03
+		p.advance(12 * time.Second)
+		before := len(p.arrivals)
+		for i := range 3 {
+			name := fmt.Sprint("c", i)
+			p.crashVMs(name)
+			p.advance(2 * time.Second)
+			p.startControl(name, false)
+			p.advance(4 * time.Second)
+		}
+		for i := range 9 {
+			p.restartEntry(fmt.Sprint("e", i))
+			p.advance(time.Second)
+		}
+		p.crashVMs("c0", "c1")
+		p.advance(3 * time.Second)
+		p.startControl("c0", false)
+		p.startControl("c1", false)
+		p.advance(10 * time.Second)
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if got := len(p.arrivals) - before; got > 0 {
+			p.t.Errorf("%d requests with the part reached backend servers after its verdict", got)
+		}
+	})
+}
+
+// Guards against a verdict that holds for good, or whose end costs as many crashes as
+// the first time, and against an operator's order that is not obeyed.
+func TestVerdictEndsAndReturns(t *testing.T) {
+	runCrashing(t, 4, 9, 12, 84, func(p *crashPool) {
+		p.badShare = 0.03
+		p.advance(12 * time.Second)
+		p.badShare = 0
+		p.advance(2 * dhquarantine.Term)
+		verdicts := p.controls["c0"].Quarantine()
+		if len(verdicts) != 1 || verdicts[0].InForce(p.timers.Now()) {
+			p.t.Errorf("the verdict has not ended: %v", verdicts)
+		}
+		crashes, refused := len(p.crashes), p.badRefused
+		p.badShare = 0.03
+		p.advance(10 * time.Second)
+		if got := len(p.crashes) - crashes; got > 4 || p.badRefused == refused {
+			p.t.Errorf("%d crashes until the part is in quarantine again", got)
+		}
+		part := dhquarantine.Part{Pool: "p", ID: badPart}
+		p.controls["c1"].QuarantinePart(part, true, 10*time.Minute, "test")
+		p.badShare = 0
+		p.advance(2 * time.Second)
+		for _, vm := range []string{"e0", "e5", "e8"} {
+			if _, refused := p.entries[vm].Quarantine().Find("p", []uint64{badPart}); refused {
+				p.t.Errorf("%s still refuses the part", vm)
+			}
+		}
+		p.controls["c2"].QuarantinePart(part, false, time.Hour, "test")
+		p.advance(2 * time.Second)
+		for _, vm := range []string{"e0", "e5", "e8"} {
+			if _, refused := p.entries[vm].Quarantine().Find("p", []uint64{badPart}); !refused {
+				p.t.Errorf("%s does not refuse the part", vm)
+			}
+		}
+	})
+}
+
+// Guards against a verdict about a sound part when many backend servers end at once or
+// one after the other.
+func TestCrashesWithoutBadPart(t *testing.T) {
+	for seed := range uint64(6) {
+		runCrashing(t, seed, 9, 12, 84, func(p *crashPool) {
+			for round := range 10 {
+				p.mu.Lock()
+				for i := range 12 {
+					if round%2 == 0 && i < 5 || p.random.IntN(12) == 0 {
+						p.end(fmt.Sprint("b", i))
+					}
+				}
+				p.mu.Unlock()
+				p.advance(3 * time.Second)
+			}
+			if verdicts := p.controls["c0"].Quarantine(); len(verdicts) > 0 {
+				p.t.Errorf("seed %d: verdicts %v", seed, verdicts)
+			}
+		})
+	}
+}
--- a/dh/dhcontrol/dhcontrol.go
+++ b/dh/dhcontrol/dhcontrol.go
@@ -39,6 +39,7 @@
 	"dandelionhoist.example/dh/dhgroup"
 	"dandelionhoist.example/dh/dhmetric"
 	"dandelionhoist.example/dh/dhpb"
+	"dandelionhoist.example/dh/dhquarantine"
 	"dandelionhoist.example/dh/dhquorum"
 	"dandelionhoist.example/dh/dhtable"
 	"dandelionhoist.example/dh/dhtimer"
@@ -83,17 +84,18 @@
 	Log     *slog.Logger
 	Metrics *dhmetric.Metrics
 
-	group     *dhgroup.Group
-	proposer  *dhquorum.Proposer
-	documents *dhedit.Documents
-	disk      dhdisk.Disk
-	voter     atomic.Pointer[dhquorum.Voter]
-	registry  *dhbackend.Registry
-	entries   *entries
-	views     views
-	peers     *peers
-	grantor   *grantor
-	evaluator evaluator
+	group      *dhgroup.Group
+	proposer   *dhquorum.Proposer
+	documents  *dhedit.Documents
+	disk       dhdisk.Disk
+	voter      atomic.Pointer[dhquorum.Voter]
+	registry   *dhbackend.Registry
+	entries    *entries
+	views      views
+	peers      *peers
+	grantor    *grantor
+	quarantine *dhquarantine.Investigation
+	evaluator  evaluator
 
 	// confirmed is the reading of Clock since which the durable state is
 	// confirmed by majority reads, or 0 before the first ones.
@@ -138,6 +140,7 @@
 	c.entries = &entries{timers: c.Timers}
 	c.peers = newPeers(c)
 	c.grantor = newGrantor(c)
+	c.quarantine = &dhquarantine.Investigation{Timers: c.Timers, Name: c.Name, Log: c.Log, Metrics: c.Metrics}
 }
 
 // Run serves until ctx ends. A disk fault stops the voter until the disk can be
@@ -152,6 +155,7 @@
 	c.group.Go(c.expireBackends)
 	c.group.Go(c.evaluateRollouts)
 	c.group.Go(c.grantor.run)
+	c.group.Go(c.investigate)
 	return c.group.Wait()
 }
 
--- a/dh/dhcontrol/peers.go
+++ b/dh/dhcontrol/peers.go
@@ -201,11 +201,11 @@
 // watch watches one control VM until it expires.
 func (p *peers) watch(ctx context.Context, address string) error {
 	c := p.control
-	var epoch, position uint64
+	var epoch, position, quarantine uint64
 	lost := true
 	for ctx.Err() == nil && !p.expire(address) {
 		sent := c.Clock.Elapsed()
-		reply, err := p.callWatch(ctx, address, epoch, position)
+		reply, err := p.callWatch(ctx, address, epoch, position, quarantine)
 		if err != nil {
 			if !lost {
 				c.Log.Warn("control VM lost", slog.String("control", address), slog.String("error", err.Error()))
@@ -218,15 +218,19 @@
 			c.Log.Info("watching control VM", slog.String("control", address))
 		}
 		lost = false
-		epoch, position = reply.GetEpoch(), reply.GetPosition()
+		epoch, position, quarantine = reply.GetEpoch(), reply.GetPosition(), reply.GetQuarantine().GetNumber()
 		p.merge(address, reply)
 		c.grantor.merge(reply.GetLimits(), false, address)
 		c.grantor.follow(reply.GetGrants(), sent)
+		q := reply.GetQuarantine()
+		if c.quarantine.Merge(q.GetRequests(), q.GetAnswered(), q.GetVerdicts(), false) {
+			c.notify()
+		}
 	}
 	return nil
 }
 
-func (p *peers) callWatch(ctx context.Context, address string, epoch, position uint64) (*dhpb.ControlWatchResponse, error) {
+func (p *peers) callWatch(ctx context.Context, address string, epoch, position, quarantine uint64) (*dhpb.ControlWatchResponse, error) {
 	c := p.control
 	ctx, cancel := dhtimer.WithTimeout(ctx, c.Timers, peerWatchWait+peerTimeout)
 	defer cancel()
@@ -234,7 +238,7 @@
 	return c.Peers.Watch(ctx, address, &dhpb.ControlWatchRequest{
 		Vm: c.Name, Incarnation: c.Incarnation, Zone: c.Zone, Epoch: epoch, Position: position,
 		Document: document.GetVersion(), Operations: operations.GetNumber(), Wait: durationpb.New(peerWatchWait), Control: p.self(),
-		Heard: p.responsiveAddresses(), Grants: c.grantor.held(),
+		Heard: p.responsiveAddresses(), Grants: c.grantor.held(), Quarantine: quarantine,
 	})
 }
 
--- a/dh/dhcontrol/watch.go
+++ b/dh/dhcontrol/watch.go
@@ -41,7 +41,11 @@
 		c.peers.observe(r)
 	} else {
 		c.entries.report(m)
-		c.grantor.merge(m.GetReport().GetLimits(), true, m.GetVm())
+		r := m.GetReport()
+		c.grantor.merge(r.GetLimits(), true, m.GetVm())
+		if c.quarantine.Merge(r.GetRequests(), r.GetAnswered(), r.GetVerdicts(), true) {
+			c.notify()
+		}
 	}
 	if m.GetEpoch() != c.Incarnation {
 		return c.buildResponse(m)
@@ -78,7 +82,8 @@
 // hasChanges reports whether there are changes that the caller must receive soon.
 func (c *Control) hasChanges(m *dhpb.ControlWatchRequest) bool {
 	document, operations := c.state()
-	if document.GetVersion() > m.GetDocument() || operations.GetNumber() > m.GetOperations() || c.grantor.outdated(m) {
+	if document.GetVersion() > m.GetDocument() || operations.GetNumber() > m.GetOperations() || c.grantor.outdated(m) ||
+		c.quarantine.Number() != m.GetQuarantine() {
 		return true
 	}
 	if m.GetPosition() == 0 && m.GetControl() == nil {
@@ -135,6 +140,7 @@
 		a.Operations = operations
 	}
 	a.Grants = c.grantor.handOut(m)
+	a.Quarantine = c.quarantine.State(m.GetControl() != nil)
 	age, confirmed := c.confirmedAge()
 	a.Confirmed, a.ConfirmedAge = confirmed, durationpb.New(age)
 	return a, nil
--- a/dh/dhentry/dhentry.go
+++ b/dh/dhentry/dhentry.go
@@ -31,6 +31,7 @@
 	"dandelionhoist.example/dh/dhmetric"
 	"dandelionhoist.example/dh/dhpb"
 	"dandelionhoist.example/dh/dhplacement"
+	"dandelionhoist.example/dh/dhquarantine"
 	"dandelionhoist.example/dh/dhrouter"
 	"dandelionhoist.example/dh/dhtable"
 	"dandelionhoist.example/dh/dhtimer"
@@ -69,17 +70,18 @@
 	Log       *slog.Logger
 	Metrics   *dhmetric.Metrics
 
-	group    *dhgroup.Group
-	router   *dhrouter.Router
-	placer   *dhplacement.Placer
-	cold     *dhcold.Rates
-	shares   *dhgrant.Shares
-	budget   *dhlimit.Budget
-	lease    *dhwatch.Lease
-	follower *dhwatch.Follower
-	counts   *counts
-	updates  chan dhwatch.Update
-	leaving  atomic.Bool
+	group      *dhgroup.Group
+	router     *dhrouter.Router
+	placer     *dhplacement.Placer
+	cold       *dhcold.Rates
+	shares     *dhgrant.Shares
+	quarantine *dhquarantine.Filter
+	budget     *dhlimit.Budget
+	lease      *dhwatch.Lease
+	follower   *dhwatch.Follower
+	counts     *counts
+	updates    chan dhwatch.Update
+	leaving    atomic.Bool
 
 	// Only the control loop uses the fields below, except for the atomic ones.
 	table      dhbackend.Table
@@ -155,11 +157,13 @@
 	e.lease = &dhwatch.Lease{Clock: e.Clock, Duration: e.KeyLease}
 	e.cold = &dhcold.Rates{Timers: e.Timers, VM: e.Name}
 	e.shares = &dhgrant.Shares{Timers: e.Timers, Clock: e.Clock, VM: e.Name}
+	e.quarantine = &dhquarantine.Filter{Timers: e.Timers, Log: e.Log, Metrics: e.Metrics}
 	e.placer = &dhplacement.Placer{Timers: e.Timers, Zone: e.Zone, Settings: placementSettings(), Seed: rand.Uint64()}
 	e.budget = &dhlimit.Budget{Ratio: e.RetryRatio * earnedFraction, Max: 1}
 	e.router = &dhrouter.Router{
 		Timers: e.Timers, Group: e.group, Log: e.Log, Metrics: e.Metrics, Placer: e.placer, Credits: e.cold, RateLimits: e.shares,
-		Retries: e.budget, Breakers: &dhlimit.Breakers{Timers: e.Timers, Backoff: breakerBackoff},
+		Quarantine: e.quarantine,
+		Retries:    e.budget, Breakers: &dhlimit.Breakers{Timers: e.Timers, Backoff: breakerBackoff},
 		Transport: e.Transport, Lease: e.lease, Random: rand.Float64, VM: e.Name, Zone: e.Zone, Report: e.countAttempt, ReportSpeed: func(s dhrouter.Speed) { e.counts.addSpeed(s) },
 	}
 	e.router.AnswerMemory.Max = e.AnswerBytes
@@ -176,6 +180,10 @@
 // Router returns the router. Call it after Build.
 func (e *Entry) Router() *dhrouter.Router { return e.router }
 
+// Quarantine returns the filter of the prompt parts that are in quarantine. Call it after
+// Build.
+func (e *Entry) Quarantine() *dhquarantine.Filter { return e.quarantine }
+
 // SetSeeds replaces the seeds after a change of the settings.
 func (e *Entry) SetSeeds(seeds []string) { e.follower.SetSeeds(seeds) }
 
@@ -223,6 +231,7 @@
 
 func (e *Entry) apply(u dhwatch.Update) {
 	now := e.Timers.Now()
+	e.quarantine.Update(u.GetQuarantine())
 	e.applyBackends(u, now)
 	if u.GetGrants() != nil || u.GetConfirmed() {
 		e.shares.Update(u.GetGrants(), u.Sent)
@@ -411,6 +420,7 @@
 // entryReport returns the report sent to control VMs.
 func (e *Entry) entryReport() *dhpb.EntryReport {
 	r := &dhpb.EntryReport{Counters: e.counts.counters(), Rates: e.rates(), Limits: e.shares.Report()}
+	e.quarantine.Report(r)
 	for _, b := range e.router.Snapshot().Backends.All() {
 		if l := e.placer.Load(b.ID); l.Running > 0 {
 			r.Loads = append(r.Loads, &dhpb.BackendLoad{Id: b.ID, Running: int32(l.Running), Reading: int32(l.PendingPrefill)})
--- a/dh/dhrouter/dhrouter.go
+++ b/dh/dhrouter/dhrouter.go
@@ -222,6 +222,8 @@
 	Credits  Credits
 	// RateLimits may be nil if no backend server states a limit.
 	RateLimits RateLimits
+	// Quarantine is used for HTTP requests; it may be nil.
+	Quarantine Quarantine
 	Limiter    Limiter
 	Retries    Retries
 	Breakers   Breakers
--- a/dh/dhrouter/forward.go
+++ b/dh/dhrouter/forward.go
@@ -121,6 +121,7 @@
 	// if no attempt succeeds.
 	failure *bufferedAnswer
 	suspicion
+	promptParts
 	// retryPaid is set if the next attempt has already been taken from the retry
 	// budget, or adds no load to backend servers.
 	retryPaid bool
@@ -169,6 +170,7 @@
 		f.limit = min(f.limit, m.TimeLeft)
 	}
 	f.router.arrivals.add(f.poolName, f.received)
+	f.setParts()
 	if m.AnyModel && len(f.route.Cascade) > 0 {
 		f.setModel(f.route.Cascade[0])
 	} else {
@@ -250,6 +252,9 @@
 	if err := f.authorize(s); err != nil {
 		return dhplacement.Request{}, err
 	}
+	if err := f.checkQuarantine(); err != nil {
+		return dhplacement.Request{}, err
+	}
 	version := dhtable.Version{Model: f.model}
 	if s.Tables.Pools[f.poolName].Kind == dhtable.Service {
 		version = dhtable.Version{} // plain services have no models
@@ -329,6 +334,7 @@
 	}
 	f.mayHaveRun = f.mayHaveRun || !notRun
 	if err == nil {
+		f.recordPartsAnswered()
 		f.reportSuspicion()
 		return f.event(b, first, false), true
 	}
@@ -338,6 +344,7 @@
 	e := f.event(b, first, true)
 	e.OutOfTime = (f.answered && f.answerStatus == http.StatusGatewayTimeout) || errors.Is(err, context.DeadlineExceeded)
 	e.BrokeOff = !f.answered && !notRun && !e.OutOfTime
+	f.recordBreak(b.ID, b.Incarnation)
 	f.suspect(b, &e)
 	f.failedBefore = f.failedBefore || f.answered
 	e.Unreachable = (notRun && !refused) || errors.Is(err, errStalled) || errors.Is(err, errEndless) || errors.Is(err, syscall.ETIMEDOUT)
@@ -373,7 +380,7 @@
 	if errors.Is(err, errLowConfidence) {
 		return true
 	}
-	if ctx.Err() != nil || f.callerGone || f.sends >= f.route.MaxAttempts {
+	if ctx.Err() != nil || f.callerGone || f.sends >= f.route.MaxAttempts || f.mayCrashOthers() {
 		return false
 	}
 	if f.begun && !(f.route.Stream && f.route.Resumable && f.hasLastID) {
--- a/dh/dhrouter/forward_relay.go
+++ b/dh/dhrouter/forward_relay.go
@@ -26,7 +26,7 @@
 func (f *forward) relay(ctx context.Context, p dhplacement.Placement) (time.Duration, error) {
 	b := p.Backend
 	start := f.router.Timers.Now()
-	f.backend, f.answered, f.events = b, false, 0
+	f.backend, f.answered, f.events, f.connectionLost = b, false, 0, false
 	if f.message.Session != "" {
 		f.router.sessions.put(f.poolName, f.session, b.Release, start)
 	}
@@ -45,6 +45,7 @@
 		now := f.router.Timers.Now()
 		if dhcode.RanOf(err) != dhcode.NotRun {
 			f.router.delays.observe(f.poolName, f.model, now.Sub(start), now)
+			f.recordLost(err)
 		}
 		return 0, f.attemptError(ctx, err)
 	}
@@ -117,6 +118,7 @@
 // attemptError replaces the error of an attempt that the watchdog ended.
 func (f *forward) attemptError(ctx context.Context, err error) error {
 	if errors.Is(context.Cause(ctx), errStalled) {
+		f.connectionLost = false
 		f.retryPaid = true // taken by the watchdog
 		return dhcode.WithRan(dhcode.Wrap(dhcode.StreamBroken, errStalled), dhcode.RanUnknown)
 	}
@@ -168,6 +170,7 @@
 	case errors.Is(err, errNoMemory):
 		return f.passThrough(in, body)
 	case err != nil:
+		f.recordLost(err)
 		return failed(dhcode.DidRun, "answer of backend server %q broke off: %v", id, err)
 	}
 	defer body.release()
@@ -277,6 +280,7 @@
 			return f.endlessError(errEndless)
 		}
 		if err != nil {
+			f.recordLost(err)
 			return dhcode.WithRan(dhcode.Wrap(dhcode.StreamBroken, err), dhcode.DidRun)
 		}
 		now := f.router.Timers.Now()
@@ -386,6 +390,9 @@
 	}
 	f.events++
 	f.lastEventAt = now
+	if f.events == 2 {
+		f.recordPartsAnswered()
+	}
 	if f.events == pacedEvents {
 		f.reportPace()
 	}
--- a/dh/dhrouter/message.go
+++ b/dh/dhrouter/message.go
@@ -47,6 +47,9 @@
 	// answer, in tokens.
 	PromptTokens, MaxTokens int
 	Prompt                  []PromptPart
+	// Unordered are the ids of parts that follow an entry of the prompt which cannot be
+	// read. They tell nothing about caches.
+	Unordered []uint64
 }
 
 // Outbound is a message as sent to one backend server.
--- a/dh/dhwatch/dhwatch.go
+++ b/dh/dhwatch/dhwatch.go
@@ -152,18 +152,18 @@
 func (f *Follower) Run(ctx context.Context) error {
 	f.SetSeeds(f.Seeds)
 	f.nextZoneMove = f.zoneMoveAfter(f.Timers.Now())
-	var epoch, position uint64
+	var epoch, position, quarantine uint64
 	for ctx.Err() == nil {
 		address, changed := f.chooseControl()
 		if changed {
-			epoch, position = 0, 0
+			epoch, position, quarantine = 0, 0, 0
 		}
 		if address == "" {
 			_ = dhtimer.Sleep(ctx, f.Timers, retryPause) // the loop ends with ctx
 			continue
 		}
 		sent := f.Lease.Clock.Elapsed()
-		reply, err := f.callWatch(ctx, address, epoch, position)
+		reply, err := f.callWatch(ctx, address, epoch, position, quarantine)
 		if ctx.Err() != nil {
 			return nil
 		}
@@ -172,7 +172,7 @@
 			_ = dhtimer.Sleep(ctx, f.Timers, retryPause)
 			continue
 		}
-		epoch, position = reply.GetEpoch(), reply.GetPosition()
+		epoch, position, quarantine = reply.GetEpoch(), reply.GetPosition(), reply.GetQuarantine().GetNumber()
 		f.updateControls(reply)
 		f.OnUpdate(Update{ControlWatchResponse: reply, From: address, Sent: sent})
 		if !reply.GetConfirmed() || reply.GetConfirmedAge().AsDuration() > maxConfirmedAge {
@@ -188,7 +188,7 @@
 // callWatch makes one watch call. The lease counts from the start of the call,
 // less the age in the response. The response was sent later, so this is never
 // after the time at which the state was confirmed.
-func (f *Follower) callWatch(ctx context.Context, address string, epoch, position uint64) (*dhpb.ControlWatchResponse, error) {
+func (f *Follower) callWatch(ctx context.Context, address string, epoch, position, quarantine uint64) (*dhpb.ControlWatchResponse, error) {
 	ctx, cancel := dhtimer.WithTimeout(ctx, f.Timers, watchWait+answerTimeout)
 	defer cancel()
 	document, operations := f.Versions()
@@ -196,6 +196,7 @@
 	request := &dhpb.ControlWatchRequest{
 		Vm: f.VM, Incarnation: f.Incarnation, Zone: f.Zone, Epoch: epoch, Position: position,
 		Document: document, Operations: operations, Wait: durationpb.New(watchWait), Report: f.Report(),
+		Quarantine: quarantine,
 	}
 	if f.Grants != nil {
 		request.Grants = f.Grants()
--- a/dh/dhwire/dhwire.go
+++ b/dh/dhwire/dhwire.go
@@ -161,7 +161,8 @@
 	case dhcode.Cancelled:
 		return connect.CodeCanceled
 	case dhcode.RateLimited, dhcode.ConcurrencyLimited, dhcode.QueueFull, dhcode.WaitTooLong,
-		dhcode.PoolFull, dhcode.RetryBudgetSpent, dhcode.TableFull, dhcode.PoolHeldOff, dhcode.PoolRateLimited:
+		dhcode.PoolFull, dhcode.RetryBudgetSpent, dhcode.TableFull, dhcode.PoolHeldOff, dhcode.PoolRateLimited,
+		dhcode.PromptQuarantined:
 		return connect.CodeResourceExhausted
 	case dhcode.NoTables, dhcode.Leaving, dhcode.NoBackend, dhcode.BackendFailed, dhcode.StreamBroken,
 		dhcode.QuorumUnreachable, dhcode.TablesLeaseLapsed, dhcode.LeaseHeldElsewhere, dhcode.BillNotSafe:
