Play crashing prompt parts in the soak and check their bound

Change: requests to the engines' pool carry prompts with shared parts. The new rule counts requests with the part from 3 s after the fifth crash at entry VMs without faults; TestCheckerDetectsViolations has a row that breaks it.

--- a/cmd/dandelionhoist-soak/dhsoak/backend.go
+++ b/cmd/dandelionhoist-soak/dhsoak/backend.go
@@ -341,7 +341,7 @@
 	s := backendRequest{
 		id: r.Header.Get(platform.HeaderID), method: r.Method, path: r.URL.Path, body: digest(body), model: r.Header.Get(platform.HeaderModel),
 		account: r.Header.Get(platform.HeaderTenant), keyForwarded: r.Header.Get("Authorization") != "", cold: timers.Now().Before(b.coldUntil),
-		refused: full, backend: id, pool: pool, zone: b.zone, version: b.version, number: b.runs, seal: fmt.Sprintf("seal-%s-%d", id, b.runs),
+		refused: full, backend: id, pool: pool, zone: b.zone, version: b.version, part: badPartOf(r.Header.Get(platform.HeaderPrefix)), number: b.runs, seal: fmt.Sprintf("seal-%s-%d", id, b.runs),
 	}
 	lowConfidence := b.random.Float64() < lowConfidenceShare
 	pause := time.Duration(0)
@@ -436,6 +436,14 @@
 func (b *backend) stream(w http.ResponseWriter, r *http.Request, s backendRequest, behaviour conduct, factor time.Duration) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	last, _ := strconv.Atoi(r.Header.Get(platform.HeaderLastEvent)) // 0 for the first run
+	if s.part != "" && dhtimer.Sleep(r.Context(), b.deployment.soak.Timers, eventGap) == nil {
+		b.deployment.group.Go(func(context.Context) error {
+			b.crashBy(s.part, s.backend)
+			return nil
+		})
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 	for n := last + 1; n <= lastEvent; n++ {
 		if dhtimer.Sleep(r.Context(), b.deployment.soak.Timers, eventGap*factor) != nil {
 			panic(http.ErrAbortHandler)
--- a/cmd/dandelionhoist-soak/dhsoak/caller.go
+++ b/cmd/dandelionhoist-soak/dhsoak/caller.go
@@ -129,6 +129,8 @@
 	out.Header.Set(platform.HeaderDeadline, strconv.FormatInt(callerDeadline.Milliseconds(), 10))
 	if route.pool == poolEngine {
 		out.Header.Set(platform.HeaderModel, "*")
+		out.Header.Set(platform.HeaderPrefix, c.deployment.prompt(c.random, r.id))
+		out.Header.Set(platform.HeaderTokens, "570,80")
 	}
 	c.deployment.checker.Sent(r)
 	response, err := c.client.Do(out)
--- a/cmd/dandelionhoist-soak/dhsoak/checker_test.go
+++ b/cmd/dandelionhoist-soak/dhsoak/checker_test.go
@@ -264,6 +264,19 @@
 				}
 			}
 		}},
+		"prompt part that crashes backend servers": {"crash", func(h harness) {
+			h.settle()
+			for range partCrashes {
+				h.PartCrashed("bad0001")
+			}
+			h.timers.Step(partContact + time.Millisecond)
+			for i := range partAllowed + 1 {
+				r := h.ask(plan, keyAlways)
+				r.id = fmt.Sprint(i)
+				h.Sent(r)
+				h.arrive(r, "b", func(s *backendRequest) { s.part = "bad0001" })
+			}
+		}},
 		"leaving backend server that gets a request": {"drain", func(h harness) {
 			r := h.ask(look, keyAlways)
 			h.arrive(r, "b", func(s *backendRequest) { s.leaving = true })
--- a/cmd/dandelionhoist-soak/dhsoak/deployment.go
+++ b/cmd/dandelionhoist-soak/dhsoak/deployment.go
@@ -58,6 +58,8 @@
 
 	mu    sync.Mutex
 	ready map[*vm]bool
+	// badPart is the prompt part that crashes backend servers, or empty.
+	badPart string
 }
 
 // ip returns address i of one of the run's numbered blocks of 256 addresses.
@@ -312,6 +314,9 @@
 		b.setConduct(healthy)
 	case limitRequests:
 		b.setLimit(requestLimits[f.target%len(requestLimits)], f.duration+limitAfterFault)
+	case crashingPart:
+		defer d.crashingPart(f.target)()
+		wait()
 	case cutBackend:
 		defer d.checker.Disturb(b.instance())()
 		defer d.network.cut(link{b.name, wildcard}, link{wildcard, b.name})()
--- a/cmd/dandelionhoist-soak/dhsoak/dhsoak.go
+++ b/cmd/dandelionhoist-soak/dhsoak/dhsoak.go
@@ -218,6 +218,9 @@
 	operator.calm.Store(true)
 	planned := dhgroup.New(ctx)
 	planned.Go(func(ctx context.Context) error { return d.plannedWork(ctx, operator) })
+	if s.Seed%3 == 0 {
+		defer d.crashingPart(int(s.Seed))()
+	}
 	if err := dhtimer.Sleep(ctx, s.Timers, s.Calm); err != nil {
 		return err
 	}
--- a/cmd/dandelionhoist-soak/dhsoak/fault.go
+++ b/cmd/dandelionhoist-soak/dhsoak/fault.go
@@ -41,6 +41,8 @@
 	// limitRequests is drawn after all others, so that seeds from before it keep
 	// their faults.
 	limitRequests // limit-requests
+	// crashingPart is drawn after all others as well.
+	crashingPart // crashing-part
 )
 
 // conduct is how a backend server responds to requests.
@@ -125,6 +127,11 @@
 		f.duration = time.Duration(random.Int64N(int64(storm - f.start)))
 		list = append(list, f)
 	}
+	if random.IntN(2) == 0 {
+		f := fault{start: time.Duration(random.Int64N(int64(storm / 2))), kind: crashingPart, target: random.IntN(1 << 16)}
+		f.duration = storm - f.start
+		list = append(list, f)
+	}
 	return list
 }
 
