Let operators list, add and lift quarantines of prompt parts

Operators could neither see why a part is refused, nor end or order that.

Change: control VMs serve a call that applies an order and returns the verdicts; dandelionhoist quarantine calls it.

--- a/cmd/dandelionhoist/fake_test.go
+++ b/cmd/dandelionhoist/fake_test.go
@@ -265,3 +265,34 @@
 	status := p.run(t.Context(), args)
 	return result{status, out.String(), errs.String()}
 }
+
+// fakeControl is the control service of one control VM, which remembers one verdict.
+type fakeControl struct {
+	dhpb.ControlService
+	mu       sync.Mutex
+	verdicts []*dhpb.QuarantineVerdict
+}
+
+// serve returns the address of the service.
+func (f *fakeControl) serve(t *testing.T) string {
+	t.Helper()
+	f.verdicts = []*dhpb.QuarantineVerdict{{
+		Part: &dhpb.PromptPart{Pool: "loaf-llm", Id: 0x91bd3f06}, DecidedAt: 1_780_000_000_000, Remaining: durationpb.New(42 * time.Second),
+		Crashes: 3, Requests: 2, Backends: []string{"i-1", "i-2"}, DecidedBy: "core-1",
+	}}
+	server := httptest.NewServer(dhpb.NewControlServiceServer(f))
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// Quarantine implements dhpb.ControlService.
+func (f *fakeControl) Quarantine(_ context.Context, m *dhpb.QuarantineRequest) (*dhpb.QuarantineResponse, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if o := m.GetOrder(); o != nil {
+		f.verdicts = append(f.verdicts, &dhpb.QuarantineVerdict{
+			Part: o.GetPart(), DecidedAt: 1_780_000_060_000, Lifted: o.GetLift(), Remaining: o.GetDuration(), DecidedBy: o.GetOperator(),
+		})
+	}
+	return &dhpb.QuarantineResponse{Verdicts: f.verdicts}, nil
+}
--- a/cmd/dandelionhoist/main_test.go
+++ b/cmd/dandelionhoist/main_test.go
@@ -37,6 +37,7 @@
 			env.Setenv("DANDELIONHOIST_KEY_FILE", filepath.Join(env.WorkDir, "operator.key"))
 			env.Setenv("TLS_SERVER", secure.URL)
 			env.Setenv("CLOSED_SERVER", closed.URL)
+			env.Setenv("CONTROL", (&fakeControl{}).serve(t))
 			env.Setenv("HOME", env.WorkDir)
 			env.Setenv("USER", "ines")
 			return errors.Join(
--- a/dh/dhcontrol/quarantine.go
+++ b/dh/dhcontrol/quarantine.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"dandelionhoist.example/dh/dhbackend"
+	"dandelionhoist.example/dh/dhpb"
 	"dandelionhoist.example/dh/dhquarantine"
 	"dandelionhoist.example/dh/dhtimer"
 )
@@ -51,7 +52,12 @@
 
 // QuarantinePart keeps requests with a prompt part from backend servers for a time, or
 // lifts the quarantine of the part.
-func (c *Control) QuarantinePart(p dhquarantine.Part, lift bool, remaining time.Duration, operator string) {
-	c.quarantine.Decide(p, lift, remaining, operator)
+func (c *Control) QuarantinePart(p dhquarantine.Part, lift bool, duration time.Duration, operator string) {
+	c.quarantine.Decide(p, lift, duration, operator)
 	c.notify()
 }
+
+func (c *Control) orderQuarantine(o *dhpb.QuarantineOrder) {
+	p := dhquarantine.Part{Pool: o.GetPart().GetPool(), ID: o.GetPart().GetId()}
+	c.QuarantinePart(p, o.GetLift(), o.GetDuration().AsDuration(), o.GetOperator())
+}
--- a/dh/dhcontrol/service.go
+++ b/dh/dhcontrol/service.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 
+	"dandelionhoist.example/dh/dhcode"
 	"dandelionhoist.example/dh/dhpb"
 	"dandelionhoist.example/dh/dhserver"
 	"dandelionhoist.example/dh/dhwire"
@@ -32,6 +33,17 @@
 	return a, dhwire.ToTwirp(err)
 }
 
+// Quarantine implements dhpb.ControlService.
+func (s controlService) Quarantine(_ context.Context, m *dhpb.QuarantineRequest) (*dhpb.QuarantineResponse, error) {
+	if o := m.GetOrder(); o != nil {
+		if o.GetPart().GetPool() == "" || o.GetOperator() == "" || (!o.GetLift() && o.GetDuration().AsDuration() <= 0) {
+			return nil, dhwire.ToTwirp(dhcode.Errorf(dhcode.RequestMalformed, "an order needs a pool, an operator and a duration above 0"))
+		}
+		s.control.orderQuarantine(o)
+	}
+	return &dhpb.QuarantineResponse{Verdicts: s.control.quarantine.Messages()}, nil
+}
+
 // Prepare implements dhserver.Voter by delegating to the running voter.
 func (c *Control) Prepare(ctx context.Context, m *dhpb.PrepareRequest) (*dhpb.PrepareResponse, error) {
 	v, err := c.Voter()
--- a/dh/dhpb/dhpbconnect/control.connect.go
+++ b/dh/dhpb/dhpbconnect/control.connect.go
@@ -37,6 +37,9 @@
 const (
 	// ControlServiceWatchProcedure is the fully-qualified name of the ControlService's Watch RPC.
 	ControlServiceWatchProcedure = "/dandelionhoist.v1.ControlService/Watch"
+	// ControlServiceQuarantineProcedure is the fully-qualified name of the ControlService's Quarantine
+	// RPC.
+	ControlServiceQuarantineProcedure = "/dandelionhoist.v1.ControlService/Quarantine"
 )
 
 // ControlServiceClient is a client for the dandelionhoist.v1.ControlService service.
@@ -44,6 +47,9 @@
 	// Watch returns the changes since the caller's position. It waits for a change
 	// for a bounded time.
 	Watch(context.Context, *dhpb.ControlWatchRequest) (*dhpb.ControlWatchResponse, error)
+	// Quarantine applies an operator's order about a prompt part, if there is one, and
+	// returns the verdicts that are remembered.
+	Quarantine(context.Context, *dhpb.QuarantineRequest) (*dhpb.QuarantineResponse, error)
 }
 
 // NewControlServiceClient constructs a client for the dandelionhoist.v1.ControlService service. By
@@ -63,12 +69,19 @@
 			connect.WithSchema(controlServiceMethods.ByName("Watch")),
 			connect.WithClientOptions(opts...),
 		),
+		quarantine: connect.NewClient[dhpb.QuarantineRequest, dhpb.QuarantineResponse](
+			httpClient,
+			baseURL+ControlServiceQuarantineProcedure,
+			connect.WithSchema(controlServiceMethods.ByName("Quarantine")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // controlServiceClient implements ControlServiceClient.
 type controlServiceClient struct {
-	watch *connect.Client[dhpb.ControlWatchRequest, dhpb.ControlWatchResponse]
+	watch      *connect.Client[dhpb.ControlWatchRequest, dhpb.ControlWatchResponse]
+	quarantine *connect.Client[dhpb.QuarantineRequest, dhpb.QuarantineResponse]
 }
 
 // Watch calls dandelionhoist.v1.ControlService.Watch.
@@ -80,11 +93,23 @@
 	return nil, err
 }
 
+// Quarantine calls dandelionhoist.v1.ControlService.Quarantine.
+func (c *controlServiceClient) Quarantine(ctx context.Context, req *dhpb.QuarantineRequest) (*dhpb.QuarantineResponse, error) {
+	response, err := c.quarantine.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
 // ControlServiceHandler is an implementation of the dandelionhoist.v1.ControlService service.
 type ControlServiceHandler interface {
 	// Watch returns the changes since the caller's position. It waits for a change
 	// for a bounded time.
 	Watch(context.Context, *dhpb.ControlWatchRequest) (*dhpb.ControlWatchResponse, error)
+	// Quarantine applies an operator's order about a prompt part, if there is one, and
+	// returns the verdicts that are remembered.
+	Quarantine(context.Context, *dhpb.QuarantineRequest) (*dhpb.QuarantineResponse, error)
 }
 
 // NewControlServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -100,10 +125,18 @@
 		connect.WithSchema(controlServiceMethods.ByName("Watch")),
 		connect.WithHandlerOptions(opts...),
 	)
+	controlServiceQuarantineHandler := connect.NewUnaryHandlerSimple(
+		ControlServiceQuarantineProcedure,
+		svc.Quarantine,
+		connect.WithSchema(controlServiceMethods.ByName("Quarantine")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/dandelionhoist.v1.ControlService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case ControlServiceWatchProcedure:
 			controlServiceWatchHandler.ServeHTTP(w, r)
+		case ControlServiceQuarantineProcedure:
+			controlServiceQuarantineHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -116,3 +149,7 @@
 func (UnimplementedControlServiceHandler) Watch(context.Context, *dhpb.ControlWatchRequest) (*dhpb.ControlWatchResponse, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("dandelionhoist.v1.ControlService.Watch is not implemented"))
 }
+
+func (UnimplementedControlServiceHandler) Quarantine(context.Context, *dhpb.QuarantineRequest) (*dhpb.QuarantineResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("dandelionhoist.v1.ControlService.Quarantine is not implemented"))
+}
--- a/dh/dhquarantine/investigation.go
+++ b/dh/dhquarantine/investigation.go
@@ -193,7 +193,10 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.Timers.Now()
-	v := Verdict{Part: p, DecidedAt: now, Lifted: lift, Expires: now.Add(min(remaining, maxRemaining)), DecidedBy: operator}
+	v := Verdict{Part: p, DecidedAt: now, Lifted: lift, Expires: now, DecidedBy: operator}
+	if !lift {
+		v.Expires = now.Add(min(remaining, maxRemaining))
+	}
 	if old, ok := n.verdicts.Get(p); ok && !v.DecidedAt.After(old.DecidedAt) {
 		v.DecidedAt = old.DecidedAt.Add(time.Millisecond) // the clock of another VM is ahead
 	}
@@ -203,6 +206,13 @@
 	n.number++
 }
 
+// Messages returns all verdicts that are remembered as messages.
+func (n *Investigation) Messages() []*dhpb.QuarantineVerdict {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.verdicts.Messages(n.Timers.Now())
+}
+
 // Verdicts returns all verdicts that are remembered.
 func (n *Investigation) Verdicts() []Verdict {
 	n.mu.Lock()
