Doubt refusals without an id on kept connections

Callers could be told "not run, try again" for a request that a backend server runs, or the request could run at a second one.

Cause: an answer that says "not run" and has no id was taken for that to the present request. A faulty backend server that writes an earlier refusal once more on a kept connection sends just that. Pauses, leaves and rate limits were read from the head of any answer before its id was compared, and the connection stayed in use, so that the request after it would get the answer to this one.

Evidence: with the old condition TestForwardDoubtsRefusalWithoutID fails in its second row: the order is sent to a second backend server.

The soak's backend servers name the id in refusals, as the users' pages say.

--- a/cmd/dandelionhoist-soak/dhsoak/backend.go
+++ b/cmd/dandelionhoist-soak/dhsoak/backend.go
@@ -353,6 +353,7 @@
 	s.leaving, s.limit, s.limited = b.leaving, b.limit, timers.Now().Before(b.limitEnd)
 	b.mu.Unlock()
 	w.Header().Set("Instance-Id", id)
+	w.Header().Set(platform.HeaderID, s.id)
 	if s.leaving {
 		w.Header().Set(platform.HeaderLeaving, "1")
 	}
@@ -374,7 +375,6 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	w.Header().Set(platform.HeaderID, s.id)
 	w.Header().Set(platform.HeaderSeal, s.seal)
 	factor := time.Duration(1)
 	switch behaviour {
--- a/dh/dhrouter/forward_relay.go
+++ b/dh/dhrouter/forward_relay.go
@@ -49,8 +49,10 @@
 		}
 		return 0, f.attemptError(ctx, err)
 	}
-	f.recordHoldOff(in, b)
-	f.recordRateLimit(in, b, start)
+	if f.answeredBy(in) {
+		f.recordHoldOff(in, b)
+		f.recordRateLimit(in, b, start)
+	}
 	defer func() { _ = in.Body.Close() }() // closes the connection if the answer was not read to its end
 	f.router.Placer.FirstToken(p)
 	head := f.router.Timers.Now()
@@ -125,6 +127,12 @@
 	return err
 }
 
+// answeredBy reports whether an answer belongs to the request. A refusal may have no id,
+// but only on a new connection it cannot be that of an earlier request.
+func (f *forward) answeredBy(in *Inbound) bool {
+	return in.RequestID == f.message.ID || (in.RequestID == "" && in.NotRun && !in.KeptConnection)
+}
+
 // handleAnswer relays an answer to the caller, or returns why it cannot be used.
 func (f *forward) handleAnswer(in *Inbound, watch *watchdog) error {
 	failed := func(ran dhcode.Ran, format string, args ...any) error {
@@ -133,7 +141,7 @@
 	id := f.backend.ID
 	f.answerStatus = in.Status
 	switch {
-	case in.RequestID != f.message.ID && (in.RequestID != "" || !in.NotRun):
+	case !f.answeredBy(in):
 		return failed(dhcode.RanUnknown, "backend server %q answers request %q instead", id, in.RequestID)
 	case in.AddressReused:
 		return dhcode.WithRan(dhcode.Wrap(dhcode.BackendFailed, errMoved), dhcode.NotRun)
--- a/dh/dhrouter/forward_test.go
+++ b/dh/dhrouter/forward_test.go
@@ -294,6 +294,35 @@
 	}
 }
 
+// Guards against a refusal without an id on a kept connection, which may be an earlier
+// one, and is taken for "not run" of this request or for a pause that its backend
+// server asks for.
+func TestForwardDoubtsRefusalWithoutID(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		id          string
+		kept        bool
+		sends, then int
+	}{
+		{"of an earlier request", "r0", true, 1, 0},
+		{"without an id on a kept connection", "", true, 1, 0},
+		{"without an id on a new connection", "", false, 2, 1},
+		{"of this request", "r1", true, 2, 1},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newTestRouter(t, reply(503, text(""), notRun, func(in *Inbound) {
+				in.RequestID, in.KeptConnection, in.Pause = c.id, c.kept, time.Minute
+			}), reply(200, text("done")))
+			_, _, err := f.ask(t, "order")
+			assert.Equal(t, len(f.transport.sent), c.sends, c.name)
+			assert.Equal(t, err == nil, c.then > 0, c.name)
+			assert.Assert(t, err == nil || dhcode.RanOf(err) != dhcode.NotRun, c.name)
+			id := f.transport.sent[0].Backend.ID
+			assert.Equal(t, f.holdOffs.Get(id, 0).Permits(f.timers.Now(), 0), c.then == 0, c.name)
+		})
+	}
+}
+
 // Guards against a stream without any event that is passed on as a complete answer.
 func TestForwardRepeatsEmptyStream(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/dh/dhrouter/message.go
+++ b/dh/dhrouter/message.go
@@ -80,6 +80,9 @@
 	// NotRun is set if the backend server states that it did not and will not run
 	// the request.
 	NotRun bool
+	// KeptConnection is set if the connection had carried earlier requests, so that an
+	// answer without an id may belong to one of them.
+	KeptConnection bool
 	// AddressReused is set if the address now belongs to another backend server, which did
 	// not run the request.
 	AddressReused bool
