Refuse announcements with fields out of range

Callers could lose all backend servers: with one odd announcement, control VMs could no longer tell any other VM of backend servers.

Cause: an announcement's id with bytes that are no UTF-8 was accepted, and a list that contains it cannot be encoded, so every watch failed.

Evidence: FuzzHeartbeat and TestOddRecordsAreRefused fail on the code before: "string field contains invalid UTF-8: the list cannot be encoded"; the new rows of TestHeartbeats. No process ended.

Ages below 0 count as 0.

Measured: FuzzHeartbeat (to the registry and an entry VM's table) 195,168 and 283,245 executions, FuzzState (to the state of the quarantine) 298,374 executions: no failure. The tests of platform and dhbackend pass.

--- a/dh/dhbackend/dhbackend.go
+++ b/dh/dhbackend/dhbackend.go
@@ -16,6 +16,7 @@
 	"slices"
 	"sort"
 	"time"
+	"unicode/utf8"
 
 	"dandelionhoist.example/dh/dhcode"
 	"dandelionhoist.example/dh/dhpb"
@@ -68,19 +69,57 @@
 // Has reports whether a version is loaded.
 func (b *Backend) Has(v dhtable.Version) bool { return slices.Contains(b.Versions, v) }
 
+const (
+	// maxNameBytes bounds each name in an announcement, maxVersions the number of loaded
+	// versions and maxLoad the numbers of requests and slots.
+	maxNameBytes = 256
+	maxVersions  = 256
+	maxLoad      = 1 << 20
+	// maxColdFor bounds the remaining duration of a cold start.
+	maxColdFor = 24 * time.Hour
+)
+
+// checkBounds returns an error if a field of an announcement is out of its range. All
+// VMs keep and pass on what one of them accepts.
+func checkBounds(r *dhpb.BackendRecord) error {
+	names := []string{r.GetId(), r.GetAddress(), r.GetPool(), r.GetZone(), r.GetRelease()}
+	for _, v := range r.GetVersions() {
+		names = append(names, v.GetModel(), v.GetVersion())
+	}
+	for _, name := range names {
+		if len(name) > maxNameBytes || !utf8.ValidString(name) {
+			return dhcode.Errorf(dhcode.RequestMalformed, "announcement of %.32q has the name %.32q of %d bytes; at most %d are accepted, in UTF-8",
+				r.GetId(), name, len(name), maxNameBytes)
+		}
+	}
+	for _, n := range []int32{r.GetSlots(), r.GetRunning(), r.GetWaiting(), r.GetSustainableLoad()} {
+		if n < 0 || n > maxLoad {
+			return dhcode.Errorf(dhcode.RequestMalformed, "announcement of %q has the number %d of slots or requests", r.GetId(), n)
+		}
+	}
+	if d := r.GetColdFor().AsDuration(); d < 0 || d > maxColdFor || len(r.GetVersions()) > maxVersions {
+		return dhcode.Errorf(dhcode.RequestMalformed, "announcement of %q has %d versions and a cold start of %s", r.GetId(), len(r.GetVersions()), d)
+	}
+	return nil
+}
+
 // FromRecord converts an announcement. It fails with the code request-malformed
-// if the state is unknown or the id, address or pool is empty.
+// if the state is unknown, the id, address or pool is empty, or a field is out of its
+// range.
 func FromRecord(r *dhpb.BackendRecord, now time.Time) (*Backend, error) {
 	state, ok := parseState(r.GetState())
 	if !ok || r.GetId() == "" || r.GetAddress() == "" || r.GetPool() == "" {
-		return nil, dhcode.Errorf(dhcode.RequestMalformed, "announcement of %q needs id, address, pool and a known state", r.GetId())
+		return nil, dhcode.Errorf(dhcode.RequestMalformed, "announcement of %.32q needs id, address, pool and a known state", r.GetId())
+	}
+	if err := checkBounds(r); err != nil {
+		return nil, err
 	}
 	b := &Backend{
 		ID: r.GetId(), Address: r.GetAddress(), Zone: r.GetZone(), Pool: r.GetPool(), State: state,
 		SustainableLoad: int(r.GetSustainableLoad()), Slots: int(r.GetSlots()),
 		Running: int(r.GetRunning()), Waiting: int(r.GetWaiting()), ReportAge: r.GetReportAge().AsDuration(),
 		ChecksFencing: r.GetChecksFencing(), Incarnation: r.GetIncarnation(), Sequence: r.GetSequence(),
-		Seen: now.Add(-r.GetAnnouncementAge().AsDuration()), Release: r.GetRelease(), ColdFor: r.GetColdFor().AsDuration(),
+		Seen: now.Add(-max(r.GetAnnouncementAge().AsDuration(), 0)), Release: r.GetRelease(), ColdFor: r.GetColdFor().AsDuration(),
 	}
 	for _, v := range r.GetVersions() {
 		b.Versions = append(b.Versions, dhtable.Version{Model: v.GetModel(), Name: v.GetVersion()})
--- a/dh/dhbackend/log.go
+++ b/dh/dhbackend/log.go
@@ -104,7 +104,7 @@
 		row.content, returned = l.position, r
 	}
 	row.record, row.expired, row.source, row.announced = r, nil, source, l.position
-	row.seen = l.Timers.Now().Add(-n.GetAge().AsDuration())
+	row.seen = l.Timers.Now().Add(-max(n.GetAge().AsDuration(), 0))
 	return returned
 }
 
--- a/dh/dhquarantine/dhquarantine.go
+++ b/dh/dhquarantine/dhquarantine.go
@@ -106,7 +106,8 @@
 	remaining := min(max(m.GetRemaining().AsDuration(), -probation), maxRemaining)
 	return Verdict{
 		Part: partOf(m.GetPart()), DecidedAt: time.UnixMilli(m.GetDecidedAt()), Lifted: m.GetLifted(), Expires: now.Add(remaining),
-		Crashes: int(m.GetCrashes()), Requests: int(m.GetRequests()), Backends: m.GetBackends(), DecidedBy: m.GetDecidedBy(),
+		Crashes: int(m.GetCrashes()), Requests: int(m.GetRequests()), Backends: m.GetBackends()[:min(len(m.GetBackends()), maxNamed)],
+		DecidedBy: m.GetDecidedBy(),
 	}
 }
 
@@ -121,7 +122,9 @@
 func (s *Verdicts) Merge(v Verdict, now time.Time) (changed bool) {
 	old, known := s.byPart[v.Part]
 	switch {
-	case v.Part.Pool == "", !known && !s.makeRoom(now):
+	case v.Part.Pool == "", v.DecidedAt.Sub(now) > maxRemaining:
+		return false // no VM's clock is that far ahead
+	case !known && !s.makeRoom(now):
 		return false
 	case known && v.DecidedAt.Before(old.DecidedAt):
 		return false
