Bound what control VMs pass on about crashes, and let tied parts share a verdict

Callers of a route would go on ending backend servers if another part always came with the bad one: only the one with the lower id got a verdict. Control VMs passed on all observations with each watch, up to megabytes in a storm.

Change: parts that always came together share a verdict after five crashes; control VMs pass at most 1,024 observations of a kind on, for 3 s each, since others keep them.

Measured: TestPartsThatAlwaysComeTogether, TestPartsAreBounded and all tests of dhquarantine pass, and those of crashes in dhcontrol.

--- a/dh/dhquarantine/days_test.go
+++ b/dh/dhquarantine/days_test.go
@@ -322,3 +322,47 @@
 		})
 	}
 }
+
+// Guards against a bad part that stays free because another part always came with it,
+// and against a verdict about both before more crashes could tell them apart.
+func TestPartsThatAlwaysComeTogether(t *testing.T) {
+	d := newDay(1, 1, 0, 0, 0)
+	for n := range 5 {
+		d.filters[0].RecordBroken(dhquarantine.Broken{
+			Pool: "p", Backend: fmt.Sprint("b", n), Incarnation: 1, Request: fmt.Sprint("r", n/2), Parts: []uint64{7, dayBadPart, uint64(n)},
+		})
+		d.play(1, nil)
+		if n < 4 {
+			assert.Equal(t, len(d.verdicts), 0, "after %d crashes", n+1)
+		}
+	}
+	d.play(2, nil)
+	assert.DeepEqual(t, d.verdicts, []uint64{7, dayBadPart})
+}
+
+// Guards against prompts of random parts that fill the memory of a VM.
+func TestPartsAreBounded(t *testing.T) {
+	d := newDay(1, 1, 1, 0, 0)
+	for range 100 {
+		for range 60 {
+			parts := make([]uint64, 100)
+			for i := range parts {
+				parts[i] = d.random.Uint64()
+			}
+			d.number++
+			d.filters[0].RecordAnswer("p", parts)
+			d.filters[0].RecordBroken(dhquarantine.Broken{Pool: "p", Backend: fmt.Sprint("b", d.number), Request: fmt.Sprint(d.number), Parts: parts})
+			d.investigation.Decide(dhquarantine.Part{Pool: "p", ID: parts[0]}, false, time.Hour, "test")
+		}
+		var report dhpb.EntryReport
+		d.filters[0].Report(&report)
+		assert.Assert(t, len(report.GetRequests()) <= 64 && len(report.GetAnswered()) <= 512)
+		for _, r := range report.GetRequests() {
+			assert.Assert(t, len(r.GetParts()) <= 64)
+		}
+		d.investigation.Merge(report.GetRequests(), report.GetAnswered(), nil, true)
+	}
+	d.investigation.Evaluate(d, 0)
+	state := d.investigation.State(true)
+	assert.Assert(t, len(state.GetRequests()) <= 1024 && len(state.GetAnswered()) <= 1024 && len(state.GetSuspects()) <= 64 && len(state.GetVerdicts()) <= 256)
+}
--- a/dh/dhquarantine/investigation.go
+++ b/dh/dhquarantine/investigation.go
@@ -46,6 +46,11 @@
 	// control VM keeps.
 	maxRequests = 4096
 	maxCleared  = 16384
+	// passedOnFor is how long an observation is passed on to other control VMs, which
+	// keep it: several of their watches, in case some fail. maxPassedOn bounds the
+	// observations of each kind in an answer to a watch.
+	passedOnFor = 3 * time.Second
+	maxPassedOn = 1024
 )
 
 // Backends tells which incarnations of backend servers have announced themselves since a
@@ -68,8 +73,8 @@
 	mu       sync.Mutex
 	requests map[requestKey]*observation
 	answered map[Part]time.Time
-	// direct marks the parts in answered that an entry VM reported to this VM.
-	direct   map[Part]bool
+	// direct holds when an entry VM last reported to this VM that a part was answered.
+	direct   map[Part]time.Time
 	verdicts Verdicts
 	// suspects holds since when each part has been suspected.
 	suspects map[Part]time.Time
@@ -84,10 +89,11 @@
 
 // observation is a request whose connection broke.
 type observation struct {
-	pool   string
-	parts  []uint64
-	at     time.Time
-	direct bool
+	pool  string
+	parts []uint64
+	at    time.Time
+	// direct is when an entry VM first reported it to this VM.
+	direct time.Time
 }
 
 // Merge applies the observations of entry VMs. They are direct if this VM received
@@ -121,8 +127,14 @@
 func (n *Investigation) addRequest(m *dhpb.SuspectRequest, now time.Time, direct bool) {
 	k := requestKey{m.GetBackend(), m.GetIncarnation(), m.GetRequest()}
 	at := now.Add(-max(m.GetAge().AsDuration(), 0))
+	reported := time.Time{}
+	if direct {
+		reported = now
+	}
 	if old := n.requests[k]; old != nil {
-		old.direct = old.direct || direct
+		if old.direct.IsZero() {
+			old.direct = reported
+		}
 		return
 	}
 	if len(n.requests) >= maxRequests || m.GetPool() == "" || now.Sub(at) > evidenceWindow {
@@ -132,7 +144,7 @@
 		n.requests = make(map[requestKey]*observation)
 	}
 	parts := m.GetParts()
-	n.requests[k] = &observation{m.GetPool(), parts[:min(len(parts), maxParts)], at, direct}
+	n.requests[k] = &observation{m.GetPool(), parts[:min(len(parts), maxParts)], at, reported}
 }
 
 func (n *Investigation) addAnswer(p Part, at time.Time, direct bool) {
@@ -141,13 +153,13 @@
 		return
 	}
 	if n.answered == nil {
-		n.answered, n.direct = make(map[Part]time.Time), make(map[Part]bool)
+		n.answered, n.direct = make(map[Part]time.Time), make(map[Part]time.Time)
 	}
 	if at.After(old) {
 		n.answered[p] = at
 	}
 	if direct {
-		n.direct[p] = true
+		n.direct[p] = n.Timers.Now()
 	}
 }
 
@@ -168,14 +180,16 @@
 		return m
 	}
 	for k, o := range n.requests {
-		if o.direct {
+		if now.Sub(o.direct) <= passedOnFor && len(m.Requests) < maxPassedOn {
 			m.Requests = append(m.Requests, &dhpb.SuspectRequest{
 				Pool: o.pool, Backend: k.backend, Incarnation: k.incarnation, Request: k.request, Age: durationpb.New(now.Sub(o.at)), Parts: o.parts,
 			})
 		}
 	}
-	for p := range n.direct {
-		m.Answered = append(m.Answered, &dhpb.AnsweredPart{Part: p.message(), Age: durationpb.New(now.Sub(n.answered[p]))})
+	for p, reported := range n.direct {
+		if now.Sub(reported) <= passedOnFor && len(m.Answered) < maxPassedOn {
+			m.Answered = append(m.Answered, &dhpb.AnsweredPart{Part: p.message(), Age: durationpb.New(now.Sub(n.answered[p]))})
+		}
 	}
 	return m
 }
@@ -421,30 +435,42 @@
 
 // proved returns the charges that suffice for a verdict, of those against the parts in
 // a number of crashes, the heaviest first. What a heavier charge explains is no evidence
-// against another part. Charges of equal weight against parts that always came together
-// wait for more crashes.
+// against another part. Parts that always came together wait for more crashes, and then
+// share the verdict.
 func proved(charges []charge, crashes int) []charge {
 	var list []charge
 	explained := make(map[int]bool)
-	for i, c := range charges {
-		c.in = slices.DeleteFunc(slices.Clone(c.in), func(crash int) bool { return explained[crash] })
-		fraction := float64(len(c.in)) / float64(crashes)
-		tied := i+1 < len(charges) && charges[i+1].compare(charges[i]) == 0
-		switch {
-		case c.convicted && len(c.in) > 0:
-		case len(c.in) >= manyCrashes && c.requests >= manyRequests && fraction >= manyFraction:
-		case !tied && len(c.in) >= minCrashes && c.requests >= minRequests && fraction >= minFraction:
-		default:
-			continue
+	for len(charges) > 0 {
+		c := charges[0]
+		together := 1
+		for together < len(charges) && charges[together].compare(c) == 0 && slices.Equal(charges[together].in, c.in) {
+			together++
 		}
-		for _, crash := range c.in {
-			explained[crash] = true
+		unexplained := slices.DeleteFunc(slices.Clone(c.in), func(crash int) bool { return explained[crash] })
+		if c.suffices(len(unexplained), crashes, together > 1) {
+			list = append(list, charges[:together]...)
+			for _, crash := range unexplained {
+				explained[crash] = true
+			}
 		}
-		list = append(list, c)
+		charges = charges[together:]
 	}
 	return list
 }
 
+// suffices reports whether a charge that explains a number of all crashes is enough for
+// a verdict.
+func (c charge) suffices(explains, crashes int, tied bool) bool {
+	fraction := float64(explains) / float64(crashes)
+	switch {
+	case c.convicted:
+		return explains > 0
+	case explains >= manyCrashes && c.requests >= manyRequests:
+		return fraction >= manyFraction
+	}
+	return !tied && explains >= minCrashes && c.requests >= minRequests && fraction >= minFraction
+}
+
 // cleared reports whether a part was answered since shortly before a time.
 func (n *Investigation) cleared(p Part, first time.Time) bool {
 	at, ok := n.answered[p]
