Keep crashes as evidence for three minutes

Callers would go on ending backend servers with a part that comes rarely: with one request in 15 s, no three crashes fell into the 12 s for which they were kept, and each request ended two backend servers.

Cause: the evidence was kept as long as a burst takes, since the fraction of the pool's crashes that have the part was taken over all that were kept.

Change: crashes are kept for 3 minutes, and the fraction is taken from 2 s before the part's first crash to 2 s after its last. Crashes up to the end of a verdict are no evidence for the next.

--- a/dh/dhquarantine/days_test.go
+++ b/dh/dhquarantine/days_test.go
@@ -296,14 +296,16 @@
 		vms, servers int
 		rate, share  float64
 		trouble      func() func(d *day)
+		seconds      int
 	}{
-		{"small pool", 8, 4, 30, 0.05, nil},
-		{"usual", 9, 12, 84, 0.03, nil},
-		{"many requests with it", 9, 12, 84, 0.2, nil},
-		{"few requests with it", 9, 12, 84, 0.005, nil},
-		{"many VMs", 283, 48, 300, 0.02, nil},
-		{"beside single crashes", 9, 12, 84, 0.03, func() func(d *day) { return every(4*time.Second, one(false)) }},
-		{"beside resets", 9, 12, 84, 0.03, func() func(d *day) { return every(400*time.Millisecond, one(true)) }},
+		{"small pool", 8, 4, 30, 0.05, nil, 40},
+		{"usual", 9, 12, 84, 0.03, nil, 40},
+		{"many requests with it", 9, 12, 84, 0.2, nil, 40},
+		{"few requests with it", 9, 12, 84, 0.005, nil, 40},
+		{"hardly any request with it", 9, 12, 84, 0.0008, nil, 150},
+		{"many VMs", 283, 48, 300, 0.02, nil, 40},
+		{"beside single crashes", 9, 12, 84, 0.03, func() func(d *day) { return every(4*time.Second, one(false)) }, 40},
+		{"beside resets", 9, 12, 84, 0.03, func() func(d *day) { return every(400*time.Millisecond, one(true)) }, 40},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			for seed := range uint64(10) {
@@ -314,7 +316,10 @@
 				if c.trouble != nil {
 					trouble = c.trouble()
 				}
-				d.play(40, trouble)
+				d.play(c.seconds, trouble)
+				if d.badCrashes == 0 {
+					continue // no request with the part came
+				}
 				assert.Check(t, slices.Equal(d.verdicts, []uint64{dayBadPart}), "seed %d: parts %v after %d crashes", seed, d.verdicts, d.crashes)
 				late := d.convictedAt.Sub(d.fifthCrash)
 				assert.Check(t, d.fifthCrash.IsZero() || late <= contact-passedOn, "seed %d: found %s after the fifth crash", seed, late)
--- a/dh/dhquarantine/dhquarantine.go
+++ b/dh/dhquarantine/dhquarantine.go
@@ -95,6 +95,15 @@
 // InForce reports whether the verdict holds at a time.
 func (v Verdict) InForce(now time.Time) bool { return !v.Lifted && now.Before(v.Expires) }
 
+// settles returns the time up to which crashes are no further evidence: they led to the
+// verdict, happened before all VMs knew of it, or are what an operator lifted it for.
+func (v Verdict) settles() time.Time {
+	if v.Lifted {
+		return v.DecidedAt
+	}
+	return v.Expires
+}
+
 func (v Verdict) message(now time.Time) *dhpb.QuarantineVerdict {
 	return &dhpb.QuarantineVerdict{
 		Part: v.Part.message(), DecidedAt: v.DecidedAt.UnixMilli(), Lifted: v.Lifted, Remaining: durationpb.New(v.Expires.Sub(now)),
--- a/dh/dhquarantine/investigation.go
+++ b/dh/dhquarantine/investigation.go
@@ -16,7 +16,7 @@
 
 const (
 	// evidenceWindow is the time for which a crash is evidence.
-	evidenceWindow = 12 * time.Second
+	evidenceWindow = 3 * time.Minute
 	// clearedBefore is the time before the first crash of a part within which an answer
 	// clears it: while a whole pool crashes, nobody answers.
 	clearedBefore = 5 * time.Second
@@ -27,9 +27,10 @@
 	// same incarnation shows that the backend server did not crash.
 	aliveAfter = 300 * time.Millisecond
 	// minCrashes and minRequests are the evidence that a verdict needs, and minFraction
-	// the fraction of the crashes of the pool that must have the part. With
-	// manyCrashes and manyRequests, manyFraction suffices: several parts may crash
-	// backend servers at the same time.
+	// the fraction of the crashes of the pool that must have the part, from around before
+	// its first crash to around after its last. With manyCrashes and manyRequests,
+	// manyFraction suffices: several parts may crash backend servers at the same time.
+	around                    = 2 * time.Second
 	minCrashes, minRequests   = 3, 2
 	minFraction               = 0.7
 	manyCrashes, manyRequests = 5, 3
@@ -261,7 +262,7 @@
 				suspects[c.part] = since
 			}
 		}
-		for _, c := range proved(charges, len(crashes)) {
+		for _, c := range proved(charges, crashes) {
 			if since, ok := suspects[c.part]; ok && now.Sub(since) >= settleTime+delay {
 				n.convict(c, now)
 				changed = true
@@ -383,6 +384,9 @@
 			continue
 		}
 		for id, requests := range c.requests {
+			if v, known := n.verdicts.Get(Part{pool, id}); known && !c.at.After(v.settles()) {
+				continue
+			}
 			x := byPart[id]
 			if x == nil {
 				x = &charge{part: Part{pool, id}}
@@ -400,7 +404,7 @@
 		x.requests = len(distinct[id])
 		first := crashes[x.in[0]].at
 		v, known := n.verdicts.Get(x.part)
-		if n.cleared(x.part, first) || (known && v.Lifted && !first.After(v.DecidedAt)) {
+		if n.cleared(x.part, first) {
 			continue
 		}
 		x.convicted = known && !v.Lifted
@@ -434,10 +438,10 @@
 }
 
 // proved returns the charges that suffice for a verdict, of those against the parts in
-// a number of crashes, the heaviest first. What a heavier charge explains is no evidence
-// against another part. Parts that always came together wait for more crashes, and then
-// share the verdict.
-func proved(charges []charge, crashes int) []charge {
+// crashes, the heaviest first. What a heavier charge explains is no evidence against
+// another part. Parts that always came together wait for more crashes, and then share
+// the verdict.
+func proved(charges []charge, crashes []*crash) []charge {
 	var list []charge
 	explained := make(map[int]bool)
 	for len(charges) > 0 {
@@ -447,7 +451,7 @@
 			together++
 		}
 		unexplained := slices.DeleteFunc(slices.Clone(c.in), func(crash int) bool { return explained[crash] })
-		if c.suffices(len(unexplained), crashes, together > 1) {
+		if c.suffices(unexplained, crashes, together > 1) {
 			list = append(list, charges[:together]...)
 			for _, crash := range unexplained {
 				explained[crash] = true
@@ -458,17 +462,24 @@
 	return list
 }
 
-// suffices reports whether a charge that explains a number of all crashes is enough for
-// a verdict.
-func (c charge) suffices(explains, crashes int, tied bool) bool {
-	fraction := float64(explains) / float64(crashes)
-	switch {
-	case c.convicted:
-		return explains > 0
-	case explains >= manyCrashes && c.requests >= manyRequests:
+// suffices reports whether a charge that explains the crashes in is enough for a
+// verdict.
+func (c charge) suffices(in []int, crashes []*crash, tied bool) bool {
+	if len(in) == 0 || c.convicted {
+		return len(in) > 0
+	}
+	from, to := crashes[in[0]].at.Add(-around), crashes[in[len(in)-1]].at.Add(around)
+	meanwhile := 0
+	for _, x := range crashes {
+		if !x.at.Before(from) && !x.at.After(to) {
+			meanwhile++
+		}
+	}
+	fraction := float64(len(in)) / float64(meanwhile)
+	if len(in) >= manyCrashes && c.requests >= manyRequests {
 		return fraction >= manyFraction
 	}
-	return !tied && explains >= minCrashes && c.requests >= minRequests && fraction >= minFraction
+	return !tied && len(in) >= minCrashes && c.requests >= minRequests && fraction >= minFraction
 }
 
 // cleared reports whether a part was answered since shortly before a time.
