Share the announcements of stand-ins in tests; name the stages of a rollout

Two tests had a loop each that announces stand-in backend servers. Stages of a rollout have generated names. A stream without events is repeated only where the request may be; others are passed on as they are, as before.

Measured: the tests of dhrouter and dhversion, and those of crashes and rate limits in dhcontrol pass.

--- a/dh/dhcontrol/cluster_test.go
+++ b/dh/dhcontrol/cluster_test.go
@@ -220,6 +220,28 @@
 	assert.NilError(c.t, c.call(func(ctx context.Context) error { return c.controls[name].Announce(ctx, r) }))
 }
 
+// announceWhileUp announces a backend server to the control VMs that run, each second in
+// which it is up.
+func (c *cluster) announceWhileUp(group *dhgroup.Group, id string, present func() (incarnation uint64, state string, up bool)) {
+	group.Go(func(ctx context.Context) error {
+		for sequence := uint64(1); ; sequence++ {
+			incarnation, state, up := present()
+			for _, name := range c.seeds {
+				r := &dhpb.BackendRecord{
+					Id: id, Address: id + ":80", Zone: "z0", Pool: "p", State: state, Release: "v1", Slots: 64, Incarnation: incarnation,
+					Sequence: sequence, Versions: []*dhpb.LoadedVersion{{}},
+				}
+				if up {
+					_ = c.controls[name].Announce(ctx, r) // repeated with the next announcement
+				}
+			}
+			if dhtimer.Sleep(ctx, c.timers, time.Second) != nil {
+				return nil
+			}
+		}
+	})
+}
+
 // runCluster starts three control VMs and runs f with them.
 func runCluster(t *testing.T, f func(c *cluster)) {
 	t.Helper()
--- a/dh/dhcontrol/crash_test.go
+++ b/dh/dhcontrol/crash_test.go
@@ -14,7 +14,6 @@
 
 	"dandelionhoist.example/dh/dhcode"
 	"dandelionhoist.example/dh/dhgroup"
-	"dandelionhoist.example/dh/dhpb"
 	"dandelionhoist.example/dh/dhquarantine"
 	"dandelionhoist.example/dh/dhrouter"
 	"dandelionhoist.example/dh/dhtimer"
@@ -181,30 +180,13 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.servers[id] = &crashServer{incarnation: 1, ended: make(chan struct{})}
-	p.group.Go(func(ctx context.Context) error {
-		for sequence := uint64(1); ; sequence++ {
-			p.mu.Lock()
-			incarnation, up := p.servers[id].incarnation, !p.timers.Now().Before(p.servers[id].upAt)
-			p.mu.Unlock()
-			for _, name := range p.seeds {
-				if r := p.record(id, incarnation, sequence); up {
-					_ = p.controls[name].Announce(ctx, r) // repeated with the next announcement
-				}
-			}
-			if dhtimer.Sleep(ctx, p.timers, time.Second) != nil {
-				return nil
-			}
-		}
+	p.announceWhileUp(p.group, id, func() (uint64, string, bool) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return p.servers[id].incarnation, "ready", !p.timers.Now().Before(p.servers[id].upAt)
 	})
 }
 
-func (p *crashPool) record(id string, incarnation, sequence uint64) *dhpb.BackendRecord {
-	return &dhpb.BackendRecord{
-		Id: id, Address: id + ":80", Zone: "z0", Pool: "p", State: "ready", Release: "v1", Slots: 64, Incarnation: incarnation,
-		Sequence: sequence, Versions: []*dhpb.LoadedVersion{{}},
-	}
-}
-
 // startClients sends requests to random entry VMs at a rate per second.
 func (p *crashPool) startClients(vms int, load float64) {
 	p.group.Go(func(ctx context.Context) error {
@@ -342,15 +324,13 @@
 	p.mu.Lock()
 	p.down[vm] = true
 	p.mu.Unlock()
-	p.crashVMs(vm)
+	p.cluster.crash(vm)
 	p.startEntry(vm)
 	p.mu.Lock()
 	p.down[vm] = false
 	p.mu.Unlock()
 }
 
-func (p *crashPool) crashVMs(names ...string) { p.cluster.crash(names...) }
-
 // Guards against a verdict that is forgotten: by entry and control VMs that start again
 // one after the other, without a majority of the control VMs, and on a VM that has just
 // started (incident BUDGET).
@@ -361,7 +341,7 @@
 		before := len(p.arrivals)
 		for i := range 3 {
 			name := fmt.Sprint("c", i)
-			p.crashVMs(name)
+			p.cluster.crash(name)
 			p.advance(2 * time.Second)
 			p.startControl(name, false)
 			p.advance(4 * time.Second)
@@ -370,7 +350,7 @@
 			p.restartEntry(fmt.Sprint("e", i))
 			p.advance(time.Second)
 		}
-		p.crashVMs("c0", "c1")
+		p.cluster.crash("c0", "c1")
 		p.advance(3 * time.Second)
 		p.startControl("c0", false)
 		p.startControl("c1", false)
--- a/dh/dhcontrol/limit_test.go
+++ b/dh/dhcontrol/limit_test.go
@@ -17,7 +17,6 @@
 	"dandelionhoist.example/dh/dhcode"
 	"dandelionhoist.example/dh/dhgrant"
 	"dandelionhoist.example/dh/dhgroup"
-	"dandelionhoist.example/dh/dhpb"
 	"dandelionhoist.example/dh/dhrouter"
 	"dandelionhoist.example/dh/dhtimer"
 )
@@ -208,25 +207,13 @@
 	defer p.mu.Unlock()
 	p.servers[id] = &limitedServer{told: map[string]time.Time{}}
 	p.born[id] = 1
-	p.group.Go(func(ctx context.Context) error {
-		for sequence := uint64(1); ; sequence++ {
-			p.mu.Lock()
-			born, state := p.born[id], "ready"
-			if p.cold[id] {
-				state = "cold"
-			}
-			p.mu.Unlock()
-			for _, name := range p.seeds {
-				r := &dhpb.BackendRecord{
-					Id: id, Address: id + ":80", Zone: "z0", Pool: "p", State: state, Release: "v1", Slots: 64, Incarnation: born,
-					Sequence: sequence, Versions: []*dhpb.LoadedVersion{{}},
-				}
-				_ = p.controls[name].Announce(ctx, r) // repeated with the next announcement
-			}
-			if dhtimer.Sleep(ctx, p.timers, time.Second) != nil {
-				return nil
-			}
+	p.announceWhileUp(p.group, id, func() (uint64, string, bool) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if p.cold[id] {
+			return p.born[id], "cold", true
 		}
+		return p.born[id], "ready", true
 	})
 }
 
--- a/dh/dhrouter/forward_relay.go
+++ b/dh/dhrouter/forward_relay.go
@@ -279,7 +279,7 @@
 	for {
 		e, err := events.Next()
 		if errors.Is(err, io.EOF) {
-			if f.events == 0 && (resumed || !f.hasLastID) {
+			if f.events == 0 && (resumed || (!f.hasLastID && f.repeatable())) {
 				return dhcode.WithRan(dhcode.Wrap(dhcode.StreamBroken, errNoEvents), dhcode.DidRun)
 			}
 			return f.finishStream(in, held, flush)
--- a/dh/dhrouter/forward_test.go
+++ b/dh/dhrouter/forward_test.go
@@ -323,7 +323,8 @@
 	}
 }
 
-// Guards against a stream without any event that is passed on as a complete answer.
+// Guards against a stream without any event that is passed on as a complete answer
+// although another backend server may answer.
 func TestForwardRepeatsEmptyStream(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newTestRouter(t, reply(200, text(""), events), reply(200, text(event1), events))
--- a/dh/dhversion/plan.go
+++ b/dh/dhversion/plan.go
@@ -95,20 +95,19 @@
 	return p
 }
 
+//go:generate ../../bin/stringer -type=Stage -linecomment
+
 // Stage is the stage of a rollout.
 type Stage int
 
-// The stages of a rollout.
+// A Trial sends the plan's share of the sessions to the target. A Shift sends all
+// sessions there while the old backend servers still run. Completed releases the old
+// backend servers, Reverted withdraws the target.
 const (
-	// Trial sends the plan's share of the sessions to the target.
-	Trial Stage = iota
-	// Shift sends all sessions to the target while the old backend servers still
-	// run.
-	Shift
-	// Completed releases the old backend servers.
-	Completed
-	// Reverted withdraws the target.
-	Reverted
+	Trial     Stage = iota // trial
+	Shift                  // shift
+	Completed              // completed
+	Reverted               // reverted
 )
 
 // Moment is the state of a rollout at the time of a decision.
