Look backend servers up in the registry for the crash evidence

For three minutes after a connection broke, a control VM converted all records of its registry every 0.1 s to look up the few backend servers that had broken connections, through a type that did nothing else. The registry answers for one id itself now; the condition is the same (listed, not left, same incarnation, announced since).

--- a/dh/dhbackend/log.go
+++ b/dh/dhbackend/log.go
@@ -253,6 +253,15 @@
 	return record
 }
 
+// AnnouncedSince reports whether an incarnation of a backend server that has not left has
+// announced itself after a time.
+func (l *Registry) AnnouncedSince(id string, incarnation uint64, at time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	row := l.entries[id]
+	return row != nil && row.record.GetState() != Leaving.String() && row.record.GetIncarnation() == incarnation && row.seen.After(at)
+}
+
 // Backends returns the backend servers that have not left.
 func (l *Registry) Backends() []*Backend {
 	l.mu.Lock()
--- a/dh/dhcontrol/quarantine.go
+++ b/dh/dhcontrol/quarantine.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"dandelionhoist.example/dh/dhbackend"
 	"dandelionhoist.example/dh/dhpb"
 	"dandelionhoist.example/dh/dhquarantine"
 	"dandelionhoist.example/dh/dhtimer"
@@ -21,32 +20,13 @@
 // investigate periodically evaluates which prompt parts crash backend servers.
 func (c *Control) investigate(ctx context.Context) error {
 	for dhtimer.Sleep(ctx, c.Timers, investigationPeriod) == nil {
-		if c.quarantine.Evaluate(&announced{control: c}, time.Duration(c.rank())*investigationRankDelay) {
+		if c.quarantine.Evaluate(c.registry, time.Duration(c.rank())*investigationRankDelay) {
 			c.notify()
 		}
 	}
 	return nil
 }
 
-// announced implements dhquarantine.Backends with the registry, which it reads when it
-// is first asked.
-type announced struct {
-	control *Control
-	byID    map[string]*dhbackend.Backend
-}
-
-// AnnouncedSince implements dhquarantine.Backends.
-func (a *announced) AnnouncedSince(id string, incarnation uint64, at time.Time) bool {
-	if a.byID == nil {
-		a.byID = make(map[string]*dhbackend.Backend)
-		for _, b := range a.control.registry.Backends() {
-			a.byID[b.ID] = b
-		}
-	}
-	b := a.byID[id]
-	return b != nil && b.Incarnation == incarnation && b.Seen.After(at)
-}
-
 // Quarantine returns the verdicts about prompt parts that are remembered.
 func (c *Control) Quarantine() []dhquarantine.Verdict { return c.quarantine.Verdicts() }
 
