--- a/dh/dhrouter/sessions_test.go
+++ b/dh/dhrouter/sessions_test.go
@@ -14,30 +14,32 @@
 	"dandelionhoist.example/dh/dhversion"
 )
 
+// publishRollout publishes a rollout of pool "p", which has one backend server of each
+// release.
+func (f *testRouter) publishRollout(t *testing.T, r dhversion.Rollout) {
+	t.Helper()
+	table := dhbackend.Table{Lease: time.Hour, MaxBackends: 8}
+	for _, release := range []string{"v1", "v2"} {
+		assert.NilError(t, table.Announce(&dhbackend.Backend{
+			ID: "b-" + release, Address: "10.0.0.1:80", Zone: "a", Pool: "p", Release: release, State: dhbackend.Ready, Slots: 4,
+			Versions: []dhtable.Version{{}}, Seen: f.timers.Now(),
+		}))
+	}
+	f.Publish(&Snapshot{Tables: testTables(), Backends: table.View(f.timers.Now()), Rollouts: map[string]dhversion.Rollout{"p": r}})
+}
+
 // Guards against a session that began before a rollout and is moved to the
 // rollout's target during the trial.
 func TestSessionStaysDuringTrial(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newTestRouter(t, reply(200, text("done")))
 		f.SetSessionTimeout(5 * time.Second)
-		var table dhbackend.Table
-		table.Lease, table.MaxBackends = time.Hour, 8
-		for _, release := range []string{"v1", "v2"} {
-			assert.NilError(t, table.Announce(&dhbackend.Backend{
-				ID: "b-" + release, Address: "10.0.0.1:80", Zone: "a", Pool: "p", Release: release, State: dhbackend.Ready, Slots: 4,
-				Versions: []dhtable.Version{{}}, Seen: f.timers.Now(),
-			}))
-		}
 		release := func(session string) string {
 			_, _, err := f.ask(t, "look", func(m *Message) { m.Session, m.ID = session, "r-"+session })
 			assert.NilError(t, err)
 			return strings.TrimPrefix(f.transport.sent[len(f.transport.sent)-1].Backend.ID, "b-")
 		}
-		publish := func(r dhversion.Rollout) {
-			f.Publish(&Snapshot{
-				Tables: testTables(), Backends: table.View(f.timers.Now()), Rollouts: map[string]dhversion.Rollout{"p": r},
-			})
-		}
+		publish := func(r dhversion.Rollout) { f.publishRollout(t, r) }
 		publish(dhversion.Rollout{CompletedVersion: "v1"})
 		for i := range 50 {
 			assert.Equal(t, release(fmt.Sprint("old", i)), "v1")
--- a/dh/dhrouter/suspicion_test.go
+++ b/dh/dhrouter/suspicion_test.go
@@ -6,12 +6,9 @@
 	"slices"
 	"testing"
 	"testing/synctest"
-	"time"
 
 	"gotest.tools/v3/assert"
 
-	"dandelionhoist.example/dh/dhbackend"
-	"dandelionhoist.example/dh/dhtable"
 	"dandelionhoist.example/dh/dhversion"
 )
 
@@ -45,17 +42,7 @@
 					bad = append(bad, e.Version.Name)
 				}
 			}
-			var table dhbackend.Table
-			table.Lease, table.MaxBackends = time.Hour, 8
-			for _, release := range []string{"v1", "v2"} {
-				assert.NilError(t, table.Announce(&dhbackend.Backend{
-					ID: "b-" + release, Address: "10.0.0.1:80", Zone: "a", Pool: "p", Release: release, State: dhbackend.Ready, Slots: 4,
-					Versions: []dhtable.Version{{}}, Seen: f.timers.Now(),
-				}))
-			}
-			f.Publish(&Snapshot{
-				Tables: testTables(), Backends: table.View(f.timers.Now()), Rollouts: map[string]dhversion.Rollout{"p": {Target: "v2", Share: 1}},
-			})
+			f.publishRollout(t, dhversion.Rollout{Target: "v2", Share: 1})
 			w, _, err := f.ask(t, c.route, func(m *Message) { m.Session = c.session })
 			assert.NilError(t, err, c.name)
 			assert.Equal(t, w.Code, c.status, c.name)
