Let a fleet of test processes end before the next one starts

What callers saw: nothing, this is the tests' fixture.

Cause: processes were killed, not waited for, and the next test's fleet listens on the same addresses: a control VM that could not bind ended, and waitUntil polled the rest for ever. Parallel copies with equal low bits of their process ids shared addresses as well. Under load the stand-in of a backend server sent no heartbeat for 0.7 s, which ended its lease of 3.5 heartbeats of 200 ms; with that as the only backend server, the test of the blocked log got 503.

Evidence: TestPlatformBlockedLogReader hung in 1 of 3 runs beside ten busy processes, with the first control VM gone; 503 in 2 of 42 and 4 of 27 runs, with lines "backend server ... state=leaving", "no backend server of pool", and "state=ready" 0.2 s later: an announcement that expires is no longer used, as designed.

Change: fleets wait for their processes; waitUntil fails when one ends, with its log; a rollout that is withdrawn fails the test instead of hanging it; a heartbeat a second, the first at once; addresses use all low bits of the process id. No assertion is dropped.

--- a/cmd/dandelionhoistd/platform_test.go
+++ b/cmd/dandelionhoistd/platform_test.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -57,14 +58,21 @@
 	portReady       = 8220
 	portControl     = 8229
 	portInternal    = 7340
-	testHeartbeatMs = 200
+	testHeartbeatMs = 1000
 )
 
+// logText returns what the process has logged so far.
+func (p *platformProcess) logText() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.log.String()
+}
+
 func newFleet(t *testing.T, controls, entries int) *fleet {
 	f := &fleet{t: t, folder: t.TempDir(), group: dhgroup.New(t.Context())}
 	f.client = &http.Client{Transport: &http.Transport{}}
 	pid := os.Getpid()
-	ip := func(n int) string { return fmt.Sprintf("127.%d.%d.%d", 1+pid>>16&0x3f, pid>>8&0xff, (pid&0x0f)<<4+n) }
+	ip := func(n int) string { return fmt.Sprintf("127.%d.%d.%d", 1+pid>>12&0x1f, pid>>4&0xff, (pid&0x0f)<<4+n) }
 	var seeds []string
 	for i := range min(controls, 3) {
 		seeds = append(seeds, fmt.Sprintf("%q", net.JoinHostPort(ip(1+i), strconv.Itoa(portControl))))
@@ -93,7 +101,8 @@
 
 func (f *fleet) start(p *platformProcess) {
 	f.t.Helper()
-	p.exited = make(chan struct{})
+	exited := make(chan struct{})
+	p.exited = exited
 	p.command = exec.Command(os.Args[0], p.role)
 	p.command.Env = append(os.Environ(), runMain+"=1", platform.SettingsVariable+"="+p.settings)
 	output, err := p.command.StdoutPipe()
@@ -101,7 +110,7 @@
 	p.command.Stderr = p.command.Stdout
 	assert.NilError(f.t, p.command.Start())
 	f.group.Go(func(context.Context) error {
-		defer close(p.exited)
+		defer close(exited)
 		for lines := bufio.NewScanner(output); lines.Scan(); {
 			p.mu.Lock()
 			p.log.WriteString(lines.Text() + "\n")
@@ -110,13 +119,25 @@
 		p.exit = p.command.Wait()
 		return nil
 	})
-	f.t.Cleanup(func() { _ = p.command.Process.Kill() })
+	command := p.command
+	f.t.Cleanup(func() {
+		_ = command.Process.Kill()
+		<-exited // the next fleet listens on the same addresses
+	})
 }
 
-// waitUntil polls done until it returns true or the test's time limit ends.
+// waitUntil polls done until it returns true, a process ends or the test's time limit
+// ends.
 func (f *fleet) waitUntil(what string, done func() bool) {
 	f.t.Helper()
 	for !done() {
+		for _, p := range slices.Concat(f.controls, f.entries) {
+			select {
+			case <-p.exited:
+				f.t.Fatalf("%s VM %s ended (%v) before: %s\n%s", p.role, p.ip, p.exit, what, p.logText())
+			default:
+			}
+		}
 		if dhtimer.Sleep(f.t.Context(), f.timers, 10*time.Millisecond) != nil {
 			f.t.Fatalf("the test ended before: %s", what)
 		}
@@ -164,12 +185,14 @@
 	f.t.Cleanup(r.server.Close)
 	f.replicas = append(f.replicas, r)
 	f.group.Go(func(ctx context.Context) error {
-		for i := 0; dhtimer.Sleep(ctx, f.timers, testHeartbeatMs*time.Millisecond) == nil; i++ {
+		for i := 0; ; i++ {
 			if r.state.Load() != "gone" {
 				f.sendHeartbeat(i%len(f.controls), r)
 			}
+			if dhtimer.Sleep(ctx, f.timers, testHeartbeatMs*time.Millisecond) != nil {
+				return nil
+			}
 		}
-		return nil
 	})
 	return r
 }
@@ -356,6 +379,7 @@
 	f.waitUntil("the rollout is completed", func() bool {
 		f.sendRequest(t.Context(), 0, "POST", "/plan/1", "key-2")
 		_, text := f.call(1, "GET", "Rollouts.Read/llm", "")
+		assert.Assert(t, !strings.Contains(text, "reverted"), "a sound version was withdrawn")
 		return strings.Contains(text, "completed")
 	})
 	f.waitUntil("the new version answers", func() bool {
@@ -375,7 +399,7 @@
 	}
 	for _, p := range append(f.entries, f.controls...) {
 		waitClosed(f.t, p.exited)
-		assert.NilError(f.t, p.exit, "%s", p.log.String())
+		assert.NilError(f.t, p.exit, "%s", p.logText())
 	}
 }
 
@@ -475,7 +499,7 @@
 		asking.Go(func(ctx context.Context) error {
 			for range requests / callers {
 				if _, got := f.sendRequest(ctx, 0, "GET", "/look/1", "key-1"); got.status != http.StatusOK {
-					return fmt.Errorf("status %d: %v", got.status, got.err)
+					return fmt.Errorf("status %d, %v: %s", got.status, got.err, got.body)
 				}
 			}
 			return nil
@@ -483,12 +507,13 @@
 	}
 	err := asking.Wait()
 	entry.mu.Unlock()
-	assert.NilError(t, err)
+	if err != nil {
+		f.stopAll() // the log is complete afterwards
+		t.Fatalf("%v\n%s", err, entry.logText())
+	}
 	f.waitUntil("the log says what was left out", func() bool {
 		f.sendRequest(t.Context(), 0, "GET", "/look/1", "key-1")
-		entry.mu.Lock()
-		defer entry.mu.Unlock()
-		return strings.Contains(entry.log.String(), `msg="log lines left out"`)
+		return strings.Contains(entry.logText(), `msg="log lines left out"`)
 	})
 	f.stopAll()
 }
--- a/cmd/dandelionhoistd/process_test.go
+++ b/cmd/dandelionhoistd/process_test.go
@@ -146,13 +146,17 @@
 	stderr, err := d.process.StderrPipe()
 	assert.NilError(c.t, err)
 	assert.NilError(c.t, d.process.Start())
+	process, exited := d.process, d.exited
 	c.group.Go(func(context.Context) error {
-		defer close(d.exited)
+		defer close(exited)
 		c.readLog(d, bufio.NewScanner(stderr))
-		d.exit = d.process.Wait()
+		d.exit = process.Wait()
 		return nil
 	})
-	c.t.Cleanup(func() { _ = d.process.Process.Kill() })
+	c.t.Cleanup(func() {
+		_ = process.Process.Kill()
+		<-exited // the daemon writes into the folder until then
+	})
 	return d
 }
 
