Complete rollouts at longer odds, and prolong short ones further

Cause: odds of 1.6 to 1 for soundness completed a rollout, and an undecided one of 6 s got 4 s more.

Change: completed from 2.7 to 1 on, late from 7.4 to 1; prolonged by 8 s at least.

A late completion costs the operator seconds, a wrong one has no way back.

--- a/dh/dhversion/plan.go
+++ b/dh/dhversion/plan.go
@@ -143,14 +143,15 @@
 	// rollout is prolonged by up to prolongedFraction of its duration, or
 	// minProlongation if that is longer. It then ends as sound at lateSoundExcess,
 	// which is lower since the evidence is looked at several times, and at the end of
-	// the prolongation as what is more likely. Before the end, only earlySoundExcess
-	// completes it.
-	soundExcess       = -0.5
-	lateSoundExcess   = -1.0
+	// the prolongation as what is more likely. A bad version that is completed stays, a
+	// sound one that is withdrawn can be ordered again. Before the end, only
+	// earlySoundExcess completes it.
+	soundExcess       = -1.0
+	lateSoundExcess   = -2.0
 	earlySoundExcess  = -4.0
 	badExcess         = 3.0
 	prolongedFraction = 0.5
-	minProlongation   = 4 * time.Second
+	minProlongation   = 8 * time.Second
 )
 
 // Undecided reports whether the evidence shows neither that the target is sound nor
