Complete prolonged rollouts at odds that every class of requests allows

Operators saw sound versions of short rollouts completed 8 s late.

Cause: a class of requests that has shown nothing yet keeps the odds for soundness at 8 to 1 at most, since the version may be bad for this class alone; asked a prolonged rollout for 7.4 to 1, which one odd answer rules out.

Change: 4.5 to 1.

--- a/dh/dhversion/plan.go
+++ b/dh/dhversion/plan.go
@@ -147,7 +147,7 @@
 	// sound one that is withdrawn can be ordered again. Before the end, only
 	// earlySoundExcess completes it.
 	soundExcess       = -1.0
-	lateSoundExcess   = -2.0
+	lateSoundExcess   = -1.5
 	earlySoundExcess  = -4.0
 	badExcess         = 3.0
 	prolongedFraction = 0.5
