Take no evidence from classes whose answers are all slow already

Operators saw sound versions of short rollouts completed 8 s late.

Cause: where nearly all answers of a class are slow on every version, "20 of 100 more" does not exist, but was compared as a rate of 98 of 100, which the target with more answers fits better.

TestAlwaysSlowClassDelaysNothing, with these counts, fails before.

Change: an excess that leaves no room above the usual rate is none.

--- a/dh/dhversion/excess.go
+++ b/dh/dhversion/excess.go
@@ -53,11 +53,21 @@
 		weight := logLikelihood(s.stableBad, s.stable, rate)
 		usual := x.usual(rate)
 		sound[i] = weight + logLikelihood(s.rolloutBad, s.rollout, usual)
-		bad[i] = weight + logLikelihood(s.rolloutBad, s.rollout, min(usual+x.least, maxRate))
+		bad[i] = weight + logLikelihood(s.rolloutBad, s.rollout, x.exceeding(usual))
 	}
 	return logMean(bad) - logMean(sound)
 }
 
+// exceeding returns the rate of a version that exceeds a usual rate, which is the usual
+// rate itself if that leaves no room: where nearly all answers are bad, more of them
+// prove nothing.
+func (x excess) exceeding(usual float64) float64 {
+	if usual+x.least > 1 {
+		return usual
+	}
+	return min(usual+x.least, maxRate)
+}
+
 // kind is a kind of counts with the hypotheses about it.
 type kind struct {
 	excess
--- a/dh/dhversion/plan_test.go
+++ b/dh/dhversion/plan_test.go
@@ -135,3 +135,16 @@
 		assert.Check(t, sound >= days*90/100, "%d of %d sound versions are completed", sound, days)
 	}
 }
+
+// Guards against a sound version that is completed seconds late because one class of
+// requests is always slow, on every version: more slow answers of it prove nothing.
+func TestAlwaysSlowClassDelaysNothing(t *testing.T) {
+	var test dhversion.RolloutTest
+	e := test.Update(
+		dhversion.ClassCounts{"orders": {Answers: 74, Bad: 2, Timed: 61, Slow: 2}, "checks": {Answers: 23, Bad: 1, Timed: 12}, "tests": {Timed: 7, Slow: 7}},
+		dhversion.ClassCounts{"orders": {Answers: 160, Bad: 1, Timed: 140, Slow: 6}, "checks": {Answers: 70, Bad: 5, Timed: 21}, "tests": {Timed: 14, Slow: 14}},
+	)
+	plan := dhversion.Plan{Duration: 6 * time.Second, Margin: 800 * time.Millisecond}
+	next := plan.Next(dhversion.Shift, dhversion.Moment{Left: -time.Second, SinceShift: 3 * time.Second, Rate: 30}, e)
+	assert.Equal(t, next, dhversion.Completed, "excess %.2f", e.Excess)
+}
