Share the odds of one bad class among the classes of requests

Operators saw good versions withdrawn.

Cause: the class with the most evidence against a version was judged by itself at odds that did not depend on how many classes there are, so that with five of them some class often looked bad by chance.

Change: the odds that a version is bad for one class only are divided by the number of classes that it has answers of.

--- a/dh/dhversion/excess.go
+++ b/dh/dhversion/excess.go
@@ -35,7 +35,8 @@
 }
 
 // partPenalty is subtracted from the evidence of a part of the answers that is judged
-// by itself beside that of all answers.
+// by itself beside that of all answers. Classes share it: the more there are, the more
+// often one of them has many bad answers by chance.
 var partPenalty = math.Log(8)
 
 func cappedRate(rate float64) float64 { return min(rate, maxUsualFailures) }
@@ -94,15 +95,18 @@
 func excessEvidence(before, target ClassCounts) float64 {
 	highest, counted := 0.0, false
 	for _, k := range kindsOf(before.Total()) {
-		sum, most, some := 0.0, math.Inf(-1), false
+		sum, most, classes := 0.0, math.Inf(-1), 0
 		for class, counts := range target {
 			s := k.sample(before[class], counts)
 			if s.rollout > 0 {
 				e := k.evidence(s)
-				sum, most, some = sum+e, max(most, e), true
+				sum, most, classes = sum+e, max(most, e), classes+1
 			}
 		}
-		if e := max(sum, most-partPenalty); some && (!counted || e > highest) {
+		if classes == 0 {
+			continue
+		}
+		if e := max(sum, most-partPenalty-math.Log(float64(classes))); !counted || e > highest {
 			highest, counted = e, true
 		}
 	}
