Begin the shift no sooner than the accepted exposure allows

Callers of a version that is withdrawn in a rollout of 6 s got up to some tens of requests more from it than accepted (EXPOSURE).

Cause: the shift began 1.4 s before the end at the latest, whatever the trial had left of the exposure.

Change: the shift may begin 0.6 s before the end; the rollout then ends within its margin or up to a second late.

--- a/dh/dhversion/plan.go
+++ b/dh/dhversion/plan.go
@@ -213,7 +213,8 @@
 // sessions to the target. The shift starts as late as the duration allows, but uses
 // the exposure that the trial has left: a version that is bad only under load gives
 // no evidence in its trial, and the requests it receives afterwards must stay within
-// the accepted exposure.
+// the accepted exposure. If that leaves less than minShift and minMargin, the rollout
+// ends within its margin, or late.
 func (p Plan) shiftTime(m Moment) time.Duration {
 	most := p.Duration - time.Duration(trialFraction*float64(p.Duration))
 	if m.Rate <= 0 {
@@ -223,5 +224,5 @@
 	// share.
 	used := max(unansweredFactor*float64(m.Answers), p.Share*m.Rate*(p.Duration-m.Left).Seconds())
 	left := p.Exposure.accepted(m.Rate, p.Duration) - used - resumedFraction*float64(m.OldRunning)
-	return min(max(time.Duration(left/m.Rate*float64(time.Second)), minShift+minMargin), most)
+	return min(max(time.Duration(left/m.Rate*float64(time.Second)), minShift), most)
 }
--- a/dh/dhversion/plan_test.go
+++ b/dh/dhversion/plan_test.go
@@ -136,6 +136,20 @@
 	}
 }
 
+// Guards against a short rollout at much traffic that sends its target more requests
+// than accepted before it is withdrawn, since the shift began too early (EXPOSURE).
+func TestShortRolloutsStayWithinExposure(t *testing.T) {
+	random := rand.New(rand.NewPCG(33, 2))
+	for _, rate := range []float64{70, 150, 300} {
+		d := trialDay{rate, 6 * time.Second, dhversion.Exposure{Share: 0.15, Slack: 30}, 0.1}
+		for range 200 {
+			_, _, exposed := d.play(random)
+			accepted := d.exposure.Share*d.rate*d.duration.Seconds() + d.exposure.Slack
+			assert.Check(t, float64(exposed) <= accepted, "%d of %.0f requests at %.0f/s", exposed, accepted, rate)
+		}
+	}
+}
+
 // Guards against a sound version that is completed seconds late because one class of
 // requests is always slow, on every version: more slow answers of it prove nothing.
 func TestAlwaysSlowClassDelaysNothing(t *testing.T) {
