Read settings again that are partly written when a process starts

Operators saw a control VM end by itself when its settings changed while it started.

Cause: the file was read once at the start; whoever writes it had truncated it.

Change: entry and control VMs read a settings file that is not valid again for up to a second when they start. A reload already kept the settings before.

Measured: TestPartlyWrittenSettingsAreReadAgain passes; the tests of settings in platform and dandelionhoistd pass.

--- a/cmd/dandelionhoistd/main.go
+++ b/cmd/dandelionhoistd/main.go
@@ -107,7 +107,7 @@
 // serveOnPlatform runs a role of the platform that listens for and calls other
 // VMs at the given addresses. SIGHUP reloads the settings.
 func serveOnPlatform(internalListen, source string, run func(ctx context.Context, s platform.Settings, stop, hangups <-chan struct{}) error) error {
-	settings, err := platform.Load(os.Getenv(platform.SettingsVariable))
+	settings, err := platform.LoadAtStart(context.Background(), dhtimer.NewSystem(), os.Getenv(platform.SettingsVariable))
 	if err != nil {
 		return err
 	}
