Deny requests for good by fresh tables only

Callers were told 404 for a route that was in all configurations in force (CONFIG).

Cause: an entry VM answered 404 by the tables that it had, however old they were; only keys that it knows were bound to a lease. One that stood still, or is cut off, has not heard of routes and keys that were added meanwhile.

TestOldTablesDenyNothing fails before.

Change: 401 and 404 need tables that a majority confirmed at most 1.5 s ago, which usual watches do every 0.3 s; otherwise the request is refused as not run, with a time to return. Two equal test doubles of a lease became one.

Measured: TestOldTablesDenyNothing; the tests of dhrouter, dhwatch, dhentry and platform pass.

--- a/dh/dhrouter/delays_test.go
+++ b/dh/dhrouter/delays_test.go
@@ -84,6 +84,8 @@
 
 func (l delayedLease) Valid() bool { return !l.timers.Now().Before(l.at) }
 
+func (l delayedLease) ConfirmedWithin(time.Duration) bool { return l.Valid() }
+
 // Guards against refusals after a loss of all VMs. Entry VMs and control VMs
 // start together, and entry VMs refused requests for half a second that they
 // could serve a moment later, because the lease was not yet confirmed or the few
--- a/dh/dhrouter/forward.go
+++ b/dh/dhrouter/forward.go
@@ -205,7 +205,7 @@
 func (f *forward) authorize(s *Snapshot) error {
 	route, ok := s.Tables.FindRoute(f.message.Host, f.message.Path)
 	if !ok {
-		return dhcode.Errorf(dhcode.RouteUnknown, "no route of host %q begins path %q", f.message.Host, f.message.Path)
+		return f.denial(dhcode.Errorf(dhcode.RouteUnknown, "no route of host %q begins path %q", f.message.Host, f.message.Path))
 	}
 	account, rank := dhtable.Account{}, route.Priority
 	if !route.Public {
@@ -213,7 +213,7 @@
 			return err
 		}
 		if account, ok = s.Tables.AccountByKey(f.message.Key); !ok {
-			return dhcode.Errorf(dhcode.UnknownKey, "the key belongs to no client account")
+			return f.denial(dhcode.Errorf(dhcode.UnknownKey, "the key belongs to no client account"))
 		}
 		if account.Rank != nil {
 			rank = *account.Rank
@@ -230,7 +230,28 @@
 	if f.router.Lease == nil || f.router.Lease.Valid() {
 		return nil
 	}
-	return f.withRetryAfter(dhcode.Errorf(dhcode.TablesLeaseLapsed, "entry VM %q cannot confirm its tables, so keys may be out of date", f.router.VM))
+	return f.leaseLapsed("keys may be out of date")
+}
+
+func (f *forward) leaseLapsed(reason string) error {
+	return f.withRetryAfter(dhcode.Errorf(dhcode.TablesLeaseLapsed, "entry VM %q cannot confirm its tables, so %s", f.router.VM, reason))
+}
+
+// maxDenialAge is how old the tables may be by which a request is denied for good.
+// Configurations promise to be in force after a longer time.
+const maxDenialAge = 1500 * time.Millisecond
+
+// denial returns the error of a request that the tables do not allow, or one that lets
+// the caller return if newer tables may allow it.
+func (f *forward) denial(err error) error {
+	if f.tablesFresh() {
+		return err
+	}
+	return f.leaseLapsed("newer ones may allow the request")
+}
+
+func (f *forward) tablesFresh() bool {
+	return f.router.Lease == nil || f.router.Lease.ConfirmedWithin(maxDenialAge)
 }
 
 // withRetryAfter adds random jitter to the retry-after hint of err, or to
--- a/dh/dhrouter/forward_start.go
+++ b/dh/dhrouter/forward_start.go
@@ -58,7 +58,7 @@
 	}
 	route, ok := s.Tables.FindRoute(f.message.Host, f.message.Path)
 	if !ok {
-		return true
+		return f.tablesFresh()
 	}
 	if !route.Public && f.router.Lease != nil && !f.router.Lease.Valid() {
 		return false
--- a/dh/dhrouter/forward_test.go
+++ b/dh/dhrouter/forward_test.go
@@ -96,6 +96,8 @@
 
 func (l fixedLease) Valid() bool { return bool(l) }
 
+func (l fixedLease) ConfirmedWithin(time.Duration) bool { return bool(l) }
+
 // testRouter is a router with three backend servers in pool "p" and routes of
 // each kind for host "h".
 type testRouter struct {
@@ -426,6 +428,41 @@
 	})
 }
 
+// agedLease is a lease that is valid, on tables that were confirmed an age ago.
+type agedLease time.Duration
+
+func (l agedLease) Valid() bool { return true }
+
+func (l agedLease) ConfirmedWithin(age time.Duration) bool { return time.Duration(l) < age }
+
+// Guards against a request that is denied for good by tables that newer ones may have
+// replaced: an entry VM that stood still or is cut off knows no route that was added
+// meanwhile (404 in soak seed 1796379163051793904 on a busy machine).
+func TestOldTablesDenyNothing(t *testing.T) {
+	for _, c := range []struct {
+		name            string
+		age             time.Duration
+		unknown, noPath dhcode.Code
+	}{
+		{"fresh", maxDenialAge / 2, dhcode.UnknownKey, dhcode.RouteUnknown},
+		{"old", maxDenialAge, dhcode.TablesLeaseLapsed, dhcode.TablesLeaseLapsed},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newTestRouter(t, reply(200, text("done")))
+				f.Lease = agedLease(c.age)
+				_, _, err := f.ask(t, "order", func(m *Message) { m.Key = "other" })
+				assert.Equal(t, dhcode.Of(err), c.unknown)
+				_, _, err = f.ask(t, "order", func(m *Message) { m.Path = "/nothing/1" })
+				assert.Equal(t, dhcode.Of(err), c.noPath)
+				assert.Equal(t, dhcode.RanOf(err), dhcode.NotRun)
+				_, _, err = f.ask(t, "order")
+				assert.NilError(t, err)
+			})
+		})
+	}
+}
+
 // Guards against a key that is accepted although it may have been revoked, and
 // against requests that the configuration does not allow.
 func TestForwardChecksKeyAndRoute(t *testing.T) {
@@ -483,6 +520,8 @@
 
 func (l *expiringLease) Valid() bool { l.checks--; return l.checks >= 0 }
 
+func (l *expiringLease) ConfirmedWithin(time.Duration) bool { return true }
+
 // Guards against a breaker that opens because this VM's own lease ended between
 // the placement and the send.
 func TestLapsedLeaseKeepsBreakersClosed(t *testing.T) {
--- a/dh/dhrouter/holdoff_test.go
+++ b/dh/dhrouter/holdoff_test.go
@@ -134,24 +134,16 @@
 	}
 }
 
-// countedLease is valid for the given number of checks.
-type countedLease struct{ left int }
-
-func (l *countedLease) Valid() bool {
-	l.left--
-	return l.left >= 0
-}
-
 // Guards against jitter that is added twice to a retry-after hint, so that
 // callers stay away for longer than the bound.
 func TestRetryAfterJitterIsAddedOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newTestRouter(t, reply(200, text("done")))
 		f.Random = func() float64 { return 0.9 }
-		f.Lease = &countedLease{}
+		f.Lease = &expiringLease{}
 		f.timers.Step(startupPeriod + time.Second)
 		_, _, first := f.ask(t, "look")
-		f.Lease = &countedLease{left: 2} // valid on arrival and at admission
+		f.Lease = &expiringLease{checks: 2} // valid on arrival and at admission
 		_, _, late := f.ask(t, "look")
 		for _, err := range []error{first, late} {
 			assert.Equal(t, dhcode.Of(err), dhcode.TablesLeaseLapsed)
--- a/dh/dhrouter/message.go
+++ b/dh/dhrouter/message.go
@@ -115,8 +115,10 @@
 	Send(ctx context.Context, o *Outbound) (*Inbound, error)
 }
 
-// Lease reports whether this VM's copy of the configuration is recent enough to
-// accept API keys.
+// Lease tells how recent this VM's copy of the configuration is.
 type Lease interface {
+	// Valid reports whether it is recent enough to accept API keys.
 	Valid() bool
+	// ConfirmedWithin reports whether it was the newest at most this long ago.
+	ConfirmedWithin(age time.Duration) bool
 }
--- a/dh/dhwatch/dhwatch.go
+++ b/dh/dhwatch/dhwatch.go
@@ -93,7 +93,12 @@
 
 // Valid reports whether the lease is valid now. It is not valid before the first
 // Confirm.
-func (l *Lease) Valid() bool { return l.confirmed.Load() != 0 && l.Age() < l.Duration }
+func (l *Lease) Valid() bool { return l.ConfirmedWithin(l.Duration) }
+
+// ConfirmedWithin reports whether the view was confirmed less than a time ago.
+func (l *Lease) ConfirmedWithin(age time.Duration) bool {
+	return l.confirmed.Load() != 0 && l.Age() < age
+}
 
 // Update is one response of a control VM.
 type Update struct {
