Wait longer for the address of a restarted stand-in of the soak

Cause, suspected: the listener before was still open after 0.4 s, either since the goroutine that closes it, or since a child process between fork and exec, had not run yet.

Change: a stand-in tries for 5 s. What the soak checks is unchanged.

--- a/cmd/dandelionhoist-soak/dhsoak/backend.go
+++ b/cmd/dandelionhoist-soak/dhsoak/backend.go
@@ -125,7 +125,7 @@
 // process forked by the run holds a copy of a closed listener until its exec.
 func (b *backend) listen() (net.Listener, error) {
 	const (
-		tries = 20
+		tries = 250
 		pause = 20 * time.Millisecond
 	)
 	for try := 0; ; try++ {
