--- a/dh/dhentry/counts_test.go
+++ b/dh/dhentry/counts_test.go
@@ -12,30 +12,35 @@
 	"dandelionhoist.example/dh/dhtable"
 )
 
+// trialOfV2 returns a rollout to version v2 in its trial.
+func trialOfV2() *dhpb.Operations {
+	return &dhpb.Operations{Rollouts: []*dhpb.RolloutRecord{{Pool: "p", Target: "v2", Number: 3, State: dhpb.RolloutState_ROLLOUT_STATE_TRIAL}}}
+}
+
+// addSpeeds counts the first event of an answer and the pace of its stream.
+func addSpeeds(c *counts, release string, first, interval time.Duration) {
+	for _, s := range []dhrouter.Speed{{FirstToken: first}, {MeanEventInterval: interval}} {
+		s.Pool, s.Class, s.Version = "p", "plan", dhtable.Version{Model: "m", Name: release}
+		c.addSpeed(s)
+	}
+}
+
 // Guards against slow answers of a rollout's target that are not counted: because
 // their streams have not ended, or because a few very slow answers of the other
 // versions raised the usual times (scenario hasty, EXPOSURE).
 func TestSlowAnswersOfTargetAreCounted(t *testing.T) {
 	c := newCounts("e0", 1)
-	speed := func(release string, s dhrouter.Speed) {
-		s.Pool, s.Class, s.Version = "p", "plan", dhtable.Version{Model: "m", Name: release}
-		c.addSpeed(s)
-	}
-	both := func(release string, first, interval time.Duration) {
-		speed(release, dhrouter.Speed{FirstToken: first})
-		speed(release, dhrouter.Speed{MeanEventInterval: interval})
-	}
 	for i := range 30 {
 		first, interval := 100*time.Millisecond, 40*time.Millisecond
 		if i%10 == 9 {
 			first, interval = 20*first, 20*interval
 		}
-		both("v1", first, interval)
+		addSpeeds(c, "v1", first, interval)
 	}
-	c.setRollouts(&dhpb.Operations{Rollouts: []*dhpb.RolloutRecord{{Pool: "p", Target: "v2", Number: 3, State: dhpb.RolloutState_ROLLOUT_STATE_TRIAL}}})
-	both("v1", 100*time.Millisecond, 40*time.Millisecond)
-	both("v2", 600*time.Millisecond, 150*time.Millisecond)
-	both("v2", 120*time.Millisecond, 45*time.Millisecond)
+	c.setRollouts(trialOfV2())
+	addSpeeds(c, "v1", 100*time.Millisecond, 40*time.Millisecond)
+	addSpeeds(c, "v2", 600*time.Millisecond, 150*time.Millisecond)
+	addSpeeds(c, "v2", 120*time.Millisecond, 45*time.Millisecond)
 	counted := map[string]*dhpb.VersionCounter{}
 	for _, row := range c.counters() {
 		counted[row.GetVersion()] = row
@@ -52,18 +57,12 @@
 // between events, are some microseconds slower while the machine is busy.
 func TestUnnoticeableDelaysAreNotSlow(t *testing.T) {
 	c := newCounts("e0", 1)
-	add := func(release string, s dhrouter.Speed) {
-		s.Pool, s.Class, s.Version = "p", "plan", dhtable.Version{Model: "m", Name: release}
-		c.addSpeed(s)
-	}
 	for range 30 {
-		add("v1", dhrouter.Speed{FirstToken: 300 * time.Microsecond})
-		add("v1", dhrouter.Speed{MeanEventInterval: 50 * time.Microsecond})
+		addSpeeds(c, "v1", 300*time.Microsecond, 50*time.Microsecond)
 	}
-	c.setRollouts(&dhpb.Operations{Rollouts: []*dhpb.RolloutRecord{{Pool: "p", Target: "v2", Number: 3, State: dhpb.RolloutState_ROLLOUT_STATE_TRIAL}}})
+	c.setRollouts(trialOfV2())
 	for _, d := range []time.Duration{100 * time.Microsecond, time.Millisecond, 4 * time.Millisecond, 8 * time.Millisecond} {
-		add("v2", dhrouter.Speed{FirstToken: d})
-		add("v2", dhrouter.Speed{MeanEventInterval: d})
+		addSpeeds(c, "v2", d, d)
 	}
 	row := c.counters()[0]
 	assert.Equal(t, row.GetRated(), int64(4))
@@ -76,7 +75,7 @@
 // version fails, was tried again and counted for each attempt.
 func TestFailuresOfOneRequestCountOnce(t *testing.T) {
 	c := newCounts("e0", 1)
-	c.setRollouts(&dhpb.Operations{Rollouts: []*dhpb.RolloutRecord{{Pool: "p", Target: "v2", Number: 3, State: dhpb.RolloutState_ROLLOUT_STATE_TRIAL}}})
+	c.setRollouts(trialOfV2())
 	e := dhrouter.Event{Pool: "p", Version: dhtable.Version{Name: "v2"}, Answered: true, Failed: true}
 	c.add(e, time.Time{})
 	e.AfterFailure = true
@@ -113,7 +112,7 @@
 		{"it is gone", func(c *counts) { c.observe(none, start.Add(listedTime)) }, 0, 0},
 	} {
 		counts := newCounts("e0", 1)
-		counts.setRollouts(&dhpb.Operations{Rollouts: []*dhpb.RolloutRecord{{Pool: "p", Target: "v2", Number: 3, State: dhpb.RolloutState_ROLLOUT_STATE_TRIAL}}})
+		counts.setRollouts(trialOfV2())
 		counts.add(broken, start)
 		c.then(counts)
 		var total dhpb.VersionCounter
