Ask one place for the lease, and format ids of prompt parts in one

Whether a request may rely on the lease, or there is none, was written out in checkLease and in the wait after a start. The operators' tool formatted the ids of quarantined parts itself beside dhquarantine.FormatID. Behaviour is unchanged.

--- a/cmd/dandelionhoist/quarantine.go
+++ b/cmd/dandelionhoist/quarantine.go
@@ -13,6 +13,7 @@
 
 	"dandelionhoist.example/dh/dhcode"
 	"dandelionhoist.example/dh/dhpb"
+	"dandelionhoist.example/dh/dhquarantine"
 	"dandelionhoist.example/dh/dhwire"
 )
 
@@ -85,7 +86,7 @@
 		state, left = "ended", 0
 	}
 	return verdict{
-		v.GetPart().GetPool(), strconv.FormatUint(v.GetPart().GetId(), 16), state, left.String(), v.GetCrashes(), v.GetRequests(),
+		v.GetPart().GetPool(), dhquarantine.FormatID(v.GetPart().GetId()), state, left.String(), v.GetCrashes(), v.GetRequests(),
 		time.UnixMilli(v.GetDecidedAt()).UTC(), v.GetDecidedBy(), v.GetBackends(),
 	}
 }
--- a/dh/dhrouter/forward.go
+++ b/dh/dhrouter/forward.go
@@ -227,12 +227,14 @@
 // checkLease refuses the request if its key may have been revoked without this
 // VM's knowledge.
 func (f *forward) checkLease() error {
-	if f.router.Lease == nil || f.router.Lease.Valid() {
+	if f.leaseValid() {
 		return nil
 	}
 	return f.leaseLapsed("keys may be out of date")
 }
 
+func (f *forward) leaseValid() bool { return f.router.Lease == nil || f.router.Lease.Valid() }
+
 func (f *forward) leaseLapsed(reason string) error {
 	return f.withRetryAfter(dhcode.Errorf(dhcode.TablesLeaseLapsed, "entry VM %q cannot confirm its tables, so %s", f.router.VM, reason))
 }
--- a/dh/dhrouter/forward_start.go
+++ b/dh/dhrouter/forward_start.go
@@ -60,7 +60,7 @@
 	if !ok {
 		return f.tablesFresh()
 	}
-	if !route.Public && f.router.Lease != nil && !f.router.Lease.Valid() {
+	if !route.Public && !f.leaseValid() {
 		return false
 	}
 	if !hasUsableBackend(s, route.Target(0)) {
