Log which request was at work when a connection broke

No line named what the broken requests had in common. The line 'attempt failed' now has a fingerprint of the request, whether the connection broke, the events received and how long the attempt ran.

--- a/dh/dhrouter/forward.go
+++ b/dh/dhrouter/forward.go
@@ -14,6 +14,7 @@
 	"dandelionhoist.example/dh/dhbackend"
 	"dandelionhoist.example/dh/dhcode"
 	"dandelionhoist.example/dh/dhplacement"
+	"dandelionhoist.example/dh/dhquarantine"
 	"dandelionhoist.example/dh/dhtable"
 	"dandelionhoist.example/dh/dhtimer"
 	"dandelionhoist.example/dh/dhversion"
@@ -102,9 +103,9 @@
 	hasLastID bool
 	steps     idSteps
 	events    int
-	// firstEventAt and lastEventAt are when the first and the newest event of the
-	// attempt arrived.
-	firstEventAt, lastEventAt time.Time
+	// sentAt is when the attempt began, firstEventAt and lastEventAt are when its first
+	// and its newest event arrived.
+	sentAt, firstEventAt, lastEventAt time.Time
 	// lastWriteAt is when the newest event was written to the caller,
 	// firstWriteDelay the time from the request to the first write and longestPause
 	// the longest time between two writes.
@@ -378,7 +379,9 @@
 	}
 	f.router.Log.Info("attempt failed", slog.String("request", f.message.ID), slog.String("backend", b.ID),
 		slog.String("release", b.Release), slog.Uint64("sequence", b.Sequence), slog.Int("sends", f.sends),
-		slog.Bool("begun", f.begun), slog.String("ran", dhcode.RanOf(err).String()), slog.String("error", err.Error()))
+		slog.Bool("begun", f.begun), slog.String("ran", dhcode.RanOf(err).String()), slog.Bool("connection-lost", f.connectionLost),
+		slog.Int("events", f.events), slog.Duration("ran-for", f.router.Timers.Now().Sub(f.sentAt)),
+		slog.String("fingerprint", dhquarantine.FormatID(f.fingerprint())), slog.String("error", err.Error()))
 	f.router.Metrics.Count("attempt-failed", dhcode.Of(err).String())
 	// A refusal, or a caller that has disconnected, is not a failure of the backend
 	// server.
--- a/dh/dhrouter/forward_relay.go
+++ b/dh/dhrouter/forward_relay.go
@@ -26,7 +26,7 @@
 func (f *forward) relay(ctx context.Context, p dhplacement.Placement) (time.Duration, error) {
 	b := p.Backend
 	start := f.router.Timers.Now()
-	f.backend, f.answered, f.events, f.connectionLost = b, false, 0, false
+	f.backend, f.answered, f.events, f.connectionLost, f.sentAt = b, false, 0, false, start
 	if f.message.Session != "" {
 		f.router.sessions.put(f.poolName, f.session, b.Release, start)
 	}
--- a/dh/dhrouter/quarantine.go
+++ b/dh/dhrouter/quarantine.go
@@ -38,6 +38,16 @@
 	connectionLost bool
 	earlyBreaks    int
 	partsAnswered  bool
+	// identity is the fingerprint of the request, or 0 as long as nothing has asked for it.
+	identity uint64
+}
+
+// fingerprint identifies the request among those that come again.
+func (f *forward) fingerprint() uint64 {
+	if m := f.message; f.identity == 0 {
+		f.identity = dhquarantine.Fingerprint(f.account, m.Method, m.Host, m.Target, m.Body)
+	}
+	return f.identity
 }
 
 // setParts sets the parts of the request's prompt.
