Show that a whole request crashes one backend server after the other

TestCrashingRequestIsHeldBack plays it in the simulated fleet: at once, before the first event, after some events, with one attempt and three servers, beside sound requests that share its parts, and at 100 entry VMs.

--- a/dh/dhcontrol/cluster_test.go
+++ b/dh/dhcontrol/cluster_test.go
@@ -88,9 +88,18 @@
 	route := dhtable.Route{Name: "r", Pool: "p", Repeatable: true, Deadline: 5 * time.Second, Forwarding: dhtable.Forwarding{
 		Match: dhtable.Match{Host: "h", PathPrefix: "/"}, MaxAttempts: 3, Public: true,
 	}}
-	return dhtable.New(version, nil, map[string]dhtable.Route{"r": route}, map[string]dhtable.Pool{"p": {Name: "p", Traits: dhtable.Traits{ColdPerSecond: coldPerSecond}}}, text), nil
+	stream, order := route, route
+	stream.Name, stream.Match.PathPrefix, stream.Stream, stream.Resumable = "s", streamPath, true, true
+	order.Name, order.Match.PathPrefix, order.Repeatable, order.MaxAttempts = "o", orderPath, false, 1
+	return dhtable.New(version, nil, map[string]dhtable.Route{"r": route, "s": stream, "o": order}, map[string]dhtable.Pool{"p": {Name: "p", Traits: dhtable.Traits{ColdPerSecond: coldPerSecond}}}, text), nil
 }
 
+// The paths of the routes whose answers are streams and whose requests run once.
+const (
+	streamPath = "/s/"
+	orderPath  = "/o/"
+)
+
 // coldPerSecond is the accepted rate of requests to a backend server in a cold
 // start.
 const coldPerSecond = 8
--- a/dh/dhcontrol/crash_test.go
+++ b/dh/dhcontrol/crash_test.go
@@ -19,12 +19,14 @@
 	"dandelionhoist.example/dh/dhtimer"
 )
 
-// The bound on requests with a part that crashes backend servers: from crashContact
-// after the crash number crashCount, at most crashAllowed of them reach one.
+// The bound on requests that crash backend servers: from crashContact after the crash
+// number partCrashes of those with a part, or requestCrashes of a request that comes again,
+// at most crashAllowed of them reach one.
 const (
-	crashContact = 3 * time.Second
-	crashCount   = 5
-	crashAllowed = 3
+	crashContact   = 3 * time.Second
+	partCrashes    = 5
+	requestCrashes = 3
+	crashAllowed   = 3
 )
 
 // badPart is the part that crashes backend servers, firstParts is the number of first
@@ -52,11 +54,42 @@
 	sound    []soundRequest
 	number   int
 	badShare float64
+	deadly   deadlyRequest
+	// paths are those of the sound requests, in turn.
+	paths []string
 	// badRefused counts requests with the part that were refused as not run with a
 	// time to come back, soundRefused the sound ones that were refused.
 	badRefused, soundRefused int
 }
 
+// deadlyRequest is a request that crashes each backend server that begins to run it, and
+// comes again.
+type deadlyRequest struct {
+	// share is its fraction of all requests, rare that of another request with all of its
+	// shared parts.
+	share, rare float64
+	path        string
+	// events is the number of events of its answer before the crash.
+	events int
+}
+
+// deadlyBody is the body of the deadly request, rarePart a part that it shares with few.
+const (
+	deadlyBody = "again"
+	rarePart   = 1 << 41
+)
+
+// message returns the deadly request, as it comes again with another id.
+func (d deadlyRequest) message(number int, body string) *dhrouter.Message {
+	m := &dhrouter.Message{ID: fmt.Sprint("r", number), Method: "POST", Host: "h", Path: d.path, Target: d.path, TimeLeft: 4 * time.Second, Body: []byte(body)}
+	if d.path != orderPath {
+		for _, id := range []uint64{1, 100, rarePart, uint64(number) + 1_000_000} {
+			m.Prompt = append(m.Prompt, dhrouter.PromptPart{ID: id, Tokens: 10})
+		}
+	}
+	return m
+}
+
 type soundRequest struct {
 	at    time.Time
 	first uint64
@@ -82,15 +115,14 @@
 	serverRestart  = 2500 * time.Millisecond
 	firstEventTime = 80 * time.Millisecond
 	answerTime     = 400 * time.Millisecond
+	eventInterval  = 40 * time.Millisecond
+	streamEvents   = 10
 )
 
 // Send implements dhrouter.Transport.
 func (s crashTransport) Send(ctx context.Context, o *dhrouter.Outbound) (*dhrouter.Inbound, error) {
 	p, id := s.pool, o.Backend.ID
-	bad := false
-	for _, part := range o.Prompt {
-		bad = bad || part.ID == badPart
-	}
+	bad := crashes(o.Message)
 	p.mu.Lock()
 	server := p.servers[id]
 	if p.timers.Now().Before(server.upAt) {
@@ -120,6 +152,15 @@
 	if err := wait(firstEventTime); err != nil {
 		return nil, err
 	}
+	if o.Path == streamPath {
+		b := &eventBody{wait: wait, events: streamEvents, end: func() error { return io.EOF }}
+		if bad {
+			b.events, b.end = p.deadly.events, func() error { p.crash(id); return io.ErrUnexpectedEOF }
+		}
+		return &dhrouter.Inbound{
+			Status: http.StatusOK, RequestID: o.ID, Sealed: true, Confidence: -1, Events: true, Length: -1, Body: io.NopCloser(b),
+		}, nil
+	}
 	if bad {
 		p.crash(id)
 		return nil, broken
@@ -132,6 +173,41 @@
 	}, nil
 }
 
+// crashes reports whether a request crashes backend servers.
+func crashes(m *dhrouter.Message) bool {
+	bad := string(m.Body) == deadlyBody
+	for _, part := range m.Prompt {
+		bad = bad || part.ID == badPart
+	}
+	return bad
+}
+
+// eventBody is the body of a stream of events.
+type eventBody struct {
+	wait   func(d time.Duration) error
+	events int
+	sent   int
+	end    func() error
+	unread []byte
+}
+
+// Read implements io.Reader.
+func (b *eventBody) Read(data []byte) (int, error) {
+	if len(b.unread) == 0 {
+		if b.sent == b.events {
+			return 0, b.end()
+		}
+		if err := b.wait(eventInterval); err != nil {
+			return 0, err
+		}
+		b.sent++
+		b.unread = fmt.Appendf(nil, "id: %d\ndata: x\n\n", b.sent)
+	}
+	n := copy(data, b.unread)
+	b.unread = b.unread[n:]
+	return n, nil
+}
+
 // crash ends the present incarnation of a backend server because of the bad part.
 func (p *crashPool) crash(id string) {
 	p.mu.Lock()
@@ -206,6 +282,14 @@
 // bad one, and one of its own.
 func (p *crashPool) message() *dhrouter.Message {
 	p.number++
+	if p.deadly.share > 0 {
+		switch draw := p.random.Float64(); {
+		case draw < p.deadly.share:
+			return p.deadly.message(p.number, deadlyBody)
+		case draw < p.deadly.share+p.deadly.rare:
+			return p.deadly.message(p.number, "other")
+		}
+	}
 	// A few of the common parts are hot.
 	common := int(float64(commonParts) * p.random.Float64() * p.random.Float64() * p.random.Float64())
 	ids := []uint64{uint64(p.random.IntN(firstParts)) + 1, uint64(common) + 100}
@@ -213,7 +297,15 @@
 		ids = append(ids, badPart)
 	}
 	ids = append(ids, uint64(p.number)+1_000_000)
-	m := &dhrouter.Message{ID: fmt.Sprint("r", p.number), Method: "GET", Host: "h", Path: "/x", Target: "/x", TimeLeft: 4 * time.Second}
+	path := "/x"
+	if len(p.paths) > 0 {
+		path = p.paths[p.number%len(p.paths)]
+	}
+	m := &dhrouter.Message{ID: fmt.Sprint("r", p.number), Method: "GET", Host: "h", Path: path, Target: path, TimeLeft: 4 * time.Second}
+	if path == orderPath {
+		m.Body = fmt.Append(nil, "order ", p.number)
+		return m
+	}
 	for _, id := range ids {
 		m.Prompt = append(m.Prompt, dhrouter.PromptPart{ID: id, Tokens: 10})
 	}
@@ -231,41 +323,42 @@
 	_, err := p.entries[vm].Router().Forward(ctx, m, httptest.NewRecorder())
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	bad := false
-	for _, part := range m.Prompt {
-		bad = bad || part.ID == badPart
-	}
+	bad := crashes(m)
 	refused := err != nil && dhcode.RanOf(err) == dhcode.NotRun
 	switch {
 	case bad && refused && dhcode.RetryAfterOf(err) > 0:
 		p.badRefused++
 	case !bad:
-		p.sound = append(p.sound, soundRequest{began, m.Prompt[0].ID, err == nil})
+		sound := soundRequest{at: began, ok: err == nil}
+		if len(m.Prompt) > 0 {
+			sound.first = m.Prompt[0].ID
+		}
+		p.sound = append(p.sound, sound)
 		if refused {
 			p.soundRefused++
 		}
 	}
 }
 
-// checkCrashes fails the test if too many requests with the bad part reached backend
-// servers after the crash number crashCount.
-func (p *crashPool) checkCrashes() {
+// checkCrashes fails the test if too many requests that crash backend servers reached one
+// after the crash number count.
+func (p *crashPool) checkCrashes(count int) {
 	p.t.Helper()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	after := 0
-	if len(p.crashes) >= crashCount {
-		from := p.crashes[crashCount-1].Add(crashContact)
+	if len(p.crashes) >= count {
+		from := p.crashes[count-1].Add(crashContact)
 		for _, at := range p.arrivals {
 			if at.After(from) {
 				after++
 			}
 		}
 	}
-	p.t.Logf("%d crashes, %d requests with the bad part reached backend servers, %d of them from %s after crash %d, %d were refused; %d sound ones refused",
-		len(p.crashes), len(p.arrivals), after, crashContact, crashCount, p.badRefused, p.soundRefused)
+	p.t.Logf("%d crashes, %d requests that crash backend servers reached one, %d of them from %s after crash %d, %d were refused; %d sound ones refused",
+		len(p.crashes), len(p.arrivals), after, crashContact, count, p.badRefused, p.soundRefused)
 	if after > crashAllowed {
-		p.t.Errorf("%d requests with the part were sent from %s after crash %d, %d are allowed", after, crashContact, crashCount, crashAllowed)
+		p.t.Errorf("%d requests were sent from %s after crash %d, %d are allowed", after, crashContact, count, crashAllowed)
 	}
 }
 
@@ -293,13 +386,52 @@
 	runCrashing(t, 1, 9, 12, 84, func(p *crashPool) {
 		p.badShare = 0.03
 		p.advance(25 * time.Second)
-		p.checkCrashes()
+		p.checkCrashes(partCrashes)
 		if got := p.answeredSince(p.timers.Now().Add(-15 * time.Second)); got < 0.97 {
 			p.t.Errorf("%.2f of the sound requests are answered", got)
 		}
 	})
 }
 
+// Guards against a request that comes again and crashes every backend server which begins
+// to run it, wherever it crashes them, and against refusing the sound requests beside it
+// (incident BUDGET, whole requests).
+func TestCrashingRequestIsHeldBack(t *testing.T) {
+	both := []string{"/x", streamPath}
+	for _, c := range []struct {
+		name         string
+		vms, servers int
+		load         float64
+		paths        []string
+		deadly       deadlyRequest
+	}{
+		{"at once", 9, 12, 84, both, deadlyRequest{share: 0.004, path: "/x"}},
+		{"before its first event", 9, 12, 84, both, deadlyRequest{share: 0.004, path: streamPath}},
+		{"after some events", 9, 12, 84, both, deadlyRequest{share: 0.004, path: streamPath, events: 6}},
+		{"often", 9, 12, 84, both, deadlyRequest{share: 0.03, path: "/x"}},
+		{"rarely", 9, 12, 84, both, deadlyRequest{share: 0.001, path: "/x"}},
+		{"beside sound requests with its parts", 9, 12, 84, both, deadlyRequest{share: 0.006, rare: 0.01, path: "/x"}},
+		{"one attempt, three servers", 9, 3, 20, []string{orderPath}, deadlyRequest{share: 0.04, path: orderPath}},
+		{"large", 100, 48, 300, both, deadlyRequest{share: 0.002, path: streamPath, events: 2}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			runCrashing(t, 11, c.vms, c.servers, c.load, func(p *crashPool) {
+				p.paths, p.deadly = c.paths, c.deadly
+				p.advance(30 * time.Second)
+				p.checkCrashes(requestCrashes)
+				for _, v := range p.controls["c0"].Quarantine() {
+					if v.Part.ID == rarePart {
+						p.t.Errorf("a part is in quarantine for what one request does")
+					}
+				}
+				if got := p.answeredSince(p.timers.Now().Add(-15 * time.Second)); got < 0.97 {
+					p.t.Errorf("%.2f of the sound requests are answered", got)
+				}
+			})
+		})
+	}
+}
+
 // Guards against a bound that holds for one size of deployment only.
 func TestCrashingPartIsHeldBackAtAnySize(t *testing.T) {
 	for _, c := range []struct {
@@ -310,7 +442,7 @@
 			runCrashing(t, 2, c.vms, c.servers, c.load, func(p *crashPool) {
 				p.badShare = c.badShare
 				p.advance(20 * time.Second)
-				p.checkCrashes()
+				p.checkCrashes(partCrashes)
 				if got := p.answeredSince(p.timers.Now().Add(-8 * time.Second)); got < 0.97 {
 					p.t.Errorf("%.2f of the sound requests are answered", got)
 				}
