Close the breakers of pools whose requests run once

Cause: only requests that may be repeated try a backend server whose breaker is open. A pool that serves no such requests never closed one, and a backend server that started again under its old id kept the breaker of the incarnation before.

Change: breakers belong to an incarnation, and a request that runs once is the trial if no other has tried for a second after the breaker's delay.

TestBreakerClosesForRequestsThatRunOnce failed before.

--- a/dh/dhlimit/breaker.go
+++ b/dh/dhlimit/breaker.go
@@ -114,13 +114,18 @@
 	b.trip(r, now)
 }
 
-// Closed reports whether a backend server's breaker is closed. Requests that
-// must not be repeated need a closed breaker, so that they never serve as trials.
+// awaitedTrialTime is how long an open breaker waits for a trial by a request that may be
+// repeated.
+const awaitedTrialTime = time.Second
+
+// Closed reports whether a backend server's breaker is closed. Requests that must not be
+// repeated need a closed breaker, so that they do not serve as trials. They do if no other
+// request has tried for awaitedTrialTime: a pool may serve no other requests.
 func (b *Breakers) Closed(id string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r, ok := b.byBackend[id]
-	return !ok || !r.open
+	return !ok || !r.open || (!r.trialRunning && b.Timers.Now().Sub(r.openUntil) >= awaitedTrialTime)
 }
 
 // Cancel ends an attempt without a result.
--- a/dh/dhlimit/breaker_test.go
+++ b/dh/dhlimit/breaker_test.go
@@ -45,6 +45,20 @@
 	assert.Equal(t, low.Delay(100), time.Second)
 }
 
+// Guards against a breaker that never closes again because all requests of its backend
+// server must not be repeated (incident BUDGET, whole requests).
+func TestBreakerClosesForRequestsThatRunOnce(t *testing.T) {
+	timers := dhtimer.NewStepped()
+	b := &dhlimit.Breakers{Timers: timers, Backoff: dhlimit.Backoff{Random: func() float64 { return 0.5 }}}
+	b.Trip("x")
+	timers.Step(time.Second)
+	assert.Assert(t, !b.Closed("x"), "a request that may be repeated goes first")
+	timers.Step(time.Second)
+	assert.Assert(t, b.Closed("x") && b.Begin("x") && !b.Closed("x"))
+	b.End("x", true)
+	assert.Assert(t, b.Closed("x"))
+}
+
 // Guards against a breaker that does not open, that lets several trials
 // through, or that never closes again.
 func TestBreaker(t *testing.T) {
--- a/dh/dhrouter/deliver.go
+++ b/dh/dhrouter/deliver.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strconv"
 	"time"
 
 	"dandelionhoist.example/dh/dhbackend"
@@ -63,7 +64,7 @@
 		return err
 	}
 	if err := x.dispatch(ctx); err != nil {
-		r.Breakers.Cancel(place.Backend.ID)
+		r.Breakers.Cancel(breakerOf(place.Backend))
 		place.done(nil)
 		return err
 	}
@@ -79,16 +80,16 @@
 	e, ok := x.finishAttempt(b, first, err)
 	if !ok || (err != nil && ctx.Err() != nil) {
 		// The result does not show whether the backend server is healthy.
-		r.Breakers.Cancel(b.ID)
+		r.Breakers.Cancel(breakerOf(b))
 		if ok && e.OutOfTime {
 			r.Report(e)
 		}
 		return
 	}
 	if e.Unreachable {
-		r.Breakers.Trip(b.ID)
+		r.Breakers.Trip(breakerOf(b))
 	} else {
-		r.Breakers.End(b.ID, err == nil)
+		r.Breakers.End(breakerOf(b), err == nil)
 	}
 	if first > 0 {
 		r.Credits.FirstToken(b.ID, first)
@@ -96,6 +97,15 @@
 	r.Report(e)
 }
 
+// breakerOf names the breaker of an incarnation of a backend server: one that has started
+// again is another one, though its id may be the same.
+func breakerOf(b *dhbackend.Backend) string {
+	if b.Incarnation == 0 {
+		return b.ID
+	}
+	return b.ID + "@" + strconv.FormatUint(b.Incarnation, 10)
+}
+
 // reservation is the placement of an attempt. done must be called once, when the
 // attempt has ended.
 type reservation struct {
@@ -113,9 +123,10 @@
 		}
 		id := p.Backend.ID
 		release, ok := r.Credits.Acquire(id)
-		if ok && r.Breakers.Begin(id) {
+		breaker := breakerOf(p.Backend)
+		if ok && r.Breakers.Begin(breaker) {
 			if r.RateLimits != nil && !r.RateLimits.Acquire(p.Backend) {
-				r.Breakers.Cancel(id)
+				r.Breakers.Cancel(breaker)
 				release()
 				req.Exclude = append(slices.Clone(req.Exclude), id)
 				continue
--- a/dh/dhrouter/forward.go
+++ b/dh/dhrouter/forward.go
@@ -294,7 +294,7 @@
 		Shared: max(len(f.prefix)-1, 0), Lane: f.lane(), RelativePrefillTime: f.relativePace(s.Tables.Pools[f.poolName]), PromptTokens: f.message.PromptTokens, MaxTokens: f.message.MaxTokens, ZoneWeights: s.ZoneWeight,
 		Exclude: f.excluded, Credit: f.router.Credits.Available,
 		Permit: func(b *dhbackend.Backend) bool {
-			return rollout.Permits(b.Release, on) && (f.repeatable() || f.router.Breakers.Closed(b.ID))
+			return rollout.Permits(b.Release, on) && (f.repeatable() || f.router.Breakers.Closed(breakerOf(b)))
 		},
 	}, nil
 }
