Carry connections of entry VMs that are cut off through other VMs

Cause: a VM knew one way to a backend server only. Its refusals were at once and true, but callers came back to it: open connections stay, and the platform keeps all VMs of a zone when fewer than half of them are ready.

Evidence: refusals with no-backend on the VMs that were cut off alone, from the first second of the cut to its last, dial tcp i/o timeout to all backend servers while the watches went on. TestCutOffVMsServe failed: 0 of 218 to 0 of 595 tries served there.

Change: dhdetour. A connection that hangs, or that is refused beside others, is tried through another entry VM of the region, which carries bytes and decides nothing; limits, budgets, cold rates, retries and outcome stay with the VM that the caller chose. Nothing is sent before the relay has connected, so that "not run" stays true. Control VMs tell which VMs reach backend servers, with a token for each. Probes find the direct path again. Broken and overdue answers of a VM with broken paths count against no version.

--- a/dh/dhbackend/dhbackend.go
+++ b/dh/dhbackend/dhbackend.go
@@ -268,6 +268,16 @@
 	return b, ok
 }
 
+// HasAddress reports whether a backend server has an address.
+func (v *View) HasAddress(address string) bool {
+	for _, b := range v.byID {
+		if b.Address == address {
+			return true
+		}
+	}
+	return false
+}
+
 // Loaded reports whether any backend server of the pool has loaded the version.
 func (v *View) Loaded(pool string, version dhtable.Version) bool {
 	return slices.ContainsFunc(v.byPool[pool], func(b *Backend) bool { return b.Has(version) })
--- a/dh/dhcontrol/cluster_test.go
+++ b/dh/dhcontrol/cluster_test.go
@@ -38,8 +38,10 @@
 	nodes    map[string]*dhfake.Node
 	entries  map[string]*dhentry.Entry
 	seeds    []string
-	// transport returns the transport of an entry VM; nil gives none.
+	// transport returns the transport of an entry VM; nil gives none. configure changes an
+	// entry VM before it is built, if set.
 	transport func(vm string) dhrouter.Transport
+	configure func(e *dhentry.Entry)
 }
 
 // clock converts the stepped time to a duration since a fixed start.
@@ -145,6 +147,9 @@
 		RetrySlack: 10, RetryWindow: 10 * time.Second, ColdOvershoot: 1, Decode: decode, Source: peers{node}, Timers: c.timers, Clock: clock{c.timers},
 		Log: slog.New(slog.DiscardHandler), Metrics: dhmetric.New(4),
 	}
+	if c.configure != nil {
+		c.configure(entry)
+	}
 	if c.transport != nil {
 		entry.Transport = c.transport(name)
 	}
--- a/dh/dhcontrol/cut_test.go
+++ b/dh/dhcontrol/cut_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -13,6 +14,8 @@
 	"time"
 
 	"dandelionhoist.example/dh/dhcode"
+	"dandelionhoist.example/dh/dhdetour"
+	"dandelionhoist.example/dh/dhentry"
 	"dandelionhoist.example/dh/dhgroup"
 	"dandelionhoist.example/dh/dhrouter"
 	"dandelionhoist.example/dh/dhtimer"
@@ -34,10 +37,12 @@
 	group  *dhgroup.Group
 	random *rand.Rand
 
-	mu      sync.Mutex
-	cut     map[string]bool
-	tries   []cutTry
+	mu    sync.Mutex
+	cut   map[string]bool
+	tries []cutTry
+	// direct and relayed count the connections of each VM and through each relay.
 	direct  map[string]int
+	relayed map[string]int
 	dead    map[string]bool
 	refuses bool
 }
@@ -68,7 +73,7 @@
 		if err := dhtimer.Sleep(ctx, p.timers, dialTime); err != nil {
 			return err
 		}
-		return fmt.Errorf("dial %s: i/o timeout", address)
+		return timeoutError{address}
 	}
 	if cut || dead {
 		return fmt.Errorf("dial %s: connection refused", address)
@@ -89,20 +94,57 @@
 	}, nil
 }
 
-// connect connects a VM to a backend server.
+// connect connects a VM to a backend server, as its transport would.
 func (p *cutPool) connect(ctx context.Context, vm, address string) error {
-	return p.reach(ctx, vm, address)
+	conn, err := p.entries[vm].Dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	return conn.Close()
 }
 
+// dialer returns how a VM connects to an address directly.
+func (p *cutPool) dialer(vm string) func(ctx context.Context, address string) (net.Conn, error) {
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		if err := p.reach(ctx, vm, address); err != nil {
+			return nil, err
+		}
+		conn, _ := net.Pipe()
+		return conn, nil
+	}
+}
+
+// through connects to an address through a relay, which connects directly.
+func (p *cutPool) through(ctx context.Context, relay dhdetour.RelayVM, address string) (net.Conn, error) {
+	p.mu.Lock()
+	p.relayed[relay.VM]++
+	p.mu.Unlock()
+	conn, err := p.dialer(relay.VM)(ctx, address)
+	if err != nil {
+		return nil, dhdetour.ErrUnreachable
+	}
+	return conn, nil
+}
+
+// timeoutError is the error of a connection that hangs.
+type timeoutError struct{ address string }
+
+func (e timeoutError) Error() string { return fmt.Sprintf("dial %s: i/o timeout", e.address) }
+func (timeoutError) Timeout() bool   { return true }
+func (timeoutError) Temporary() bool { return true }
+
 // runCut runs f with entry VMs in three zones under load.
 func runCut(t *testing.T, vms, servers int, load float64, f func(p *cutPool)) {
 	t.Helper()
 	runCluster(t, func(c *cluster) {
 		p := &cutPool{
 			cluster: c, group: dhgroup.New(c.t.Context()), random: rand.New(rand.NewPCG(7, 7)),
-			cut: map[string]bool{}, direct: map[string]int{}, dead: map[string]bool{},
+			cut: map[string]bool{}, direct: map[string]int{}, relayed: map[string]int{}, dead: map[string]bool{},
 		}
 		c.transport = func(vm string) dhrouter.Transport { return cutTransport{p, vm} }
+		c.configure = func(e *dhentry.Entry) {
+			e.Connect, e.Through, e.RelayAddress = p.dialer(e.Name), p.through, e.Name+":relay"
+		}
 		c.waitFor(3*time.Second, "the first document", func() bool { return c.replace("c0", 5) == nil })
 		for i := range servers {
 			id := fmt.Sprint("b", i)
--- a/dh/dhcontrol/entries.go
+++ b/dh/dhcontrol/entries.go
@@ -62,6 +62,8 @@
 	rates       []*dhpb.PoolRate
 	// grants identifies the grant table that the VM holds.
 	grants *dhpb.GrantTableId
+	// relay is nil if the VM carries no connections of others.
+	relay *dhpb.Relay
 }
 
 type remoteEntries struct {
@@ -69,6 +71,7 @@
 	loads     []*dhpb.BackendLoad
 	rates     []*dhpb.PoolRate
 	entries   []*dhpb.EntryRecord
+	relays    []*dhpb.Relay
 }
 
 // report stores the report of an entry VM that watches this VM.
@@ -84,7 +87,7 @@
 	}
 	e.direct[vm] = &entry{
 		incarnation: m.GetIncarnation(), lastHeard: e.timers.Now(), loads: r.GetLoads(), counters: r.GetCounters(), rates: r.GetRates(),
-		grants: m.GetGrants(),
+		grants: m.GetGrants(), relay: relayOf(m),
 	}
 }
 
@@ -100,7 +103,7 @@
 	if e.remote == nil {
 		e.remote = make(map[string]*remoteEntries)
 	}
-	e.remote[control] = &remoteEntries{lastHeard: e.timers.Now(), loads: loads, rates: r.GetRates(), entries: r.GetEntries()}
+	e.remote[control] = &remoteEntries{lastHeard: e.timers.Now(), loads: loads, rates: r.GetRates(), entries: r.GetEntries(), relays: r.GetRelays()}
 	return nil
 }
 
--- a/dh/dhcontrol/watch.go
+++ b/dh/dhcontrol/watch.go
@@ -117,10 +117,14 @@
 		a.Renewals, a.Backends = renewals, append(a.Backends, leaving...)
 		a.Entries, a.Rates = c.entries.records(c.grantor.needed()), c.entries.directRates()
 		a.Limits = c.grantor.records()
+		a.Relays = c.entries.directRelays()
 		a.LoadList, err = c.entries.directLoads()
 	} else {
 		a.LoadList, err = c.entries.allLoads()
 		a.EntryVms = uint32(c.entries.count())
+		if m.GetWantsRelays() {
+			a.Relays = c.entries.relaysFor(m.GetVm(), m.GetZone())
+		}
 		// A control VM that has just started does not know all backend servers.
 		a.Complete = after == 0 && c.registryComplete()
 		if after == 0 && !a.Complete {
--- a/dh/dhentry/counts.go
+++ b/dh/dhentry/counts.go
@@ -37,6 +37,9 @@
 type counts struct {
 	vm          string
 	incarnation uint64
+	// pathsBroken reports whether this VM's own paths to backend servers have been broken
+	// since a time; nil means that they have not.
+	pathsBroken func(since time.Time) bool
 
 	mu sync.Mutex
 	// rollouts holds the rollouts in progress by pool.
@@ -121,6 +124,9 @@
 		return
 	}
 	c.countBroken(c.broken.answered(backendKey{e.Backend, e.Incarnation}, now))
+	if e.OutOfTime && c.ownFault(now) {
+		return
+	}
 	row := c.row(e.Pool, e.Version.Name, e.Class, rollout)
 	if e.OutOfTime {
 		row.Rated++
@@ -133,11 +139,20 @@
 	}
 }
 
+// pathSettleTime is the time before a path is found broken in which connections may have
+// broken or hung for the same reason.
+const pathSettleTime = 3 * time.Second
+
+// ownFault reports whether what happened at a time may be due to this VM's paths.
+func (c *counts) ownFault(at time.Time) bool {
+	return c.pathsBroken != nil && c.pathsBroken(at.Add(-pathSettleTime))
+}
+
 // countBroken counts broken answers as failures.
 func (c *counts) countBroken(list []brokenAnswer) {
 	for _, b := range list {
 		rollout := c.rollouts[b.event.Pool]
-		if rollout.GetNumber() != b.rollout {
+		if rollout.GetNumber() != b.rollout || c.ownFault(b.at) {
 			continue
 		}
 		row := c.row(b.event.Pool, b.event.Version.Name, b.event.Class, rollout)
--- a/dh/dhentry/dhentry.go
+++ b/dh/dhentry/dhentry.go
@@ -19,12 +19,14 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"net"
 	"slices"
 	"sync/atomic"
 	"time"
 
 	"dandelionhoist.example/dh/dhbackend"
 	"dandelionhoist.example/dh/dhcold"
+	"dandelionhoist.example/dh/dhdetour"
 	"dandelionhoist.example/dh/dhgrant"
 	"dandelionhoist.example/dh/dhgroup"
 	"dandelionhoist.example/dh/dhlimit"
@@ -63,6 +65,15 @@
 	// Decode parses a document.
 	Decode func(text []byte) (*dhtable.Tables, error)
 
+	// Connect connects to an address directly. RelayAddress is where this VM carries
+	// connections of other VMs to backend servers; empty if it does not. SameRegion reports
+	// whether a zone is in this VM's region; nil means that all are.
+	Connect func(ctx context.Context, address string) (net.Conn, error)
+	// Through connects to an address through a relay; nil means dhdetour.Through.
+	Through      func(ctx context.Context, relay dhdetour.RelayVM, address string) (net.Conn, error)
+	RelayAddress string
+	SameRegion   func(zone string) bool
+
 	Source    dhwatch.Source
 	Transport dhrouter.Transport
 	Timers    dhtimer.Service
@@ -79,6 +90,8 @@
 	budget     *dhlimit.Budget
 	lease      *dhwatch.Lease
 	follower   *dhwatch.Follower
+	paths      *dhdetour.Paths
+	relay      *dhdetour.Relay
 	counts     *counts
 	updates    chan dhwatch.Update
 	leaving    atomic.Bool
@@ -168,11 +181,13 @@
 	}
 	e.router.AnswerMemory.Max = e.AnswerBytes
 	e.router.SetSessionTimeout(e.SessionTimeout)
+	e.buildPaths()
+	e.counts.pathsBroken = e.paths.BrokenSince
 	e.follower = &dhwatch.Follower{
 		VM: e.Name, Incarnation: e.Incarnation, Zone: e.Zone, Seeds: e.Seeds, Source: e.Source, Timers: e.Timers, Log: e.Log,
 		Lease: e.lease, Report: e.entryReport, OnUpdate: e.enqueue,
 		Versions: func() (uint64, uint64) { return e.documentVersion.Load(), e.operationsNumber.Load() },
-		Grants:   e.shares.Held,
+		Grants:   e.shares.Held, WantsRelays: e.paths.WantsRelays,
 	}
 	e.publish()
 }
@@ -231,6 +246,7 @@
 func (e *Entry) apply(u dhwatch.Update) {
 	now := e.Timers.Now()
 	e.quarantine.Update(u.GetQuarantine())
+	e.applyRelays(u)
 	e.applyBackends(u, now)
 	if u.GetGrants() != nil || u.GetConfirmed() {
 		e.shares.Update(u.GetGrants(), u.Sent)
@@ -420,6 +436,7 @@
 func (e *Entry) entryReport() *dhpb.EntryReport {
 	r := &dhpb.EntryReport{Counters: e.counts.counters(), Rates: e.rates(), Limits: e.shares.Report()}
 	e.quarantine.Report(r)
+	r.Relay = e.relayReport()
 	for _, b := range e.router.Snapshot().Backends.All() {
 		if l := e.placer.Load(b.ID); l.Running > 0 {
 			r.Loads = append(r.Loads, &dhpb.BackendLoad{Id: b.ID, Running: int32(l.Running), Reading: int32(l.PendingPrefill)})
--- a/dh/dhwatch/dhwatch.go
+++ b/dh/dhwatch/dhwatch.go
@@ -128,6 +128,8 @@
 	Versions func() (document, operations uint64)
 	// Grants identifies the grant table that this VM holds; it may be nil.
 	Grants func() *dhpb.GrantTableId
+	// WantsRelays reports whether this VM needs a list of relays; it may be nil.
+	WantsRelays func() bool
 	// OnUpdate is called with each response, on the goroutine of Run.
 	OnUpdate func(u Update)
 
@@ -206,6 +208,7 @@
 	if f.Grants != nil {
 		request.Grants = f.Grants()
 	}
+	request.WantsRelays = f.WantsRelays != nil && f.WantsRelays()
 	reply, err := f.Source.Watch(ctx, address, request)
 	if err != nil {
 		return nil, err
