Play deadly requests and cuts from backend servers in the soak

The soak sends requests that come again and crash the backend servers that begin to run them, one for each route, in half of the storms and in the calm span of every third seed, and checks the bound of three from the settle time after the third crash (TestCheckerDetectsViolations has a row that breaks it). Entry VMs are cut off from all backend servers in storms, for which they call these from their own IP.

--- a/cmd/dandelionhoist-soak/dhsoak/backend.go
+++ b/cmd/dandelionhoist-soak/dhsoak/backend.go
@@ -341,7 +341,7 @@
 	s := backendRequest{
 		id: r.Header.Get(platform.HeaderID), method: r.Method, path: r.URL.Path, body: digest(body), model: r.Header.Get(platform.HeaderModel),
 		account: r.Header.Get(platform.HeaderTenant), keyForwarded: r.Header.Get("Authorization") != "", cold: timers.Now().Before(b.coldUntil),
-		refused: full, backend: id, pool: pool, zone: b.zone, version: b.version, part: badPartOf(r.Header.Get(platform.HeaderPrefix)), number: b.runs, seal: fmt.Sprintf("seal-%s-%d", id, b.runs),
+		refused: full, backend: id, pool: pool, zone: b.zone, version: b.version, cause: causeOf(r.URL.Path, r.Header.Get(platform.HeaderPrefix)), number: b.runs, seal: fmt.Sprintf("seal-%s-%d", id, b.runs),
 	}
 	lowConfidence := b.random.Float64() < lowConfidenceShare
 	pause := time.Duration(0)
@@ -375,6 +375,9 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if s.cause != "" {
+		b.crashUnder(r, s)
+	}
 	w.Header().Set(platform.HeaderSeal, s.seal)
 	factor := time.Duration(1)
 	switch behaviour {
@@ -432,18 +435,22 @@
 	}
 }
 
-// stream sends the events that follow the last one that the caller has received.
-func (b *backend) stream(w http.ResponseWriter, r *http.Request, s backendRequest, behaviour conduct, factor time.Duration) {
-	w.Header().Set("Content-Type", "text/event-stream")
-	last, _ := strconv.Atoi(r.Header.Get(platform.HeaderLastEvent)) // 0 for the first run
-	if s.part != "" && dhtimer.Sleep(r.Context(), b.deployment.soak.Timers, eventGap) == nil {
+// crashUnder crashes the backend server while it runs a request.
+func (b *backend) crashUnder(r *http.Request, s backendRequest) {
+	if dhtimer.Sleep(r.Context(), b.deployment.soak.Timers, eventGap) == nil {
 		b.deployment.group.Go(func(context.Context) error {
-			b.crashBy(s.part, s.backend)
+			b.crashBy(s.cause, s.backend)
 			return nil
 		})
 		<-r.Context().Done()
-		panic(http.ErrAbortHandler)
 	}
+	panic(http.ErrAbortHandler)
+}
+
+// stream sends the events that follow the last one that the caller has received.
+func (b *backend) stream(w http.ResponseWriter, r *http.Request, s backendRequest, behaviour conduct, factor time.Duration) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	last, _ := strconv.Atoi(r.Header.Get(platform.HeaderLastEvent)) // 0 for the first run
 	for n := last + 1; n <= lastEvent; n++ {
 		if dhtimer.Sleep(r.Context(), b.deployment.soak.Timers, eventGap*factor) != nil {
 			panic(http.ErrAbortHandler)
--- a/cmd/dandelionhoist-soak/dhsoak/caller.go
+++ b/cmd/dandelionhoist-soak/dhsoak/caller.go
@@ -109,6 +109,10 @@
 		id: fmt.Sprintf("%016x", requestNumber.Add(1)), method: http.MethodPost, path: route.prefix() + strconv.Itoa(c.random.IntN(100)),
 		body: digest(body), route: route, key: key, entry: c.entry.name,
 	}
+	if path := c.deployment.deadlyRequestNow(c.random); path != "" && route.always {
+		r.path, r.key, body = route.prefix()+path, keyAlways, []byte(path)
+		key, r.body = keyAlways, digest(body)
+	}
 	limited, cancel := dhtimer.WithTimeout(ctx, c.deployment.soak.Timers, callerDeadline)
 	defer cancel()
 	if c.random.Float64() < cancelShare {
--- a/cmd/dandelionhoist-soak/dhsoak/checker.go
+++ b/cmd/dandelionhoist-soak/dhsoak/checker.go
@@ -35,8 +35,8 @@
 	cold      map[string][]time.Time
 	// limits holds the request limits that backend servers state.
 	limits map[string]*statedLimit
-	// parts holds the prompt parts that crash backend servers.
-	parts map[string]*crashingPrompt
+	// causes holds the prompt parts and requests that crash backend servers.
+	causes map[string]*crashCause
 	// notices holds the leave and pause notices that backend servers have sent to VMs
 	// in their answers.
 	notices      map[vmBackend]*notices
@@ -126,7 +126,7 @@
 		j.unserved = make(map[int]int)
 		j.notices = make(map[vmBackend]*notices)
 		j.left, j.evacuated, j.cold = make(map[string]time.Time), make(map[string]time.Time), make(map[string][]time.Time)
-		j.limits, j.parts = make(map[string]*statedLimit), make(map[string]*crashingPrompt)
+		j.limits, j.causes = make(map[string]*statedLimit), make(map[string]*crashCause)
 	}
 }
 
@@ -167,8 +167,8 @@
 	refused bool
 	// leaving is true if the answer announces that the backend server leaves.
 	leaving bool
-	// part is the part of its prompt that crashes backend servers, or empty.
-	part string
+	// cause is the part or the path by which it crashes backend servers, or empty.
+	cause string
 	// limited is true if the answer states a limit of requests per second.
 	limited                            bool
 	limit                              float64
@@ -194,7 +194,7 @@
 	}
 	j.checkNotices(r, s, now)
 	j.checkLimit(r, s, now)
-	j.checkPart(r, s, now)
+	j.checkCrashing(r, s, now)
 	j.arrivals[s.pool] = append(j.arrivals[s.pool], arrival{at: now, repeat: r.arrived, version: s.version})
 	r.arrived = true
 	if s.refused {
--- a/cmd/dandelionhoist-soak/dhsoak/checker_test.go
+++ b/cmd/dandelionhoist-soak/dhsoak/checker_test.go
@@ -267,14 +267,27 @@
 		"prompt part that crashes backend servers": {"crash", func(h harness) {
 			h.settle()
 			for range partCrashes {
-				h.PartCrashed("bad0001")
+				h.Crashed("bad0001")
 			}
-			h.timers.Step(partContact + time.Millisecond)
-			for i := range partAllowed + 1 {
+			h.timers.Step(crashContact + time.Millisecond)
+			for i := range crashAllowed + 1 {
 				r := h.ask(plan, keyAlways)
 				r.id = fmt.Sprint(i)
 				h.Sent(r)
-				h.arrive(r, "b", func(s *backendRequest) { s.part = "bad0001" })
+				h.arrive(r, "b", func(s *backendRequest) { s.cause = "bad0001" })
+			}
+		}},
+		"request that comes again and crashes backend servers": {"crash", func(h harness) {
+			h.settle()
+			for range requestCrashes {
+				h.Crashed("/look/deadly0001")
+			}
+			h.timers.Step(crashContact + time.Millisecond)
+			for i := range crashAllowed + 1 {
+				r := h.ask(look, keyAlways)
+				r.id = fmt.Sprint(i)
+				h.Sent(r)
+				h.arrive(r, "b", func(s *backendRequest) { s.cause = "/look/deadly0001" })
 			}
 		}},
 		"leaving backend server that gets a request": {"drain", func(h harness) {
--- a/cmd/dandelionhoist-soak/dhsoak/crash.go
+++ b/cmd/dandelionhoist-soak/dhsoak/crash.go
@@ -9,13 +9,14 @@
 	"dandelionhoist.example/dh/dhtimer"
 )
 
-// The bound on requests with a prompt part that crashes backend servers: from
-// partContact after the crash number partCrashes, at most partAllowed of them reach
-// backend servers.
+// The bound on requests that crash backend servers: from crashContact after the crash
+// number partCrashes of those with a part, or requestCrashes of a request that comes again,
+// at most crashAllowed of them reach backend servers.
 const (
-	partContact = settleTime
-	partCrashes = 5
-	partAllowed = 3
+	crashContact   = settleTime
+	partCrashes    = 5
+	requestCrashes = 3
+	crashAllowed   = 3
 )
 
 const (
@@ -27,13 +28,56 @@
 	crashedFor = 700 * time.Millisecond
 )
 
-// crashingPrompt is a part that crashes backend servers.
-type crashingPrompt struct {
-	crashes  int
-	fifth    time.Time
+// crashCause is a part or a request that crashes backend servers.
+type crashCause struct {
+	crashes int
+	// known is when it crashed so many that it must be found.
+	known    time.Time
 	arrivals int
 }
 
+// deadlyPath is in the paths of requests that come again and crash backend servers: one for
+// each route of all configurations. deadlyShare is their share of the requests to these
+// routes.
+const (
+	deadlyPath  = "deadly"
+	deadlyShare = 0.02
+)
+
+// deadlyRequest makes a request crash the backend servers that begin to run it.
+func (d *deployment) deadlyRequest(number int) (end func()) {
+	path := fmt.Sprintf("%s%04x", deadlyPath, number&0xffff)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.deadly = path
+	return func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		if d.deadly == path {
+			d.deadly = ""
+		}
+	}
+}
+
+// deadlyRequestNow returns the path of the deadly request if this one is to be it, or empty.
+func (d *deployment) deadlyRequestNow(random *rand.Rand) string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.deadly == "" || random.Float64() >= deadlyShare {
+		return ""
+	}
+	return d.deadly
+}
+
+// causeOf returns the part or the path of a request by which it crashes backend servers, or
+// empty.
+func causeOf(path, prefix string) string {
+	if strings.Contains(path, deadlyPath) {
+		return path
+	}
+	return badPartOf(prefix)
+}
+
 // crashingPart makes a part crash the backend servers that begin to answer it. Several
 // may do so at the same time; the newest is sent.
 func (d *deployment) crashingPart(number int) (end func()) {
@@ -72,41 +116,49 @@
 	return ""
 }
 
-// crashBy crashes the backend server because of a prompt part. It is back after
+// crashBy crashes the backend server because of a part or a request. It is back after
 // crashedFor.
-func (b *backend) crashBy(part, id string) {
+func (b *backend) crashBy(cause, id string) {
 	if b.instance() != id {
 		return // it has ended already
 	}
-	b.deployment.checker.PartCrashed(part)
+	b.deployment.checker.Crashed(cause)
 	b.crash()
 	if dhtimer.Sleep(b.deployment.group.Context(), b.deployment.soak.Timers, crashedFor) == nil {
 		b.restart(0)
 	}
 }
 
-// PartCrashed records that a prompt part has crashed a backend server.
-func (j *Checker) PartCrashed(part string) {
+// Crashed records that a part or a request has crashed a backend server.
+func (j *Checker) Crashed(cause string) {
 	defer j.lock()()
-	p := j.parts[part]
+	p := j.causes[cause]
 	if p == nil {
-		p = &crashingPrompt{}
-		j.parts[part] = p
+		p = &crashCause{}
+		j.causes[cause] = p
+	}
+	if p.crashes++; p.crashes == foundBy(cause) {
+		p.known = j.Timers.Now()
 	}
-	if p.crashes++; p.crashes == partCrashes {
-		p.fifth = j.Timers.Now()
+}
+
+// foundBy returns the number of crashes by which a cause must be found.
+func foundBy(cause string) int {
+	if strings.Contains(cause, deadlyPath) {
+		return requestCrashes
 	}
+	return partCrashes
 }
 
-// checkPart checks that few requests with a part reach backend servers after it has
+// checkCrashing checks that few requests reach backend servers after their cause has
 // crashed enough of them. The caller holds the lock.
-func (j *Checker) checkPart(r *request, s backendRequest, now time.Time) {
-	p := j.parts[s.part]
-	if p == nil || p.fifth.IsZero() || now.Sub(p.fifth) < partContact || !j.boundsApply(r.entry, now) {
+func (j *Checker) checkCrashing(r *request, s backendRequest, now time.Time) {
+	p := j.causes[s.cause]
+	if p == nil || p.known.IsZero() || now.Sub(p.known) < crashContact || !j.boundsApply(r.entry, now) {
 		return
 	}
-	if p.arrivals++; p.arrivals == partAllowed+1 {
-		j.addViolation("crash", "request %s with part %s reaches backend server %s %v after crash %d of %d, as %d others did",
-			r.id, s.part, s.backend, now.Sub(p.fifth), partCrashes, p.crashes, partAllowed)
+	if p.arrivals++; p.arrivals == crashAllowed+1 {
+		j.addViolation("crash", "request %s with %s reaches backend server %s %v after crash %d of %d, as %d others did",
+			r.id, s.cause, s.backend, now.Sub(p.known), foundBy(s.cause), p.crashes, crashAllowed)
 	}
 }
--- a/cmd/dandelionhoist-soak/dhsoak/deployment.go
+++ b/cmd/dandelionhoist-soak/dhsoak/deployment.go
@@ -60,6 +60,8 @@
 	ready map[*vm]bool
 	// badPart is the prompt part that crashes backend servers, or empty.
 	badPart string
+	// deadly is the end of the path of the request that crashes backend servers, or empty.
+	deadly string
 }
 
 // ip returns address i of one of the run's numbered blocks of 256 addresses.
@@ -314,6 +316,16 @@
 		b.setConduct(healthy)
 	case limitRequests:
 		b.setLimit(requestLimits[f.target%len(requestLimits)], f.duration+limitAfterFault)
+	case deadlyRequest:
+		defer d.deadlyRequest(f.target)()
+		wait()
+	case cutFromBackends:
+		v := d.entries[f.target%len(d.entries)]
+		defer d.checker.Disturb(v.name)()
+		for _, b := range d.backends {
+			defer d.network.cut(link{b.name, v.name}, link{v.name, b.name})()
+		}
+		wait()
 	case crashingPart:
 		defer d.crashingPart(f.target)()
 		wait()
--- a/cmd/dandelionhoist-soak/dhsoak/dhsoak.go
+++ b/cmd/dandelionhoist-soak/dhsoak/dhsoak.go
@@ -221,6 +221,9 @@
 	if s.Seed%3 == 0 {
 		defer d.crashingPart(int(s.Seed))()
 	}
+	if s.Seed%3 == 1 {
+		defer d.deadlyRequest(int(s.Seed))()
+	}
 	if err := dhtimer.Sleep(ctx, s.Timers, s.Calm); err != nil {
 		return err
 	}
--- a/cmd/dandelionhoist-soak/dhsoak/enum_string.go
+++ b/cmd/dandelionhoist-soak/dhsoak/enum_string.go
@@ -36,11 +36,13 @@
 	_ = x[faultKindCount-25]
 	_ = x[limitRequests-26]
 	_ = x[crashingPart-27]
+	_ = x[deadlyRequest-28]
+	_ = x[cutFromBackends-29]
 }
 
-const _faultKind_name = "kill-entrykill-controlkill-allkill-after-acknowledgementstop-entrystop-controlpause-entrypause-controlwipe-disklimit-diskreloadcut-controlcut-control-inboundcut-control-outboundcut-entrysplit-controlsdelay-linksreset-linkssilence-linkscrash-backendreuse-addresscold-backenddrain-backendmisbehaving-backendcut-backendfault-kindslimit-requestscrashing-part"
+const _faultKind_name = "kill-entrykill-controlkill-allkill-after-acknowledgementstop-entrystop-controlpause-entrypause-controlwipe-disklimit-diskreloadcut-controlcut-control-inboundcut-control-outboundcut-entrysplit-controlsdelay-linksreset-linkssilence-linkscrash-backendreuse-addresscold-backenddrain-backendmisbehaving-backendcut-backendfault-kindslimit-requestscrashing-partdeadly-requestcut-from-backends"
 
-var _faultKind_index = [...]uint16{0, 10, 22, 30, 56, 66, 78, 89, 102, 111, 121, 127, 138, 157, 177, 186, 200, 211, 222, 235, 248, 261, 273, 286, 305, 316, 327, 341, 354}
+var _faultKind_index = [...]uint16{0, 10, 22, 30, 56, 66, 78, 89, 102, 111, 121, 127, 138, 157, 177, 186, 200, 211, 222, 235, 248, 261, 273, 286, 305, 316, 327, 341, 354, 368, 385}
 
 func (i faultKind) String() string {
 	idx := int(i) - 0
--- a/cmd/dandelionhoist-soak/dhsoak/fault.go
+++ b/cmd/dandelionhoist-soak/dhsoak/fault.go
@@ -43,6 +43,9 @@
 	limitRequests // limit-requests
 	// crashingPart is drawn after all others as well.
 	crashingPart // crashing-part
+	// deadlyRequest and cutFromBackends are drawn after these.
+	deadlyRequest   // deadly-request
+	cutFromBackends // cut-from-backends
 )
 
 // conduct is how a backend server responds to requests.
@@ -132,10 +135,23 @@
 		f.duration = storm - f.start
 		list = append(list, f)
 	}
+	if random.IntN(2) == 0 {
+		f := fault{start: time.Duration(random.Int64N(int64(storm / 2))), kind: deadlyRequest, target: random.IntN(1 << 16)}
+		f.duration = storm - f.start
+		list = append(list, f)
+	}
+	for range random.IntN(maxCuts + 1) {
+		f := fault{start: time.Duration(random.Int64N(int64(storm))), kind: cutFromBackends, target: random.IntN(1 << 16)}
+		f.duration = time.Duration(random.Int64N(int64(storm - f.start)))
+		list = append(list, f)
+	}
 	return list
 }
 
 const (
+	// maxCuts is the largest number of entry VMs that are cut off from backend servers in a
+	// storm.
+	maxCuts = 3
 	// maxLimits is the largest number of request limits in a storm.
 	maxLimits = 6
 	// limitAfterFault is how long a limit lasts after its fault, and after the storm.
