Share the slots of brittle backend servers among the entry VMs

What callers may see: backend servers that say they are brittle (Server-Brittle) fall over when entry VMs together send more than they have room for, and take running requests with them.

Cause: nothing read the statement; each VM sends by loads that are half a second old.

Change: while a pool is brittle, a VM has a share of each backend server's slots by its place among the entry VMs, which control VMs tell it; all shares together are the slots. It sends more only where half of the slots are free, and leaves a backend server that refused alone for some seconds. What has no room is refused at once as not run.

--- a/dh/dhcontrol/cluster_test.go
+++ b/dh/dhcontrol/cluster_test.go
@@ -1,6 +1,7 @@
 package dhcontrol_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"log/slog"
@@ -42,6 +43,8 @@
 	// entry VM before it is built, if set.
 	transport func(vm string) dhrouter.Transport
 	configure func(e *dhentry.Entry)
+	// slots is the number of slots that announceWhileUp announces; 0 means 64.
+	slots int32
 }
 
 // clock converts the stepped time to a duration since a fixed start.
@@ -242,7 +245,7 @@
 			incarnation, state, up := present()
 			for _, name := range c.seeds {
 				r := &dhpb.BackendRecord{
-					Id: id, Address: id + ":80", Zone: "z0", Pool: "p", State: state, Release: "v1", Slots: 64, Incarnation: incarnation,
+					Id: id, Address: id + ":80", Zone: "z0", Pool: "p", State: state, Release: "v1", Slots: cmp.Or(c.slots, 64), Incarnation: incarnation,
 					Sequence: sequence, Versions: []*dhpb.LoadedVersion{{}},
 				}
 				if up {
--- a/dh/dhcontrol/entries.go
+++ b/dh/dhcontrol/entries.go
@@ -247,8 +247,9 @@
 	return list
 }
 
-// count returns the number of entry VMs that may be sending requests.
-func (e *entries) count() int {
+// count returns the number of entry VMs that may be sending requests, and how many of
+// their names come before that of a VM.
+func (e *entries) count(vm string) (all, before int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.timers.Now()
@@ -265,7 +266,12 @@
 			}
 		}
 	}
-	return len(names)
+	for name := range names {
+		if name < vm {
+			before++
+		}
+	}
+	return len(names), before
 }
 
 // directRates returns the requests per second of each pool, summed over the entry
--- a/dh/dhcontrol/watch.go
+++ b/dh/dhcontrol/watch.go
@@ -121,7 +121,8 @@
 		a.LoadList, err = c.entries.directLoads()
 	} else {
 		a.LoadList, err = c.entries.allLoads()
-		a.EntryVms = uint32(c.entries.count())
+		all, before := c.entries.count(m.GetVm())
+		a.EntryVms, a.EntryRank = uint32(all), uint32(before)
 		if m.GetWantsRelays() {
 			a.Relays = c.entries.relaysFor(m.GetVm(), m.GetZone())
 		}
--- a/dh/dhentry/dhentry.go
+++ b/dh/dhentry/dhentry.go
@@ -95,6 +95,9 @@
 	counts     *counts
 	updates    chan dhwatch.Update
 	leaving    atomic.Bool
+	// entryCount is the number of entry VMs among which bounds are divided.
+	// entryRank is the place of this VM among them.
+	entryCount, entryRank atomic.Int64
 
 	// Only the control loop uses the fields below, except for the atomic ones.
 	table      dhbackend.Table
@@ -175,8 +178,9 @@
 	e.budget = &dhlimit.Budget{Ratio: e.RetryRatio * earnedFraction, Max: 1}
 	e.router = &dhrouter.Router{
 		Timers: e.Timers, Group: e.group, Log: e.Log, Metrics: e.Metrics, Placer: e.placer, Credits: e.cold, RateLimits: e.shares,
-		Quarantine: e.quarantine,
-		Retries:    e.budget, Breakers: &dhlimit.Breakers{Timers: e.Timers, Backoff: breakerBackoff},
+		Quarantine: e.quarantine, Brittle: &dhlimit.Brittle{Timers: e.Timers},
+		OwnLoad: func(id string) int { return e.placer.Load(id).Running }, Place: func() (rank, vms int) { return int(e.entryRank.Load()), int(e.entryCount.Load()) },
+		Retries: e.budget, Breakers: &dhlimit.Breakers{Timers: e.Timers, Backoff: breakerBackoff},
 		Transport: e.Transport, Lease: e.lease, Random: rand.Float64, VM: e.Name, Zone: e.Zone, Report: e.countAttempt, ReportSpeed: func(s dhrouter.Speed) { e.counts.addSpeed(s) },
 	}
 	e.router.AnswerMemory.Max = e.AnswerBytes
@@ -252,6 +256,7 @@
 		e.shares.Update(u.GetGrants(), u.Sent)
 	}
 	if n := int(u.GetEntryVms()); n > 0 {
+		e.entryRank.Store(int64(u.GetEntryRank()))
 		e.entryVMs.observe(now, n)
 	}
 	if o := u.GetOperations(); o.GetNumber() > e.operations.GetNumber() {
@@ -374,6 +379,7 @@
 	for zone, at := range e.returnedAt {
 		bound.ReturnedZones[zone] = e.Timers.Now().Sub(at) < longestColdStart
 	}
+	e.entryCount.Store(int64(e.vmCount()))
 	e.counts.observe(view, e.Timers.Now())
 	e.cold.Update(view.All(), bound)
 	e.shares.Retain(view)
--- a/dh/dhrouter/dhrouter.go
+++ b/dh/dhrouter/dhrouter.go
@@ -222,6 +222,13 @@
 	Credits  Credits
 	// RateLimits may be nil if no backend server states a limit.
 	RateLimits RateLimits
+	// Brittle tracks the pools whose backend servers end if they must refuse too many
+	// requests; it may be nil. OwnLoad returns the number of this VM's requests on a
+	// backend server, Place this VM's place among the entry VMs, from 0, and their number;
+	// they are used with it.
+	Brittle *dhlimit.Brittle
+	OwnLoad func(id string) int
+	Place   func() (rank, vms int)
 	// Quarantine is used for HTTP requests; it may be nil.
 	Quarantine Quarantine
 	Limiter    Limiter
--- a/dh/dhrouter/forward_relay.go
+++ b/dh/dhrouter/forward_relay.go
@@ -52,6 +52,7 @@
 	if f.answeredBy(in) {
 		f.recordHoldOff(in, b)
 		f.recordRateLimit(in, b, start)
+		f.recordBrittle(in, b)
 	}
 	defer func() { _ = in.Body.Close() }() // closes the connection if the answer was not read to its end
 	f.router.Placer.FirstToken(p)
--- a/dh/dhrouter/message.go
+++ b/dh/dhrouter/message.go
@@ -100,6 +100,8 @@
 	// VMs together. InvalidRateLimit is set if it states one that cannot be read.
 	RateLimit        dhgrant.Limit
 	InvalidRateLimit bool
+	// Brittle is what the answer states on refusals.
+	Brittle Brittleness
 	// Confidence is the model's own confidence in the answer in percent, or -1.
 	Confidence int
 	// Length is the length of the body in bytes, or -1 if the head does not state
@@ -108,6 +110,13 @@
 	Body   io.ReadCloser
 }
 
+// Brittleness is the statement of a backend server that it ends if it must refuse more than
+// a number of requests in a second for want of room.
+type Brittleness struct {
+	Stated   bool
+	Refusals float64
+}
+
 // Transport sends messages to backend servers.
 type Transport interface {
 	// Send sends a message and waits for the head of the answer. An error is marked
--- a/dh/dhrouter/permit.go
+++ b/dh/dhrouter/permit.go
@@ -41,7 +41,7 @@
 
 // denials collects why the candidates of a placement were not permitted.
 type denials struct {
-	heldOff, limited bool
+	heldOff, limited, full bool
 	// pauseEnd is the end of the first pause.
 	pauseEnd time.Time
 	// limitWait is the shortest wait for a backend server with a rate limit, limiting
@@ -51,7 +51,7 @@
 	limit     dhgrant.Limit
 }
 
-func (d *denials) any() bool { return d.heldOff || d.limited }
+func (d *denials) any() bool { return d.heldOff || d.limited || d.full }
 
 // permits reports whether hold-off and rate limit of a backend server permit a
 // request with the random number draw.
@@ -64,6 +64,10 @@
 		}
 		return false
 	}
+	if !r.hasRoom(b) {
+		d.full = true
+		return false
+	}
 	if r.RateLimits == nil || r.RateLimits.Available(b, draw) {
 		return true
 	}
@@ -85,6 +89,9 @@
 			pool, d.limiting, d.limit)
 		return dhcode.WithRetryAfter(err, time.Duration(spread*float64(d.limitWait)))
 	}
+	if d.full && !d.heldOff {
+		return dhcode.Errorf(dhcode.PoolFull, "the backend servers of pool %q that could serve the request are brittle and have no room for requests of this VM now", pool)
+	}
 	err := dhcode.Errorf(dhcode.PoolHeldOff, "all backend servers of pool %q that could serve the request leave or asked for a pause", pool)
 	if !d.pauseEnd.IsZero() {
 		err = dhcode.WithRetryAfter(err, d.pauseEnd.Sub(now))
