Decide about rollouts when decisions are due towards their end

Cause: where the exposure lets the shift begin only just in time, its 0.6 s and each wait for the next evaluation, up to 0.2 s twice, count against the duration: SHIFT at 14.07 s, COMPLETED at 14.89 s of 15 and seen by the operator's next poll.

Change: from 3 s before the end of a rollout's duration, evidence is evaluated each 50 ms.

--- a/dh/dhcontrol/rollout.go
+++ b/dh/dhcontrol/rollout.go
@@ -18,6 +18,10 @@
 	// evaluationPeriod is the time between two evaluations of the evidence. It is
 	// a small part of the time within which a bad version must be withdrawn.
 	evaluationPeriod = 200 * time.Millisecond
+	// endEvaluationPeriod is the same towards the end of a rollout's duration, from
+	// endPeriod before it: a decision that waits there counts against the duration.
+	endEvaluationPeriod = 50 * time.Millisecond
+	endPeriod           = 3 * time.Second
 	// rankDelay delays the decision of a control VM by its rank, so that they do
 	// not all write the same decision.
 	rankDelay = 300 * time.Millisecond
@@ -50,11 +54,16 @@
 // their state changes.
 func (c *Control) evaluateRollouts(ctx context.Context) error {
 	c.evaluator.trials = make(map[uint64]*trial)
-	for dhtimer.Sleep(ctx, c.Timers, evaluationPeriod) == nil {
+	period := evaluationPeriod
+	for dhtimer.Sleep(ctx, c.Timers, period) == nil {
 		_, operations := c.state()
+		period = evaluationPeriod
 		for _, r := range operations.GetRollouts() {
 			if inProgress(r) {
 				c.evaluateRollout(ctx, r)
+				if t := c.evaluator.trials[r.GetNumber()]; r.GetDuration().AsDuration()-elapsed(r, t, c.Timers.Now()) <= endPeriod {
+					period = endEvaluationPeriod
+				}
 			} else {
 				delete(c.evaluator.trials, r.GetNumber())
 			}
