--- a/dh/dhquarantine/days_test.go
+++ b/dh/dhquarantine/days_test.go
@@ -445,6 +445,7 @@
 	}
 	for name, trouble := range troubles {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			for seed := range days {
 				for _, rate := range []float64{20, 84} {
 					d := newDay(seed, 9, 12, rate, 0)
@@ -496,6 +497,7 @@
 		{"beside a third at once", 9, 12, 84, sound(dayRequests{deadlyShare: 0.005}), troubles["a third at once"], 40},
 	} {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			for seed := range uint64(10) {
 				d := newDay(seed, c.vms, c.servers, c.rate, 0)
 				d.play(8, nil)
@@ -546,6 +548,7 @@
 		{"beside resets", 9, 12, 84, 0.03, func() func(d *day) { return every(400*time.Millisecond, one(true)) }, 40},
 	} {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			for seed := range uint64(10) {
 				d := newDay(seed, c.vms, c.servers, c.rate, 0)
 				d.play(8, nil)
