--- a/dh/dhdetour/dhdetour.go
+++ b/dh/dhdetour/dhdetour.go
@@ -62,7 +62,7 @@
 	// relayTimeout bounds the time to connect through one relay.
 	relayTimeout = 600 * time.Millisecond
 	// relaysFreshFor is how long a list of relays is used before a new one is asked for,
-	// or trouble-free VMs would ask all the time; trouble asks at once.
+	// relaysFreshCut the same while this VM is cut off or knows no relay.
 	relaysFreshFor = 10 * time.Second
 	relaysFreshCut = time.Second
 )
--- a/dh/dhlimit/brittle.go
+++ b/dh/dhlimit/brittle.go
@@ -1,11 +1,11 @@
 package dhlimit
 
 import (
-	"hash/fnv"
-	"io"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"dandelionhoist.example/dh/dhtimer"
 )
 
@@ -135,9 +135,7 @@
 // so that all shares together are the slots.
 func share(id string, slots, rank, vms int) int {
 	whole, rest := slots/vms, slots%vms
-	h := fnv.New64a()
-	_, _ = io.WriteString(h, id) // a hash accepts every write
-	if (rank+int(h.Sum64()%uint64(vms)))%vms < rest {
+	if (rank+int(xxhash.Sum64String(id)%uint64(vms)))%vms < rest {
 		whole++
 	}
 	return whole
--- a/dh/dhquarantine/request.go
+++ b/dh/dhquarantine/request.go
@@ -31,7 +31,7 @@
 )
 
 // requestCharges returns the evidence against whole requests that nobody has answered
-// since their crashes, the least likely by chance first. Crashes with a cause that is in
+// since their crashes, those that were in the most crashes first. Crashes with a cause that is in
 // quarantine are explained.
 func (n *Investigation) requestCharges(crashes []*crash, backends Backends, now time.Time) []charge {
 	byRequest := make(map[uint64]*charge)
