--- a/review/stand/drain.go
+++ b/review/stand/drain.go
@@ -25,7 +25,7 @@
 	all := newRuns()
 	var replicas []*replica
 	for i := range 4 {
-		r := &replica{s: s, service: "orders", zone: zone(i), ip: s.ip(1, i), id: fmt.Sprintf("i-order-%d", i), slots: 6, work: 15 * time.Millisecond, runs: all}
+		r := &replica{s: s, service: "orders", zone: zone(i), ip: s.ip(1, i), id: fmt.Sprintf("i-order-%d", i), slots: 6, work: 60 * time.Millisecond, runs: all}
 		replicas = append(replicas, r)
 		if err := r.start(); err != nil {
 			return exitCannotRun, err
@@ -43,7 +43,7 @@
 	stop := make(chan struct{})
 	var group sync.WaitGroup
 	answers := newTally()
-	for c := range 6 {
+	for c := range 12 {
 		group.Go(func() {
 			client := newClient(s, s.entries[c%len(s.entries)])
 			for n := 0; ; n++ {
@@ -91,7 +91,11 @@
 	time.Sleep(time.Until(made.Add(6 * time.Second)))
 	late := leaving.call(latePath, lateBody)
 	s.record.line("replica %s: its heartbeat of %.1f s ago arrives at %q", leaving.id, time.Since(made).Seconds(), late)
-	time.Sleep(6 * time.Second)
+	// The replica ends while requests are sent to it: what it runs then is lost.
+	time.Sleep(time.Until(acknowledged.Add(9 * time.Second)))
+	_ = leaving.server.Close()
+	s.record.line("replica %s ends %.1f s after its deregistration was acknowledged", leaving.id, time.Since(acknowledged).Seconds())
+	time.Sleep(3 * time.Second)
 	close(stop)
 	group.Wait()
 	// In touch: ContactMs after the last event of the core, and no other disruption.
--- a/review/stand/load.go
+++ b/review/stand/load.go
@@ -36,6 +36,8 @@
 	id, status string
 	code       int
 	body       []byte
+	// whole is set if the answer came to its end.
+	whole bool
 	// again is set if the client's own library has sent the request again.
 	again bool
 	sent  time.Time
@@ -74,6 +76,7 @@
 			r.status += " broken off"
 		}
 		_ = response.Body.Close()
+		r.whole = err == nil
 	}
 	r.took, r.again = time.Since(r.sent), connections.Load() > 1
 	c.s.record.line("client gets %s for %s after %d ms", r.status, id, r.took.Milliseconds())
--- a/review/stand/memory.go
+++ b/review/stand/memory.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"strconv"
@@ -113,12 +114,20 @@
 		for c := range n {
 			clients.Go(func() {
 				client := newClient(s, s.entries[c%len(s.entries)])
-				defer client.transport.CloseIdleConnections()
+				defer func() { client.transport.CloseIdleConnections() }()
 				for time.Now().Before(until) {
 					id := fmt.Sprintf("plan-%05d", numbers.Add(1))
 					r := client.ask(http.MethodPost, "/plan/"+id, id, body, nil, 20*time.Second)
 					answers.add("plan", r)
-					time.Sleep(100 * time.Millisecond)
+					if r.code == http.StatusOK && r.whole {
+						time.Sleep(100 * time.Millisecond)
+						continue
+					}
+					// The next connection goes to another machine, as the platform's balancer
+					// does with new connections.
+					client.transport.CloseIdleConnections()
+					client = newClient(s, s.entries[rand.IntN(len(s.entries))])
+					time.Sleep(time.Second)
 				}
 			})
 		}
