--- a/review/stand/replica.go
+++ b/review/stand/replica.go
@@ -171,9 +171,9 @@
 		}
 		return
 	}
-	body := fmt.Sprintf("%s ran %s\n", r.id, id)
-	w.Header().Set("Content-Length", fmt.Sprint(len(body)))
-	_, _ = io.WriteString(w, body)
+	text := fmt.Sprintf("%s ran %s\n", r.id, id)
+	w.Header().Set("Content-Length", fmt.Sprint(len(text)))
+	_, _ = io.WriteString(w, text)
 }
 
 // setLoss sets which runs lose their answers.
