Send each request to a backend server at most once

Cause: http.Transport repeats a request by itself when a kept connection ends before the answer, if it has no body and its method is GET, HEAD, OPTIONS or TRACE or it has a header Idempotency-Key. The router's attempts, budget and checks before a send are passed by.

A kept connection that had been closed is no failure of the backend server; the router sends again, of whatever kind.

--- a/dh/dhrouter/forward.go
+++ b/dh/dhrouter/forward.go
@@ -371,6 +371,10 @@
 	if errors.Is(err, errLowConfidence) {
 		return Event{}, false // the answer is valid, so the backend server did not fail
 	}
+	if errors.Is(err, ErrStaleConnection) {
+		f.router.Metrics.Count("attempt-failed", "stale-connection")
+		return Event{}, false // another connection to the same backend server may work
+	}
 	e := f.event(b, first, true)
 	e.OutOfTime = (f.answered && f.answerStatus == http.StatusGatewayTimeout) || errors.Is(err, context.DeadlineExceeded)
 	e.BrokeOff = !f.answered && !notRun && !e.OutOfTime
--- a/dh/dhrouter/forward_test.go
+++ b/dh/dhrouter/forward_test.go
@@ -611,3 +611,21 @@
 	}
 	f.Publish(&Snapshot{Tables: testTables(), Backends: table.View(f.timers.Now())})
 }
+
+// Guards against backend servers that are avoided because connections kept to them had been
+// closed while idle, which refused requests although all of them were healthy.
+func TestForwardStaleConnectionIsNoFailure(t *testing.T) {
+	stale := func(context.Context, *Outbound) (*Inbound, error) {
+		return nil, dhcode.WithRan(dhcode.Wrap(dhcode.BackendFailed, ErrStaleConnection), dhcode.NotRun)
+	}
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestRouter(t, stale, stale, stale, stale, reply(200, text("done")))
+		w, _, err := f.ask(t, "order")
+		assert.NilError(t, err)
+		assert.Equal(t, w.Body.String(), "done")
+		assert.Equal(t, len(f.transport.sent), 5)
+		for _, id := range []string{"b0", "b1", "b2"} {
+			assert.Assert(t, f.Breakers.Closed(id), id)
+		}
+	})
+}
--- a/dh/dhrouter/message.go
+++ b/dh/dhrouter/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -117,10 +118,14 @@
 	Refusals float64
 }
 
+// ErrStaleConnection is wrapped by an error marked "not run" if a kept connection turned out
+// to be closed before anything was sent. The backend server may be healthy.
+var ErrStaleConnection = errors.New("a kept connection was closed")
+
 // Transport sends messages to backend servers.
 type Transport interface {
-	// Send sends a message and waits for the head of the answer. An error is marked
-	// "not run" if nothing was sent. Canceling ctx ends the answer.
+	// Send sends a message at most once and waits for the head of the answer. An error is
+	// marked "not run" if nothing was sent. Canceling ctx ends the answer.
 	Send(ctx context.Context, o *Outbound) (*Inbound, error)
 }
 
