Make leaves of backend servers durable before they are acknowledged

Cause: control VMs kept leaves in memory, for two minutes. After a restart nothing could order a late announcement of the backend server, and the first complete view of a control VM made entry VMs drop the leave too. A leave of a backend server that the VM did not know was acknowledged and dropped at once; a side without a majority acknowledged leaves as well.

--- a/dh/dhbackend/log.go
+++ b/dh/dhbackend/log.go
@@ -29,12 +29,15 @@
 	// record of a backend server that has left is kept, so that a delayed
 	// announcement does not add the backend server again.
 	Lease, KeepLeaving time.Duration
-	// MaxBackends bounds the number of records.
-	MaxBackends int
+	// MaxBackends bounds the number of records, MaxDepartures that of departures.
+	MaxBackends, MaxDepartures int
 
 	mu       sync.Mutex
 	entries  map[string]*registryEntry
 	position uint64
+	// forgotten is the highest position of a removed record or departure.
+	forgotten  uint64
+	departures departures
 }
 
 type registryEntry struct {
@@ -57,6 +60,9 @@
 	// Content is set if the content changed, which entry VMs must receive. Left is
 	// set if the backend server has started to leave.
 	Content, Left bool
+	// Departed is set if the announcement came after the leave that it precedes, and
+	// therefore has no effect.
+	Departed bool
 }
 
 // Announce applies an announcement of a backend server. An announcement that is
@@ -72,6 +78,17 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if b.State != Leaving && l.departures.cover(b.ID, b.Incarnation, b.Sequence) {
+		return Change{Position: l.position, Departed: true}, nil
+	}
+	c, err := l.apply(b, r, source)
+	if err == nil && b.State == Leaving && source == "" {
+		l.departLeaving(b, &c)
+	}
+	return c, err
+}
+
+func (l *Registry) apply(b *Backend, r *dhpb.BackendRecord, source string) (Change, error) {
 	row := l.entries[b.ID]
 	if row == nil {
 		return l.add(b, r, source)
@@ -94,7 +111,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	row := l.entries[n.GetId()]
-	if row == nil || row.record.GetIncarnation() != n.GetIncarnation() || n.GetSequence() <= row.record.GetSequence() {
+	if row == nil || row.record.GetIncarnation() != n.GetIncarnation() || n.GetSequence() <= row.record.GetSequence() ||
+		l.departures.cover(n.GetId(), n.GetIncarnation(), n.GetSequence()) {
 		return nil
 	}
 	r := proto.CloneOf(cmp.Or(row.expired, row.record))
@@ -159,17 +177,23 @@
 }
 
 // Remove marks a backend server as permanently left: later announcements of the
-// same incarnation have no effect. An incarnation of 0 matches the current one.
-func (l *Registry) Remove(id string, incarnation uint64) Change {
+// same incarnation, and of earlier ones, have no effect, whether it is known or not. An
+// incarnation of 0 stands for the known one; without one, Remove does nothing and returns
+// false.
+func (l *Registry) Remove(id string, incarnation uint64) (Change, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	row := l.entries[id]
-	if row == nil || (incarnation != 0 && incarnation != row.record.GetIncarnation()) {
-		return Change{}
+	if incarnation == 0 {
+		if row == nil {
+			return Change{}, false
+		}
+		incarnation = row.record.GetIncarnation()
+	}
+	if row != nil && incarnation == row.record.GetIncarnation() {
+		row.seen = l.Timers.Now()
 	}
-	row.seen = l.Timers.Now()
-	l.markLeft(row, math.MaxUint64)
-	return Change{Position: row.content, Content: true, Left: true}
+	return l.depart(&dhpb.Departure{Id: id, Incarnation: incarnation, Sequence: math.MaxUint64}, true), true
 }
 
 // Expire marks backend servers as left that have not been announced for longer
@@ -185,6 +209,7 @@
 		leaving := row.record.GetState() == Leaving.String()
 		switch {
 		case leaving && age > l.KeepLeaving:
+			l.forgotten = max(l.forgotten, row.content)
 			delete(l.entries, id)
 		case !leaving && age > l.Lease:
 			before := row.record
@@ -193,9 +218,18 @@
 			changed = true
 		}
 	}
+	l.forgotten = max(l.forgotten, l.departures.prune(now.Add(-l.KeepLeaving)))
 	return changed
 }
 
+// Forgotten returns the position from which on Content and Departures are complete. A
+// watcher with an earlier one needs the whole content.
+func (l *Registry) Forgotten() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.forgotten
+}
+
 // Content returns the records whose content changed after a position, and the
 // position up to which they are complete.
 func (l *Registry) Content(after uint64) (records []*dhpb.BackendRecord, position uint64) {
@@ -235,10 +269,14 @@
 	return renewals, leaving
 }
 
-// HasContent reports whether the content of a record changed after a position.
+// HasContent reports whether the content of a record changed, or a departure was learned,
+// after a position.
 func (l *Registry) HasContent(after uint64) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if len(l.departures.after(after)) > 0 {
+		return true
+	}
 	for _, row := range l.entries {
 		if row.content > after {
 			return true
--- a/dh/dhconnection/dhconnection.go
+++ b/dh/dhconnection/dhconnection.go
@@ -70,7 +70,7 @@
 	once      sync.Once
 	transport *http.Transport
 
-	mu   sync.Mutex
+	mu       sync.Mutex
 	idle     map[string][]*connection // the newest last
 	sweeping bool
 }
@@ -239,7 +239,7 @@
 	}
 	list := p.idle[c.address]
 	if c.timeout <= 0 || len(list) >= p.MaxIdle {
-		c.lent = true // never offered again
+		c.lent = true                                        // never offered again
 		p.Timers.After(0, func(time.Time) { c.wire.shut() }) // offer may run within a call of the client
 		return
 	}
--- a/dh/dhcontrol/dhcontrol.go
+++ b/dh/dhcontrol/dhcontrol.go
@@ -2,11 +2,11 @@
 // which store the durable state of the system and the registry of the backend
 // servers.
 //
-// Durable state is kept in two replicated registers: the operators' document
-// (dhedit.Documents) and the operations (zones taken out, rollouts). The
-// registry, the loads and the answer counters are soft state: control VMs watch
-// each other and merge what they receive, and after a restart announcements
-// restore it within two periods.
+// Durable state is kept in replicated registers: the operators' document
+// (dhedit.Documents), the operations (zones taken out, rollouts) and the departures
+// of backend servers. The registry of those in service, the loads and the answer
+// counters are soft state: control VMs watch each other and merge what they
+// receive, and after a restart announcements restore it within two periods.
 //
 // Each entry VM watches one control VM. A watch returns the changes and the age
 // of the last majority read that confirmed the durable state. The key leases of
@@ -93,6 +93,7 @@
 	entries    *entries
 	views      views
 	peers      *peers
+	departures *departures
 	grantor    *grantor
 	quarantine *dhquarantine.Investigation
 	evaluator  evaluator
@@ -112,8 +113,8 @@
 
 // Limits of a control VM that are not configurable.
 const (
-	// leavingRetention is how long records of leaving backend servers are kept.
-	// It exceeds the time for which a partition can delay an announcement.
+	// leavingRetention is how long records of leaving backend servers are kept. Their
+	// departures are kept longer.
 	leavingRetention = 2 * time.Minute
 	// maxBackends bounds the registry. It is twice the number of backend servers
 	// planned for two years from now.
@@ -136,9 +137,11 @@
 	c.documents = &dhedit.Documents{Registers: c.proposer}
 	c.registry = &dhbackend.Registry{
 		Timers: c.Timers, Lease: c.BackendLease, KeepLeaving: max(leavingRetention, 4*c.BackendLease), MaxBackends: maxBackends,
+		MaxDepartures: maxDepartures,
 	}
 	c.entries = &entries{timers: c.Timers}
 	c.peers = newPeers(c)
+	c.departures = newDepartures(c)
 	c.grantor = newGrantor(c)
 	c.quarantine = &dhquarantine.Investigation{Timers: c.Timers, Name: c.Name, Log: c.Log, Metrics: c.Metrics}
 }
@@ -153,6 +156,7 @@
 	c.group.Go(c.confirmState)
 	c.group.Go(c.peers.run)
 	c.group.Go(c.expireBackends)
+	c.group.Go(c.departures.run)
 	c.group.Go(c.evaluateRollouts)
 	c.group.Go(c.grantor.run)
 	c.group.Go(c.investigate)
--- a/dh/dhcontrol/peers.go
+++ b/dh/dhcontrol/peers.go
@@ -264,6 +264,7 @@
 	for _, r := range records {
 		changed = c.mergeRecord(r, address) || changed
 	}
+	changed = c.mergeDepartures(reply, records) || changed
 	for _, n := range reply.GetRenewals() {
 		if r := c.registry.Renew(n, address); r != nil {
 			c.logBackend(r, address)
--- a/dh/dhcontrol/registry.go
+++ b/dh/dhcontrol/registry.go
@@ -5,6 +5,8 @@
 	"log/slog"
 	"time"
 
+	"dandelionhoist.example/dh/dhbackend"
+	"dandelionhoist.example/dh/dhcode"
 	"dandelionhoist.example/dh/dhpb"
 	"dandelionhoist.example/dh/dhtimer"
 )
@@ -18,9 +20,10 @@
 	replicatePollInterval = 10 * time.Millisecond
 )
 
-// Announce processes the announcement of a backend server. When the server starts
-// to leave, Announce returns once most control VMs have received this change, or
-// after replicateTimeout. Codes: request-malformed, table-full.
+// Announce processes the announcement of a backend server. If the server leaves, Announce
+// returns once this is durable and most control VMs have received it, the latter for at
+// most replicateTimeout. Codes: request-malformed, table-full, quorum-unreachable if the
+// leave may be forgotten, though it is in force on this VM.
 func (c *Control) Announce(ctx context.Context, r *dhpb.BackendRecord) error {
 	change, err := c.registry.Announce(r)
 	if err != nil {
@@ -28,26 +31,55 @@
 		c.Log.Warn("announcement refused", slog.String("backend", r.GetId()), slog.String("error", err.Error()))
 		return err
 	}
+	if change.Departed {
+		c.Metrics.Count("announcement", "departed")
+		c.Log.Info("announcement after the leave", slog.String("backend", r.GetId()),
+			slog.Uint64("incarnation", r.GetIncarnation()), slog.Uint64("sequence", r.GetSequence()))
+		return nil
+	}
 	c.Metrics.Count("announcement", r.GetState())
 	if change.Content {
 		c.logBackend(r, "announcement")
+	}
+	if change.Content || change.Left {
 		c.notify()
 	}
-	if change.Left {
-		c.replicate(ctx, change.Position)
+	if r.GetState() != dhbackend.Leaving.String() {
+		return nil
 	}
-	return nil
+	return c.acknowledgeLeave(ctx, r.GetId(), change)
 }
 
-// Leave removes a backend server permanently. An incarnation of 0 stands for the
-// known one.
-func (c *Control) Leave(ctx context.Context, id string, incarnation uint64) {
-	change := c.registry.Remove(id, incarnation)
-	c.Log.Info("backend server leaves", slog.String("backend", id), slog.Uint64("incarnation", incarnation), slog.Bool("known", change.Content))
+// Leave removes a backend server permanently, whether this VM knows it or not. An
+// incarnation of 0 stands for the known one. Codes: quorum-unreachable if the leave may be
+// forgotten, or if it names no incarnation and this VM does not know all backend servers.
+func (c *Control) Leave(ctx context.Context, id string, incarnation uint64) error {
+	change, known := c.registry.Remove(id, incarnation)
+	c.Log.Info("backend server leaves", slog.String("backend", id), slog.Uint64("incarnation", incarnation),
+		slog.Bool("known", known), slog.Bool("changed", change.Content))
+	if !known {
+		if !c.registryComplete() {
+			return dhcode.Errorf(dhcode.QuorumUnreachable, "control VM %q does not know all backend servers yet", c.Name)
+		}
+		return nil
+	}
 	if change.Content {
 		c.notify()
+	}
+	return c.acknowledgeLeave(ctx, id, change)
+}
+
+// acknowledgeLeave waits until a leave may be acknowledged.
+func (c *Control) acknowledgeLeave(ctx context.Context, id string, change dhbackend.Change) error {
+	ctx, cancel := dhtimer.WithTimeout(ctx, c.Timers, quorumTimeout)
+	defer cancel()
+	if err := c.departures.settle(ctx, id); err != nil {
+		return err
+	}
+	if change.Left {
 		c.replicate(ctx, change.Position)
 	}
+	return nil
 }
 
 // mergeRecord merges a record received from the control VM with the address from,
--- a/dh/dhcontrol/watch.go
+++ b/dh/dhcontrol/watch.go
@@ -48,7 +48,7 @@
 		}
 	}
 	if m.GetEpoch() != c.Incarnation {
-		return c.buildResponse(m)
+		return c.buildResponse(ctx, m)
 	}
 	c.peers.acknowledge(m.GetVm(), m.GetPosition())
 	began := c.Timers.Now()
@@ -58,12 +58,12 @@
 		changed := c.onChange()
 		if c.hasChanges(m) {
 			_ = dhtimer.Sleep(wait, c.Timers, c.batchDelay(m, began)) // a response follows in either case
-			return c.buildResponse(m)
+			return c.buildResponse(ctx, m)
 		}
 		select {
 		case <-changed:
 		case <-wait.Done():
-			return c.buildResponse(m)
+			return c.buildResponse(ctx, m)
 		}
 	}
 }
@@ -94,22 +94,29 @@
 	return c.registry.HasContent(m.GetPosition())
 }
 
-// buildResponse builds the response to a watch.
-func (c *Control) buildResponse(m *dhpb.ControlWatchRequest) (*dhpb.ControlWatchResponse, error) {
+// buildResponse builds the response to a watch. It waits for a bounded time for the
+// departures before it tells an entry VM about backend servers.
+func (c *Control) buildResponse(ctx context.Context, m *dhpb.ControlWatchRequest) (*dhpb.ControlWatchResponse, error) {
 	after := m.GetPosition()
-	a := &dhpb.ControlWatchResponse{Epoch: c.Incarnation}
-	if m.GetEpoch() != c.Incarnation {
+	a := &dhpb.ControlWatchResponse{Epoch: c.Incarnation, KeepsDepartures: true}
+	if m.GetEpoch() != c.Incarnation || after < c.registry.Forgotten() {
 		after = 0
 	}
+	usable := m.GetControl() != nil || c.departures.await(ctx)
 	var err error
-	if after == 0 {
+	switch {
+	case !usable: // the caller asks again
+	case after == 0:
 		a.View, a.Position, err = c.views.get(c.Timers.Now(), c.registry)
-	} else {
+	default:
 		a.Backends, a.Position = c.registry.Content(after)
 	}
 	if err != nil {
 		return nil, err
 	}
+	if usable {
+		a.Departures = c.registry.Departures(after)
+	}
 	if m.GetControl() != nil {
 		renewals, leaving := c.registry.Renewals(after, func(source string) bool {
 			return source == m.GetControl().GetAddress() || slices.Contains(m.GetHeard(), source)
@@ -127,7 +134,7 @@
 			a.Relays = c.entries.relaysFor(m.GetVm(), m.GetZone())
 		}
 		// A control VM that has just started does not know all backend servers.
-		a.Complete = after == 0 && c.registryComplete()
+		a.Complete = usable && after == 0 && c.registryComplete()
 		if after == 0 && !a.Complete {
 			// The caller requests the full view again until it is complete.
 			a.Position = 0
--- a/dh/dhentry/dhentry.go
+++ b/dh/dhentry/dhentry.go
@@ -312,6 +312,12 @@
 			e.Log.Warn("backend server record not applied", slog.String("backend", r.GetId()), slog.String("error", err.Error()))
 		}
 	}
+	for _, d := range u.GetDepartures() {
+		if e.table.Depart(d) {
+			e.Log.Info("backend server has left", slog.String("backend", d.GetId()), slog.Uint64("incarnation", d.GetIncarnation()),
+				slog.Uint64("sequence", d.GetSequence()))
+		}
+	}
 	if first && len(listed) > 0 {
 		e.Log.Info("first backend servers received", slog.Int("count", len(listed)), slog.Bool("complete", u.GetComplete()),
 			slog.String("from", u.From), slog.Uint64("epoch", u.GetEpoch()), slog.Uint64("position", u.GetPosition()))
