Play backend servers that linger after their leave, and old programs, in the soak

The soak checked leaves of the calm phase only, and no backend server served on after it had deregistered. A new disruption, drawn after all others: a backend server deregisters, goes on serving, and an announcement made before arrives each second until the run ends. Leaves that were acknowledged in the storm are checked too; TestCheckerDetectsViolations has a row.

--- a/cmd/dandelionhoist-soak/dhsoak/backend.go
+++ b/cmd/dandelionhoist-soak/dhsoak/backend.go
@@ -76,12 +76,14 @@
 	startedAt time.Time
 	coldUntil time.Time
 	sequence  int
-	leaving   bool
-	conduct   conduct
-	active    int
-	runs      int
-	refusals  int
-	server    *http.Server
+	// leaving is announced. silent is set once the backend server has deregistered and
+	// goes on serving, without announcements.
+	leaving, silent bool
+	conduct         conduct
+	active          int
+	runs            int
+	refusals        int
+	server          *http.Server
 	// limit is stated until limitEnd.
 	limit    float64
 	limitEnd time.Time
@@ -103,7 +105,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.starts++
-	b.id, b.sequence, b.leaving = fmt.Sprintf("%s-%d", b.name, b.starts), 0, false
+	b.id, b.sequence, b.leaving, b.silent = fmt.Sprintf("%s-%d", b.name, b.starts), 0, false, false
 	b.startedAt = b.deployment.soak.Timers.Now()
 	b.coldUntil, b.limitEnd = b.startedAt.Add(cold), time.Time{}
 	server := &http.Server{Handler: b}
@@ -171,13 +173,7 @@
 	}
 	b.deployment.mu.Lock()
 	defer b.deployment.mu.Unlock()
-	others := 0
-	for _, o := range b.deployment.backends {
-		if o != b && o.poolName() == b.poolName() {
-			others++
-		}
-	}
-	if others < minPoolServers {
+	if !b.spare() {
 		return
 	}
 	b.mu.Lock()
@@ -189,6 +185,23 @@
 	}
 }
 
+// spare reports whether minPoolServers others remain in the pool that announce themselves.
+func (b *backend) spare() bool {
+	others := 0
+	for _, o := range b.deployment.backends {
+		if o != b && o.poolName() == b.poolName() && !o.isSilent() {
+			others++
+		}
+	}
+	return others >= minPoolServers
+}
+
+func (b *backend) isSilent() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.silent
+}
+
 func (b *backend) poolName() string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -217,7 +230,9 @@
 	b.mu.Unlock()
 	for range len(b.deployment.controls) * 2 {
 		if b.announce(ctx) {
-			b.deployment.checker.LeaveAcknowledged(id)
+			if b.deployment.keepsLeaves() {
+				b.deployment.checker.LeaveAcknowledged(id)
+			}
 			break
 		}
 	}
@@ -236,7 +251,7 @@
 func (b *backend) announceAll(ctx context.Context) error {
 	for {
 		b.mu.Lock()
-		up := b.server != nil
+		up := b.server != nil && !b.silent
 		b.mu.Unlock()
 		if up {
 			b.announce(ctx)
@@ -249,6 +264,11 @@
 
 // announce sends one announcement and reports whether it was acknowledged.
 func (b *backend) announce(ctx context.Context) bool {
+	path, body := b.nextAnnouncement()
+	return b.call(ctx, path, body)
+}
+
+func (b *backend) nextAnnouncement() (path string, body []byte) {
 	b.mu.Lock()
 	b.sequence++
 	r := &dhpb.BackendRecord{
@@ -269,7 +289,53 @@
 	if err != nil {
 		panic(err) // only strings and numbers are encoded
 	}
-	return b.call(ctx, path, body)
+	return path, body
+}
+
+// lateAnnouncementPeriod is the time between two late announcements of a backend server that
+// has left.
+const lateAnnouncementPeriod = time.Second
+
+// linger deregisters the backend server, which goes on serving until another fault ends it.
+// An announcement made before the leave arrives again and again afterwards.
+func (b *backend) linger(ctx context.Context) {
+	b.deployment.mu.Lock()
+	if !b.spare() {
+		b.deployment.mu.Unlock()
+		return
+	}
+	latePath, late := b.nextAnnouncement()
+	b.mu.Lock()
+	b.silent = true
+	id, born := b.id, uint64(b.startedAt.UnixMilli())
+	b.mu.Unlock()
+	b.deployment.mu.Unlock()
+	if id == "" {
+		return // it is down, and starts again under another id
+	}
+	path, body, err := platform.EncodeDeregister(id, born)
+	if err != nil {
+		panic(err) // only a string and a number are encoded
+	}
+	acknowledged := false
+	for range len(b.deployment.controls) * 2 {
+		if acknowledged = b.call(ctx, path, body); acknowledged {
+			break
+		}
+	}
+	if !acknowledged {
+		b.restart(0)
+		return
+	}
+	if b.deployment.keepsLeaves() {
+		b.deployment.checker.LeaveAcknowledged(id)
+	}
+	b.deployment.group.Go(func(ctx context.Context) error {
+		for dhtimer.Sleep(ctx, b.deployment.soak.Timers, lateAnnouncementPeriod) == nil {
+			b.call(ctx, latePath, late)
+		}
+		return nil
+	})
 }
 
 // call sends a call to a random control VM from the backend server's IP, and
--- a/cmd/dandelionhoist-soak/dhsoak/checker.go
+++ b/cmd/dandelionhoist-soak/dhsoak/checker.go
@@ -28,7 +28,7 @@
 	disturbances []disturbance
 	// calmSince is when the calm phase began; zero before.
 	calmSince time.Time
-	// left holds when the leave of a backend server was acknowledged in the calm phase.
+	// left holds when the leave of a backend server was acknowledged.
 	left map[string]time.Time
 	// evacuated holds when the evacuation of a zone was acknowledged in the calm phase.
 	evacuated map[string]time.Time
@@ -503,13 +503,11 @@
 	j.addViolation(rule, format, args...)
 }
 
-// LeaveAcknowledged records that the leave of a backend server was acknowledged.
-// It is checked only once the calm phase has settled.
+// LeaveAcknowledged records that the leave of a backend server was acknowledged, in any
+// phase. It is checked only once the calm phase has settled.
 func (j *Checker) LeaveAcknowledged(backend string) {
 	defer j.lock()()
-	if j.settled(j.Timers.Now()) {
-		j.left[backend] = j.Timers.Now()
-	}
+	j.left[backend] = j.Timers.Now()
 }
 
 // Evacuated records that the evacuation of a zone was acknowledged or ended.
--- a/cmd/dandelionhoist-soak/dhsoak/checker_test.go
+++ b/cmd/dandelionhoist-soak/dhsoak/checker_test.go
@@ -231,6 +231,11 @@
 			h.timers.Step(drainBound + time.Millisecond)
 			h.arrive(h.ask(order, keyAlways), "b", nil)
 		}},
+		"request after a leave in the storm": {"drain", func(h harness) {
+			h.LeaveAcknowledged("b")
+			h.settle()
+			h.arrive(h.ask(order, keyAlways), "b", nil)
+		}},
 		"request to a zone that is out": {"evacuation", func(h harness) {
 			h.settle()
 			h.Evacuated("zone-0", true)
--- a/cmd/dandelionhoist-soak/dhsoak/deployment.go
+++ b/cmd/dandelionhoist-soak/dhsoak/deployment.go
@@ -88,7 +88,7 @@
 func (d *deployment) start() error {
 	d.ready = make(map[*vm]bool)
 	for i := range d.size.Controls + d.size.Entries {
-		v := &vm{deployment: d, role: roleControl, name: fmt.Sprintf("control-%d", i), publicIP: d.ip(0, i), privateIP: d.ip(1, i)}
+		v := &vm{deployment: d, old: d.soak.OldProgram != "", role: roleControl, name: fmt.Sprintf("control-%d", i), publicIP: d.ip(0, i), privateIP: d.ip(1, i)}
 		if i >= d.size.Controls {
 			v.role, v.name = roleEntry, fmt.Sprintf("entry-%d", i-d.size.Controls)
 			d.entries = append(d.entries, v)
@@ -296,6 +296,11 @@
 		} else {
 			d.network.silence(name)
 		}
+	case lingerBackend:
+		b.linger(ctx)
+	case exchangeVM:
+		defer d.checker.Disturb(disturbedBy([]*vm{anyVM})...)()
+		anyVM.exchange(ctx)
 	case crashBackend, coldBackend, reuseAddress:
 		b.crash()
 		wait()
@@ -402,9 +407,13 @@
 	wait()
 }
 
-// restartStopped starts the processes that are still down after the storm.
-func (d *deployment) restartStopped() {
+// restartStopped starts the processes that are still down after the storm, and exchanges
+// old programs.
+func (d *deployment) restartStopped(ctx context.Context) {
 	for _, v := range d.vms() {
+		if v.runsOld() {
+			v.exchange(ctx)
+		}
 		v.mu.Lock()
 		if v.process == nil {
 			v.restart()
@@ -413,6 +422,12 @@
 	}
 }
 
+// keepsLeaves reports whether no control VM runs the old program, which does not make leaves
+// durable.
+func (d *deployment) keepsLeaves() bool {
+	return !slices.ContainsFunc(d.controls, (*vm).runsOld)
+}
+
 // plannedWork drains a backend server, stops an entry VM and rolls out a version
 // in the calm phase.
 func (d *deployment) plannedWork(ctx context.Context, o *operator) error {
--- a/cmd/dandelionhoist-soak/dhsoak/dhsoak.go
+++ b/cmd/dandelionhoist-soak/dhsoak/dhsoak.go
@@ -110,8 +110,9 @@
 
 // Soak is one run. All fields are set before Run.
 type Soak struct {
-	// Program is the path of dandelionhoistd.
-	Program string
+	// Program is the path of dandelionhoistd. OldProgram is that of an earlier build with
+	// which all VMs start; the storm exchanges them. It may be empty.
+	Program, OldProgram string
 	// Folder is where the settings, disks and logs of the processes are written.
 	Folder string
 	// Seed determines sizes and faults.
@@ -152,6 +153,10 @@
 	return text
 }
 
+// exchangeStream selects the random numbers of the exchanges of a seed; the callers use
+// those from 2 on.
+const exchangeStream = 1 << 32
+
 // startLimit is the time within which the first request must be served.
 const startLimit = 20 * time.Second
 
@@ -161,6 +166,9 @@
 	random := rand.New(rand.NewPCG(s.Seed, s.Seed))
 	size := s.Size.withRandomDefaults(random)
 	faults := generateFaults(random, size, s.Storm)
+	if s.OldProgram != "" {
+		faults = append(faults, generateExchanges(rand.New(rand.NewPCG(s.Seed, exchangeStream)), size, s.Storm)...)
+	}
 	checker := &Checker{Timers: s.Timers}
 	group := dhgroup.New(ctx)
 	d := &deployment{soak: s, size: size, checker: checker, group: group, network: newNetwork(s.Timers, group)}
@@ -210,7 +218,7 @@
 	if err := storm.Wait(); err != nil {
 		return err
 	}
-	d.restartStopped()
+	d.restartStopped(ctx)
 	if err := dhtimer.Sleep(ctx, s.Timers, s.Recovery); err != nil {
 		return err
 	}
--- a/cmd/dandelionhoist-soak/dhsoak/enum_string.go
+++ b/cmd/dandelionhoist-soak/dhsoak/enum_string.go
@@ -38,11 +38,13 @@
 	_ = x[crashingPart-27]
 	_ = x[deadlyRequest-28]
 	_ = x[cutFromBackends-29]
+	_ = x[lingerBackend-30]
+	_ = x[exchangeVM-31]
 }
 
-const _faultKind_name = "kill-entrykill-controlkill-allkill-after-acknowledgementstop-entrystop-controlpause-entrypause-controlwipe-disklimit-diskreloadcut-controlcut-control-inboundcut-control-outboundcut-entrysplit-controlsdelay-linksreset-linkssilence-linkscrash-backendreuse-addresscold-backenddrain-backendmisbehaving-backendcut-backendfault-kindslimit-requestscrashing-partdeadly-requestcut-from-backends"
+const _faultKind_name = "kill-entrykill-controlkill-allkill-after-acknowledgementstop-entrystop-controlpause-entrypause-controlwipe-disklimit-diskreloadcut-controlcut-control-inboundcut-control-outboundcut-entrysplit-controlsdelay-linksreset-linkssilence-linkscrash-backendreuse-addresscold-backenddrain-backendmisbehaving-backendcut-backendfault-kindslimit-requestscrashing-partdeadly-requestcut-from-backendslinger-backendexchange-vm"
 
-var _faultKind_index = [...]uint16{0, 10, 22, 30, 56, 66, 78, 89, 102, 111, 121, 127, 138, 157, 177, 186, 200, 211, 222, 235, 248, 261, 273, 286, 305, 316, 327, 341, 354, 368, 385}
+var _faultKind_index = [...]uint16{0, 10, 22, 30, 56, 66, 78, 89, 102, 111, 121, 127, 138, 157, 177, 186, 200, 211, 222, 235, 248, 261, 273, 286, 305, 316, 327, 341, 354, 368, 385, 399, 410}
 
 func (i faultKind) String() string {
 	idx := int(i) - 0
@@ -51,7 +53,6 @@
 	}
 	return _faultKind_name[_faultKind_index[idx]:_faultKind_index[idx+1]]
 }
-
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
--- a/cmd/dandelionhoist-soak/dhsoak/fault.go
+++ b/cmd/dandelionhoist-soak/dhsoak/fault.go
@@ -46,6 +46,10 @@
 	// deadlyRequest and cutFromBackends are drawn after these.
 	deadlyRequest   // deadly-request
 	cutFromBackends // cut-from-backends
+	// lingerBackend is drawn after these.
+	lingerBackend // linger-backend
+	// exchangeVM is drawn from its own numbers, if there is an old program.
+	exchangeVM // exchange-vm
 )
 
 // conduct is how a backend server responds to requests.
@@ -145,6 +149,27 @@
 		f.duration = time.Duration(random.Int64N(int64(storm - f.start)))
 		list = append(list, f)
 	}
+	for range random.IntN(maxLingering + 1) {
+		list = append(list, fault{start: time.Duration(random.Int64N(int64(storm))), kind: lingerBackend, target: random.IntN(1 << 16)})
+	}
+	return list
+}
+
+// generateExchanges returns faults that exchange the programs of the VMs one after the
+// other in a random order, some of them three times.
+func generateExchanges(random *rand.Rand, size Size, storm time.Duration) []fault {
+	var list []fault
+	vms := random.Perm(size.Controls + size.Entries)
+	for i, target := range vms {
+		start := storm * time.Duration(i) / time.Duration(len(vms))
+		list = append(list, fault{start: start, kind: exchangeVM, target: target})
+		if random.IntN(maxBackAndForth) == 0 {
+			for range 2 {
+				start += time.Duration(random.Int64N(int64(storm)/2 + 1))
+				list = append(list, fault{start: min(start, storm), kind: exchangeVM, target: target})
+			}
+		}
+	}
 	return list
 }
 
@@ -152,6 +177,11 @@
 	// maxCuts is the largest number of entry VMs that are cut off from backend servers in a
 	// storm.
 	maxCuts = 3
+	// maxLingering is the largest number of backend servers that leave in a storm and go on
+	// serving.
+	maxLingering = 2
+	// One in maxBackAndForth VMs goes back to the old program for a while.
+	maxBackAndForth = 4
 	// maxLimits is the largest number of request limits in a storm.
 	maxLimits = 6
 	// limitAfterFault is how long a limit lasts after its fault, and after the storm.
--- a/cmd/dandelionhoist-soak/dhsoak/vm.go
+++ b/cmd/dandelionhoist-soak/dhsoak/vm.go
@@ -30,7 +30,9 @@
 	// disk is the path of the disk; it is empty for entry VMs.
 	disk string
 
-	mu          sync.Mutex
+	mu sync.Mutex
+	// old is set while the VM is to run the old program.
+	old         bool
 	process     *process
 	downFaults  int
 	pauseFaults int
@@ -64,7 +66,11 @@
 	if v.role == roleControl {
 		arguments = append(arguments, "--internal-listen", address(v.privateIP, portInternal))
 	}
-	p := &process{command: exec.Command(v.deployment.soak.Program, arguments...), exited: make(chan struct{})}
+	program := v.deployment.soak.Program
+	if v.old {
+		program = v.deployment.soak.OldProgram
+	}
+	p := &process{command: exec.Command(program, arguments...), exited: make(chan struct{})}
 	p.command.Env = append(os.Environ(), platform.SettingsVariable+"="+v.settings)
 	p.command.Stdout, p.command.Stderr = writer, writer
 	// The kernel kills the process if the soak is killed.
@@ -208,6 +214,20 @@
 	}
 }
 
+// exchange stops the process as planned and starts it with the other program.
+func (v *vm) exchange(ctx context.Context) {
+	v.mu.Lock()
+	v.old = !v.old
+	v.mu.Unlock()
+	v.stop(ctx)
+}
+
+func (v *vm) runsOld() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.old
+}
+
 // wipe empties the disk of a process that is down.
 func (v *vm) wipe() error {
 	return errors.Join(os.RemoveAll(v.disk), os.Mkdir(v.disk, 0o755))
--- a/cmd/dandelionhoist-soak/main.go
+++ b/cmd/dandelionhoist-soak/main.go
@@ -31,7 +31,7 @@
 
 // options are the flags of the program.
 type options struct {
-	program, folder       string
+	program, old, folder  string
 	firstSeed, seeds      uint64
 	parallel              int
 	storm, recovery, calm time.Duration
@@ -44,6 +44,7 @@
 	app := kingpin.New("dandelionhoist-soak", "Runs the platform's roles under random faults and checks their guarantees.")
 	app.Terminate(nil)
 	app.Flag("program", "Path of dandelionhoistd.").Required().StringVar(&o.program)
+	app.Flag("old-program", "Path of dandelionhoistd of an earlier build with which all VMs start.").StringVar(&o.old)
 	app.Flag("folder", "Folder for settings, disks and logs.").Default(filepath.Join(os.TempDir(), "dandelionhoist-soak")).StringVar(&o.folder)
 	app.Flag("first-seed", "First seed; 0 takes it from the clock.").Default("0").Uint64Var(&o.firstSeed)
 	app.Flag("seeds", "Number of seeds.").Default("1").Uint64Var(&o.seeds)
@@ -159,7 +160,7 @@
 		return dhsoak.Report{}, err
 	}
 	soak := &dhsoak.Soak{
-		Program: o.program, Folder: folder, Seed: seed, Storm: o.storm, Recovery: o.recovery, Calm: o.calm, Size: o.size,
+		Program: o.program, OldProgram: o.old, Folder: folder, Seed: seed, Storm: o.storm, Recovery: o.recovery, Calm: o.calm, Size: o.size,
 		Network: addresses, Timers: dhtimer.NewSystem(), Log: log,
 	}
 	report, err := soak.Run(ctx)
