Bound what VMs read of the answers to their calls

Cause: the client between VMs read each answer into memory whole, with the call's time limit as its only bound; heads could have 10 MB.

Change: dhwire.Bounded bounds one answer (8 MiB) and all that are being read (32 MiB); heads have at most 64 KiB.

--- a/cmd/dandelionhoistd/platform_test.go
+++ b/cmd/dandelionhoistd/platform_test.go
@@ -68,11 +68,16 @@
 	return p.log.String()
 }
 
+// fleetIP returns loopback address n from 0 to 15 of this process.
+func fleetIP(n int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+pid>>12&0x1f, pid>>4&0xff, (pid&0x0f)<<4+n)
+}
+
 func newFleet(t *testing.T, controls, entries int) *fleet {
 	f := &fleet{t: t, folder: t.TempDir(), group: dhgroup.New(t.Context())}
 	f.client = &http.Client{Transport: &http.Transport{}}
-	pid := os.Getpid()
-	ip := func(n int) string { return fmt.Sprintf("127.%d.%d.%d", 1+pid>>12&0x1f, pid>>4&0xff, (pid&0x0f)<<4+n) }
+	ip := fleetIP
 	var seeds []string
 	for i := range min(controls, 3) {
 		seeds = append(seeds, fmt.Sprintf("%q", net.JoinHostPort(ip(1+i), strconv.Itoa(portControl))))
--- a/dh/dhpeer/dhpeer.go
+++ b/dh/dhpeer/dhpeer.go
@@ -69,18 +69,31 @@
 		if c.SourceIP != nil {
 			dialer.LocalAddr = &net.TCPAddr{IP: c.SourceIP}
 		}
-		c.http = &http.Client{Transport: &keyTransport{key: c.Key, next: &http.Transport{
-			Protocols:           protocols,
-			DialContext:         dialer.DialContext,
-			HTTP2:               &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
-			MaxIdleConnsPerHost: maxIdlePerPeer,
-			IdleConnTimeout:     idleTimeout,
-			DisableCompression:  c.OneCallPerConnection,
-		}}}
+		transport := &http.Transport{
+			Protocols:              protocols,
+			DialContext:            dialer.DialContext,
+			HTTP2:                  &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
+			MaxIdleConnsPerHost:    maxIdlePerPeer,
+			IdleConnTimeout:        idleTimeout,
+			DisableCompression:     c.OneCallPerConnection,
+			MaxResponseHeaderBytes: dhwire.MaxHeaderBytes,
+		}
+		c.http = &http.Client{Transport: &dhwire.Bounded{
+			Next: &keyTransport{key: c.Key, next: transport}, MaxBytes: maxAnswerBytes, MaxTotalBytes: maxTotalAnswerBytes,
+		}}
 		c.clients = make(map[string]peerClients)
 	})
 }
 
+const (
+	// maxAnswerBytes bounds the answer to a call. The largest is a view of all backend
+	// servers of a control VM, about 2 MB at the size planned for two years from now, with
+	// a document of at most 1 MiB.
+	maxAnswerBytes = 8 << 20
+	// maxTotalAnswerBytes bounds the answers that are being read at the same time.
+	maxTotalAnswerBytes = 32 << 20
+)
+
 // idleTimeout is the time after which unused connections are closed.
 const idleTimeout = 30 * time.Second
 
