Bound the calls that a control VM holds at the same time

Twelve connections with calls without end to one address of a control VM took it over 112 MB within 0.2 s; calls of others end with the process.

Cause: calls between VMs had no bound, and calls of operators and backend servers 4 MiB each, also an announcement of which 64 KiB are accepted, with no bound on all of them.

Evidence: TestEndlessRequests, on twelve connections each: Watch and Accept over 112 MB, announcements 82 MB, before the change.

--- a/cmd/dandelionhoistd/endless_test.go
+++ b/cmd/dandelionhoistd/endless_test.go
@@ -130,3 +130,88 @@
 		}
 	}
 }
+
+// sendEndless sends what does not end on some connections to an address until the test
+// ends. A pause of 0 sends it as fast as it is taken.
+func (f *fleet) sendEndless(group *dhgroup.Group, address, head, more string, pause time.Duration) {
+	const connections = 12
+	for range connections {
+		group.Go(func(ctx context.Context) error {
+			for ctx.Err() == nil {
+				conn, err := net.Dial("tcp", address)
+				if err != nil {
+					return err
+				}
+				stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+				for _, err = io.WriteString(conn, head); err == nil; _, err = io.WriteString(conn, more) {
+					if pause > 0 {
+						_ = dhtimer.Sleep(ctx, f.timers, pause) // a write fails once ctx has ended
+					}
+				}
+				stop()
+				_ = conn.Close() // the VM has closed it
+			}
+			return nil
+		})
+	}
+}
+
+// Guards against requests without end, on any address of a VM, that use up its memory or
+// keep it from serving others.
+func TestEndlessRequests(t *testing.T) {
+	f := newLimitedFleet(t, 1, 1, memoryMb)
+	f.waitUntil("the first configuration is acknowledged", func() bool {
+		status, _ := f.call(0, "POST", "Config.Replace", testConfiguration(3, `"key-1"`))
+		return status == http.StatusOK
+	})
+	f.addReplica("i-1", "app", "z0", "v1")
+	f.waitUntil("the pool serves", func() bool {
+		_, got := f.sendRequest(t.Context(), 0, "GET", "/look/1", "key-1")
+		return got.status == http.StatusOK
+	})
+	control, entry := f.controls[0], f.entries[0]
+	at := func(p *platformProcess, port int) string { return net.JoinHostPort(p.ip, strconv.Itoa(port)) }
+	chunk := "10000\r\n" + strings.Repeat("x", 64<<10) + "\r\n"
+	chunked := " HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: a\r\nAuthorization: Bearer key-1\r\nContent-Type: application/protobuf\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for name, c := range map[string]struct {
+		address, head, more string
+		pause               time.Duration
+	}{
+		"entry, head":             {at(entry, portFront), "GET /look/1 HTTP/1.1\r\n", "X-A: " + strings.Repeat("x", 4096) + "\r\n", 0},
+		"entry, slow head":        {at(entry, portFront), "GET /look/1 HTTP/1.1\r\nX-A: ", "x", 100 * time.Millisecond},
+		"entry, body":             {at(entry, portFront), "POST /look/1" + chunked, chunk, 0},
+		"entry, chunk extensions": {at(entry, portFront), "POST /look/1" + chunked, "1;" + strings.Repeat("x", 1000) + "\r\nx\r\n", 0},
+		"entry, trailers":         {at(entry, portFront), "POST /look/1" + chunked + "0\r\n", "X-A: b\r\n", 0},
+		"ready, body":             {at(entry, portReady), "GET /dandelionhoist/readyz" + chunked, chunk, 0},
+		"relay, head":             {at(entry, portInternal+1), "CONNECT 10.0.0.1:80 HTTP/1.1\r\n", "X-A: " + strings.Repeat("x", 4096) + "\r\n", 0},
+		"control, heartbeat":      {at(control, portControl), "POST /dandelionhoist/Instances.Heartbeat/i-9" + chunked, chunk, 0},
+		"control, configuration":  {at(control, portControl), "POST /dandelionhoist/Config.Replace" + chunked, chunk, 0},
+		"control, watch":          {at(control, portInternal), "POST /twirp/dandelionhoist.v1.ControlService/Watch" + chunked, chunk, 0},
+		"control, accept":         {at(control, portInternal), "POST /twirp/dandelionhoist.v1.PeerService/Accept" + chunked, chunk, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f.t = t
+			sending := dhgroup.New(t.Context())
+			f.sendEndless(sending, c.address, c.head, c.more, c.pause)
+			others := dhgroup.New(t.Context())
+			others.Go(func(ctx context.Context) error {
+				for {
+					limited, cancel := dhtimer.WithTimeout(ctx, f.timers, 5*time.Second)
+					_, got := f.sendRequest(limited, 0, "GET", "/look/1", "key-1")
+					cancel()
+					if ctx.Err() != nil {
+						return nil
+					}
+					if got.status != http.StatusOK {
+						return fmt.Errorf("another request: status %d, %v: %s", got.status, got.err, got.body)
+					}
+				}
+			})
+			f.checkMemory(1500*time.Millisecond, control, entry)
+			others.Stop()
+			assert.NilError(t, others.Wait())
+			sending.Stop()
+			assert.NilError(t, sending.Wait())
+		})
+	}
+}
--- a/cmd/dandelionhoistd/platform_test.go
+++ b/cmd/dandelionhoistd/platform_test.go
@@ -75,6 +75,12 @@
 }
 
 func newFleet(t *testing.T, controls, entries int) *fleet {
+	return newLimitedFleet(t, controls, entries, 0)
+}
+
+// newLimitedFleet returns a fleet whose processes are told a limit on their memory in
+// megabytes, or none if it is 0.
+func newLimitedFleet(t *testing.T, controls, entries, memory int) *fleet {
 	f := &fleet{t: t, folder: t.TempDir(), group: dhgroup.New(t.Context())}
 	f.client = &http.Client{Transport: &http.Transport{}}
 	ip := fleetIP
@@ -92,8 +98,8 @@
 		}
 		p.settings = writeFile(t, f.folder, fmt.Sprintf("boot-%d.toml", i), fmt.Sprintf(
 			"NodeName = \"vm-%d\"\nIp = %q\nZone = \"z%d\"\nInternalPorts = [%d, %d]\nSeeds = [%s]\nBootstrap = true\nHeartbeatMs = %d\n%s"+
-				"[Listen]\n%s\n[FaultTolerance]\nMachines = 1\n[Bounds]\nGraceS = 8\nRevokeMs = 60000\nRetryBudgetRatio = 0.9\nRetrySlack = 50\n",
-			i, p.ip, i%2, portInternal, portInternal+9, strings.Join(seeds, ", "), testHeartbeatMs, extra, listen))
+				"[Listen]\n%s\n[Limits]\nMemoryMb = %d\n[FaultTolerance]\nMachines = 1\n[Bounds]\nGraceS = 8\nRevokeMs = 60000\nRetryBudgetRatio = 0.9\nRetrySlack = 50\n",
+			i, p.ip, i%2, portInternal, portInternal+9, strings.Join(seeds, ", "), testHeartbeatMs, extra, listen, memory))
 		if p.role == "control" {
 			f.controls = append(f.controls, p)
 		} else {
--- a/dh/dhcontrol/service.go
+++ b/dh/dhcontrol/service.go
@@ -22,9 +22,18 @@
 	for _, method := range []string{"Prepare", "Accept", "ReadState"} {
 		mux.Handle(voter.PathPrefix()+method, voter)
 	}
-	return mux
+	bounds := &dhwire.Bounds{MaxBytes: maxCallBytes, MaxTotalBytes: maxTotalCallBytes}
+	return bounds.Handler(mux)
 }
 
+const (
+	// maxCallBytes bounds a call of another VM: it carries a value of a register, or an
+	// entry VM's report.
+	maxCallBytes = 8 << 20
+	// maxTotalCallBytes bounds the calls that are being served at the same time.
+	maxTotalCallBytes = 16 << 20
+)
+
 // controlService converts errors to Twirp errors.
 type controlService struct{ control *Control }
 
--- a/dh/dhpeer/dhpeer.go
+++ b/dh/dhpeer/dhpeer.go
@@ -78,9 +78,8 @@
 			DisableCompression:     c.OneCallPerConnection,
 			MaxResponseHeaderBytes: dhwire.MaxHeaderBytes,
 		}
-		c.http = &http.Client{Transport: &dhwire.Bounded{
-			Next: &keyTransport{key: c.Key, next: transport}, MaxBytes: maxAnswerBytes, MaxTotalBytes: maxTotalAnswerBytes,
-		}}
+		bounds := &dhwire.Bounds{MaxBytes: maxAnswerBytes, MaxTotalBytes: maxTotalAnswerBytes}
+		c.http = &http.Client{Transport: bounds.Client(&keyTransport{key: c.Key, next: transport})}
 		c.clients = make(map[string]peerClients)
 	})
 }
