Hold unnumbered events of every answer that another backend server can give

A caller whose request may be repeated got 200 and a broken end when a faulty backend server answered with comments without end, though others were healthy.

Cause: events without a number are held back until the first numbered one, so that the request can go on elsewhere, but only on resumable routes. On other routes that may be repeated they were passed on at once.

Evidence: TestAnswersWithoutEnd, two new rows, fails before (status 200, 65,534 bytes, then the error); after the change the other backend server answers.

--- a/dh/dhrouter/forward_relay.go
+++ b/dh/dhrouter/forward_relay.go
@@ -308,7 +308,7 @@
 		if repeated {
 			continue
 		}
-		if !f.begun && !e.HasID && f.route.Resumable {
+		if !f.begun && !e.HasID && (f.route.Resumable || f.repeatable()) {
 			held = append(held, e.Raw...)
 			continue
 		}
