Bound the answer of a relay to its handshake

A VM that connects to a backend server through another VM kept a head without end for as long as the caller of the request waited.

Cause: http.ReadResponse has no bound of its own.

Evidence: TestHandshakeWithoutEndIsCut: 64 MB were read, as many as the test sends; after the change the connection ends within the socket buffers.

--- a/dh/dhdetour/connect.go
+++ b/dh/dhdetour/connect.go
@@ -5,6 +5,8 @@
 	"context"
 	"encoding/hex"
 	"fmt"
+	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/url"
@@ -31,6 +33,9 @@
 	}
 }
 
+// maxHandshakeBytes bounds the answer of a relay to the handshake.
+const maxHandshakeBytes = 4 << 10
+
 func handshake(conn net.Conn, relay RelayVM, address string) (net.Conn, error) {
 	request := &http.Request{
 		Method: http.MethodConnect, URL: &url.URL{Host: address}, Host: address, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
@@ -39,13 +44,15 @@
 	if err := request.Write(conn); err != nil {
 		return nil, err
 	}
-	from := bufio.NewReader(conn)
+	limited := &io.LimitedReader{R: conn, N: maxHandshakeBytes}
+	from := bufio.NewReader(limited)
 	response, err := http.ReadResponse(from, request)
 	if err != nil {
 		return nil, err
 	}
 	switch response.StatusCode {
 	case http.StatusOK:
+		limited.N = math.MaxInt64 // frames follow
 		return &detourConn{Conn: conn, from: from}, nil
 	case http.StatusBadGateway:
 		return nil, ErrUnreachable
--- a/dh/dhdetour/dhdetour_test.go
+++ b/dh/dhdetour/dhdetour_test.go
@@ -287,3 +287,29 @@
 		assert.Equal(t, p.connect(t, 4), 4)
 	})
 }
+
+// Guards against a relay whose answer to the handshake has no end, which the VM that
+// connects would keep.
+func TestHandshakeWithoutEndIsCut(t *testing.T) {
+	for name, more := range map[string]string{"lines": "X-A: " + strings.Repeat("x", 4096) + "\r\n", "a line": strings.Repeat("x", 4096)} {
+		t.Run(name, func(t *testing.T) {
+			var sent atomic.Int64
+			relay := startBackend(t, func(c *net.TCPConn) {
+				defer func() { _ = c.Close() }()
+				if _, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nX-A: "); err != nil {
+					return
+				}
+				for sent.Load() < 64<<20 {
+					n, err := io.WriteString(c, more)
+					if sent.Add(int64(n)); err != nil {
+						return
+					}
+				}
+			})
+			_, err := dhdetour.Through(dial)(t.Context(), dhdetour.RelayVM{VM: "e1", Address: relay}, "10.0.0.1:80")
+			assert.Assert(t, err != nil)
+			const buffered = 16 << 20
+			assert.Assert(t, sent.Load() < buffered, "%d MB sent", sent.Load()>>20)
+		})
+	}
+}
