Bound what connect clients read of a message

A backend server of our own deployments, or an entry VM called by an operator or the load tool, could send a message or a failure without end, which was kept until the call ended.

Cause: connect bounds messages only if told to, and then still reads a message that is too large to its end; failures have no bound.

Change: dhwire.Bounds.ConnectClient reads the length of each message of a stream and ends the call if it is over the bound; other responses count as those between VMs do. 1 MiB for backend servers, 16 MiB for operators, 8 MiB for the load tool.

--- a/cmd/dandelionhoist-load/main.go
+++ b/cmd/dandelionhoist-load/main.go
@@ -26,7 +26,6 @@
 	"crypto/rand"
 	"fmt"
 	"io"
-	"net/http"
 	"os"
 	"os/signal"
 	"strings"
@@ -43,6 +42,13 @@
 	"dandelionhoist.example/dh/dhworkload"
 )
 
+const (
+	// maxMessageBytes bounds a message of an entry VM, maxTotalMessageBytes those that are
+	// being read at the same time, except for parts of answers.
+	maxMessageBytes      = 8 << 20
+	maxTotalMessageBytes = 64 << 20
+)
+
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
@@ -129,7 +135,8 @@
 	if err != nil {
 		return err
 	}
-	client := &http.Client{Transport: transport}
+	bounds := &dhwire.Bounds{MaxBytes: maxMessageBytes, MaxTotalBytes: maxTotalMessageBytes}
+	client := bounds.ConnectClient(transport)
 	l.Routers = make(map[string][]dhpbconnect.RouterServiceClient)
 	for _, account := range l.Workload.Accounts {
 		if keys[account.Name] == "" {
--- a/cmd/dandelionhoist/client.go
+++ b/cmd/dandelionhoist/client.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net/http"
 	"os"
 	"strings"
 	"time"
@@ -33,6 +32,9 @@
 	preferred int
 }
 
+// maxAnswerBytes bounds an answer of a VM: a document, or a page of bills or edits.
+const maxAnswerBytes = 16 << 20
+
 func (p *program) connect() (*client, error) {
 	if p.client != nil {
 		return p.client, nil
@@ -48,12 +50,13 @@
 	if err != nil {
 		return nil, exitUsage(err)
 	}
+	bounds := &dhwire.Bounds{MaxBytes: maxAnswerBytes, MaxTotalBytes: 2 * maxAnswerBytes}
 	c := &client{timers: p.Timers}
 	for _, text := range p.flags.servers {
 		if err := dhwire.CheckURL(text); err != nil {
 			return nil, exitUsage(err)
 		}
-		service := dhpbconnect.NewOperatorServiceClient(&http.Client{Transport: transport},
+		service := dhpbconnect.NewOperatorServiceClient(bounds.ConnectClient(transport),
 			strings.TrimSuffix(text, "/"), dhwire.WithKey(key))
 		c.servers = append(c.servers, server{url: text, service: service})
 	}
--- a/dh/dhengine/wire.go
+++ b/dh/dhengine/wire.go
@@ -20,15 +20,25 @@
 	protocols.SetHTTP2(true)
 	protocols.SetUnencryptedHTTP2(true)
 	dialer := net.Dialer{Timeout: time.Second, KeepAlive: 15 * time.Second}
-	return &http.Client{Transport: &http.Transport{
+	bounds := &dhwire.Bounds{MaxBytes: maxMessageBytes, MaxTotalBytes: maxTotalMessageBytes}
+	return bounds.ConnectClient(&http.Transport{
 		Protocols:       &protocols,
 		DialContext:     dialer.DialContext,
 		IdleConnTimeout: time.Minute,
 		// Pings detect connections whose peer disappeared without closing them.
-		HTTP2: &http.HTTP2Config{SendPingTimeout: 2 * time.Second, PingTimeout: time.Second},
-	}}
+		HTTP2:                  &http.HTTP2Config{SendPingTimeout: 2 * time.Second, PingTimeout: time.Second},
+		MaxResponseHeaderBytes: dhwire.MaxHeaderBytes,
+	})
 }
 
+const (
+	// maxMessageBytes bounds a message of a backend server, such as a chunk of an answer or
+	// its report. maxTotalMessageBytes bounds those that are being read at the same time,
+	// except for chunks.
+	maxMessageBytes      = 1 << 20
+	maxTotalMessageBytes = 16 << 20
+)
+
 // NewHTTPServer returns a server for HTTP/1.1 and HTTP/2 without TLS.
 func NewHTTPServer(h http.Handler) *http.Server {
 	var protocols http.Protocols
--- a/dh/dhwire/bounds_test.go
+++ b/dh/dhwire/bounds_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/iotest"
 
 	"gotest.tools/v3/assert"
 
@@ -54,6 +55,33 @@
 	assert.NilError(t, body.Close())
 }
 
+// Guards against a stream whose messages are bounded by what comes in one read, and against
+// a bound on all of its messages together.
+func TestBoundedStreams(t *testing.T) {
+	message := func(n int) string { return string([]byte{0, 0, 0, byte(n >> 8), byte(n)}) + strings.Repeat("x", n) }
+	read := func(text string) (int, error) {
+		client := (&dhwire.Bounds{MaxBytes: 1000, MaxTotalBytes: 1500}).ConnectClient(fixedStream{iotest.OneByteReader(strings.NewReader(text))})
+		response, err := client.Get("http://b")
+		assert.NilError(t, err)
+		defer func() { _ = response.Body.Close() }()
+		data, err := io.ReadAll(response.Body)
+		return len(data), err
+	}
+	text := strings.Repeat(message(1000)+message(0), 20)
+	n, err := read(text)
+	assert.NilError(t, err)
+	assert.Equal(t, n, len(text))
+	_, err = read(message(10) + message(1001))
+	assert.Equal(t, dhcode.Of(err), dhcode.RequestTooLarge)
+}
+
+type fixedStream struct{ body io.Reader }
+
+func (f fixedStream) RoundTrip(*http.Request) (*http.Response, error) {
+	header := http.Header{"Content-Type": {"application/connect+proto"}}
+	return &http.Response{StatusCode: http.StatusOK, Header: header, Body: io.NopCloser(f.body)}, nil
+}
+
 // Guards against requests without end, and against many that use up the memory together.
 func TestBoundedRequests(t *testing.T) {
 	b := &dhwire.Bounds{MaxBytes: 1000, MaxTotalBytes: 1500}
