--- a/cmd/dandelionhoistd/endless_test.go
+++ b/cmd/dandelionhoistd/endless_test.go
@@ -24,16 +24,21 @@
 // memoryMb is the memory limit of the processes, that of the smallest VMs.
 const memoryMb = 112
 
-// endlessServer answers each connection with head and then more without end.
-type endlessServer struct{ connections, sent atomic.Int64 }
+// endlessServer answers the first request on each connection with head, in which ID stands
+// for the id of the request, and then more without end. If more is empty, it is an event with
+// the next number.
+type endlessServer struct {
+	address           string
+	connections, sent atomic.Int64
+}
 
-func startEndlessServer(t *testing.T, address, head, more string) *endlessServer {
+func startEndlessServer(t *testing.T, address, head, more string, pause time.Duration) *endlessServer {
 	t.Helper()
 	listener, err := net.Listen("tcp", address)
 	assert.NilError(t, err)
 	group := dhgroup.New(t.Context())
 	t.Cleanup(func() { _ = listener.Close(); group.Stop() })
-	s := new(endlessServer)
+	s := &endlessServer{address: listener.Addr().String()}
 	group.Go(func(context.Context) error {
 		for {
 			conn, err := listener.Accept()
@@ -45,17 +50,23 @@
 				stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 				defer stop()
 				defer func() { _ = conn.Close() }()
-				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+				request, err := http.ReadRequest(bufio.NewReader(conn))
+				if err != nil {
 					return nil
 				}
-				text := head
-				for {
+				text := strings.ReplaceAll(head, "ID", request.Header.Get("Attempt-Id"))
+				for number := 1; ; number++ {
 					n, err := io.WriteString(conn, text)
 					s.sent.Add(int64(n))
 					if err != nil {
 						return nil // the caller has closed the connection
 					}
-					text = more
+					if text = more; more == "" {
+						text = fmt.Sprintf("id: %d\ndata: %s\n\n", number, strings.Repeat("x", 1000))
+					}
+					if pause > 0 {
+						_ = dhtimer.Sleep(ctx, dhtimer.System{}, pause) // a write fails once ctx has ended
+					}
 				}
 			})
 		}
@@ -115,7 +126,7 @@
 				p := &platformProcess{role: role, ip: fleetIP(1)}
 				var servers []*endlessServer
 				for n := 2; n <= 3; n++ {
-					servers = append(servers, startEndlessServer(t, net.JoinHostPort(fleetIP(n), strconv.Itoa(portInternal)), answer[0], answer[1]))
+					servers = append(servers, startEndlessServer(t, net.JoinHostPort(fleetIP(n), strconv.Itoa(portInternal)), answer[0], answer[1], 0))
 				}
 				seed := func(n int) string { return net.JoinHostPort(fleetIP(n), strconv.Itoa(portControl)) }
 				p.settings = writeFile(t, f.folder, "boot.toml", fmt.Sprintf(
@@ -215,3 +226,122 @@
 		})
 	}
 }
+
+// addEndlessReplica adds a backend server of a pool that answers each request without end.
+func (f *fleet) addEndlessReplica(id, service, head, more string, pause time.Duration) *endlessServer {
+	f.t.Helper()
+	server := startEndlessServer(f.t, "127.0.0.1:0", head, more, pause)
+	r := &replica{id: id, service: service, zone: "z0", version: "v1", born: f.timers.Now().UnixMilli(), address: server.address}
+	r.state.Store("ready")
+	f.group.Go(func(ctx context.Context) error {
+		for i := 0; ; i++ {
+			f.sendHeartbeat(i%len(f.controls), r)
+			if dhtimer.Sleep(ctx, f.timers, testHeartbeatMs*time.Millisecond) != nil {
+				return nil
+			}
+		}
+	})
+	return server
+}
+
+// Guards against an entry VM with little memory that is ended by what the backend servers of
+// a pool send without end, or that serves the requests to other pools late because of it,
+// while some callers do not read their answers.
+func TestEndlessReplicas(t *testing.T) {
+	const (
+		bad, callers = 5, 40
+		sealed       = "HTTP/1.1 200 OK\r\nAttempt-Id: ID\r\nServer-Seal: x\r\n"
+		stream       = sealed + "Content-Type: text/event-stream\r\n\r\n"
+		maxOthers    = 2 * time.Second
+	)
+	long := strings.Repeat("x", 64<<10)
+	for name, c := range map[string]struct {
+		head, more string
+		pause      time.Duration
+	}{
+		"head":               {"HTTP/1.1 200 OK\r\n", "X-A: " + long[:4096] + "\r\n", 0},
+		"slow head":          {"HTTP/1.1 200 OK\r\nX-A: ", "x", time.Second},
+		"interim":            {"", "HTTP/1.1 103 Early Hints\r\nX-A: b\r\n\r\n", 0},
+		"body":               {sealed + "\r\n", long, 0},
+		"body with length":   {sealed + "Content-Length: 8000000\r\n\r\n", long[:1024], time.Millisecond},
+		"chunks":             {sealed + "Transfer-Encoding: chunked\r\n\r\n", "10000\r\n" + long + "\r\n", 0},
+		"trailers":           {sealed + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-A: b\r\n", 0},
+		"events":             {stream, "id: 1\ndata: x\n\nid: 2\ndata: " + long[:2000] + "\n\n", 0},
+		"increasing events":  {stream, "", 0},
+		"comments":           {stream, ": keep alive\n\n", 0},
+		"slow comments":      {stream, ":", time.Second},
+		"an event":           {stream + "id: 1\ndata: ", long, 0},
+		"failure":            {"HTTP/1.1 500 Error\r\nAttempt-Id: ID\r\nServer-Seal: x\r\n\r\n", long, 0},
+		"body after refusal": {"HTTP/1.1 503 Busy\r\nAttempt-Id: ID\r\nNot-Executed: 1\r\n\r\n", long, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newLimitedFleet(t, 1, 2, memoryMb)
+			f.waitUntil("the first configuration is acknowledged", func() bool {
+				status, _ := f.call(0, "POST", "Config.Replace", testConfiguration(3, `"key-1"`))
+				return status == http.StatusOK
+			})
+			for i := range bad {
+				f.addEndlessReplica(fmt.Sprint("bad-", i), "llm", c.head, c.more, c.pause)
+			}
+			f.addReplica("good", "app", "z0", "v1")
+			f.waitUntil("both pools are known", func() bool {
+				_, got := f.sendRequest(t.Context(), 0, "GET", "/look/1", "key-1")
+				_, other := f.sendRequest(t.Context(), 1, "GET", "/look/1", "key-1")
+				return got.status == http.StatusOK && other.status == http.StatusOK
+			})
+			asking := dhgroup.New(t.Context())
+			for i := range callers {
+				asking.Go(func(ctx context.Context) error {
+					for ctx.Err() == nil {
+						f.askEndless(ctx, i%len(f.entries), i%4 == 0)
+					}
+					return nil
+				})
+			}
+			worst := time.Duration(0)
+			others := dhgroup.New(t.Context())
+			others.Go(func(ctx context.Context) error {
+				for {
+					began := f.timers.Now()
+					_, got := f.sendRequest(ctx, 0, "GET", "/look/1", "key-1")
+					if ctx.Err() != nil {
+						return nil
+					}
+					worst = max(worst, f.timers.Now().Sub(began))
+					if got.status != http.StatusOK {
+						return fmt.Errorf("another request: status %d, %v: %s", got.status, got.err, got.body)
+					}
+					if dhtimer.Sleep(ctx, f.timers, 20*time.Millisecond) != nil {
+						return nil
+					}
+				}
+			})
+			f.checkMemory(2*time.Second, f.controls[0], f.entries[0], f.entries[1])
+			others.Stop()
+			assert.NilError(t, others.Wait())
+			asking.Stop()
+			assert.NilError(t, asking.Wait())
+			assert.Assert(t, worst < maxOthers, "a request to another pool took %s", worst)
+		})
+	}
+}
+
+// askEndless sends a request to the pool of endless backend servers and reads the answer, or
+// leaves it unread for a while.
+func (f *fleet) askEndless(ctx context.Context, entry int, unread bool) {
+	ctx, cancel := dhtimer.WithTimeout(ctx, f.timers, time.Second)
+	defer cancel()
+	path := "/plan/1"
+	if !unread {
+		_, _ = f.sendRequest(ctx, entry, "GET", path, "key-1") // any end is allowed
+		return
+	}
+	conn, err := net.Dial("tcp", net.JoinHostPort(f.entries[entry].ip, strconv.Itoa(portFront)))
+	if err != nil {
+		return // as above
+	}
+	defer func() { _ = conn.Close() }()
+	id := fmt.Sprintf("%016x", requestNumber.Add(1))
+	_, _ = fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: %s\r\nAuthorization: Bearer key-1\r\nDeadline-Ms: 20000\r\nModel: *\r\n\r\n", path, id)
+	<-ctx.Done()
+}
--- a/cmd/dandelionhoistd/platform_test.go
+++ b/cmd/dandelionhoistd/platform_test.go
@@ -184,6 +184,15 @@
 	breakAfter atomic.Int64
 	// hold, when set, blocks requests until it is closed.
 	hold atomic.Pointer[chan struct{}]
+	// address is set if the replica is not served by server.
+	address string
+}
+
+func (r *replica) listenAddress() string {
+	if r.address != "" {
+		return r.address
+	}
+	return r.server.Listener.Addr().String()
 }
 
 const lastEvent = 5
@@ -210,7 +219,7 @@
 
 func (f *fleet) sendHeartbeat(control int, r *replica) int {
 	body, err := json.Marshal(map[string]any{
-		"Service": r.service, "Address": r.server.Listener.Addr().String(), "Zone": r.zone, "Version": r.version, "Slots": 8,
+		"Service": r.service, "Address": r.listenAddress(), "Zone": r.zone, "Version": r.version, "Slots": 8,
 		"State": r.state.Load(), "ColdLeftMs": 0, "Sequence": r.sequence.Add(1), "born": r.born,
 		"Models": map[bool]any{true: []map[string]string{{"Name": "m0"}}, false: nil}[r.service == "llm"],
 	})
