--- a/cmd/dandelionhoistd/platform_test.go
+++ b/cmd/dandelionhoistd/platform_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -23,7 +24,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
-	"gotest.tools/v3/assert/cmp"
+	assertcmp "gotest.tools/v3/assert/cmp"
 
 	"dandelionhoist.example/dh/dhgroup"
 	"dandelionhoist.example/dh/dhtimer"
@@ -45,11 +46,13 @@
 
 type platformProcess struct {
 	role, ip, settings string
-	command            *exec.Cmd
-	exited             chan struct{}
-	exit               error
-	mu                 sync.Mutex
-	log                strings.Builder
+	// program is the path of another build, if it is not empty.
+	program string
+	command *exec.Cmd
+	exited  chan struct{}
+	exit    error
+	mu      sync.Mutex
+	log     strings.Builder
 }
 
 // The ports of every VM, and the heartbeat period of replicas in milliseconds.
@@ -114,7 +117,7 @@
 	f.t.Helper()
 	exited := make(chan struct{})
 	p.exited = exited
-	p.command = exec.Command(os.Args[0], p.role)
+	p.command = exec.Command(cmp.Or(p.program, os.Args[0]), p.role)
 	p.command.Env = append(os.Environ(), runMain+"=1", platform.SettingsVariable+"="+p.settings)
 	output, err := p.command.StdoutPipe()
 	assert.NilError(f.t, err)
@@ -178,7 +181,8 @@
 	born                       int64
 	sequence                   atomic.Int64
 	state                      atomic.Value
-	runs                       sync.Map // request id to *atomic.Int64
+	arrivals                   atomic.Int64 // of requests to this instance
+	runs                       sync.Map     // request id to *atomic.Int64
 	// breakAfter aborts a stream in the middle of the event after this one; 0
 	// disables it.
 	breakAfter atomic.Int64
@@ -218,9 +222,18 @@
 }
 
 func (f *fleet) sendHeartbeat(control int, r *replica) int {
+	return f.announce(control, r, r.state.Load().(string))
+}
+
+// announce sends the next heartbeat of a replica with a state.
+func (f *fleet) announce(control int, r *replica, state string) int {
+	return f.announceAt(control, r, state, r.sequence.Add(1))
+}
+
+func (f *fleet) announceAt(control int, r *replica, state string, sequence int64) int {
 	body, err := json.Marshal(map[string]any{
 		"Service": r.service, "Address": r.listenAddress(), "Zone": r.zone, "Version": r.version, "Slots": 8,
-		"State": r.state.Load(), "ColdLeftMs": 0, "Sequence": r.sequence.Add(1), "born": r.born,
+		"State": state, "ColdLeftMs": 0, "Sequence": sequence, "born": r.born,
 		"Models": map[bool]any{true: []map[string]string{{"Name": "m0"}}, false: nil}[r.service == "llm"],
 	})
 	if err != nil {
@@ -254,6 +267,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	r.arrivals.Add(1)
 	count, _ := r.runs.LoadOrStore(id, new(atomic.Int64))
 	count.(*atomic.Int64).Add(1)
 	if hold := r.hold.Load(); hold != nil {
@@ -510,7 +524,7 @@
 	assert.NilError(t, err, out)
 	out, err = check(good + "[Bounds]\nGraceS = -1\n")
 	assert.Assert(t, err != nil)
-	assert.Assert(t, cmp.Contains(out, "Bounds.GraceS is -1"))
+	assert.Assert(t, assertcmp.Contains(out, "Bounds.GraceS is -1"))
 }
 
 // Guards against a blocked log that delays requests or drops lines without
