--- a/cmd/dandelionhoistd/exchange_test.go
+++ b/cmd/dandelionhoistd/exchange_test.go
@@ -34,13 +34,13 @@
 	}
 }
 
-// killControls kills all control VMs at once and starts them again.
-func (f *fleet) killControls() {
+// killAll kills processes at once and starts them again.
+func (f *fleet) killAll(list []*platformProcess) {
 	f.t.Helper()
-	for _, p := range f.controls {
+	for _, p := range list {
 		assert.NilError(f.t, p.command.Process.Kill())
 	}
-	for _, p := range f.controls {
+	for _, p := range list {
 		<-p.exited
 		f.start(p)
 	}
@@ -116,7 +116,7 @@
 			configure(17)
 			lates = append(lates, leave(leaving[2], false), leave(leaving[3], true))
 			assert.NilError(t, dhtimer.Sleep(t.Context(), f.timers, 2*time.Second))
-			f.killControls()
+			f.killAll(f.controls)
 			for _, late := range lates {
 				f.waitUntil("a control VM answers", func() bool { status, _ := f.call(0, "GET", "Config.Read", ""); return status == http.StatusOK })
 				late()
