--- a/cmd/dandelionhoistd/endless_test.go
+++ b/cmd/dandelionhoistd/endless_test.go
@@ -171,10 +171,7 @@
 // keep it from serving others.
 func TestEndlessRequests(t *testing.T) {
 	f := newLimitedFleet(t, 1, 1, memoryMb)
-	f.waitUntil("the first configuration is acknowledged", func() bool {
-		status, _ := f.call(0, "POST", "Config.Replace", testConfiguration(3, `"key-1"`))
-		return status == http.StatusOK
-	})
+	f.configure(3)
 	f.addReplica("i-1", "app", "z0", "v1")
 	f.waitUntil("the pool serves", func() bool {
 		_, got := f.sendRequest(t.Context(), 0, "GET", "/look/1", "key-1")
@@ -276,10 +273,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newLimitedFleet(t, 1, 2, memoryMb)
-			f.waitUntil("the first configuration is acknowledged", func() bool {
-				status, _ := f.call(0, "POST", "Config.Replace", testConfiguration(3, `"key-1"`))
-				return status == http.StatusOK
-			})
+			f.configure(3)
 			for i := range bad {
 				f.addEndlessReplica(fmt.Sprint("bad-", i), "llm", c.head, c.more, c.pause)
 			}
--- a/cmd/dandelionhoistd/exchange_test.go
+++ b/cmd/dandelionhoistd/exchange_test.go
@@ -58,13 +58,7 @@
 		t.Run(fmt.Sprint("control VMs first ", controlsFirst), func(t *testing.T) {
 			f := newFleet(t, 3, 2)
 			f.exchange(old, slices.Concat(f.controls, f.entries)...)
-			configure := func(version int) {
-				f.waitUntil("a configuration is acknowledged", func() bool {
-					status, _ := f.call(version%3, "POST", "Config.Replace", testConfiguration(version, `"key-1"`))
-					return status == http.StatusOK
-				})
-			}
-			configure(3)
+			f.configure(3)
 			var leaving []*replica
 			for i := range 6 {
 				leaving = append(leaving, f.addReplica(fmt.Sprint("i-", i), "app", fmt.Sprint("z", i%2), "v1"))
@@ -110,10 +104,10 @@
 			}
 			f.exchange("", first[:1]...)
 			lates := []func(){leave(leaving[0], false), leave(leaving[1], true)}
-			configure(10)
+			f.configure(10)
 			f.exchange("", first[1:]...)
 			f.exchange("", second...)
-			configure(17)
+			f.configure(17)
 			lates = append(lates, leave(leaving[2], false), leave(leaving[3], true))
 			assert.NilError(t, dhtimer.Sleep(t.Context(), f.timers, 2*time.Second))
 			f.killAll(f.controls)
--- a/cmd/dandelionhoistd/leave_test.go
+++ b/cmd/dandelionhoistd/leave_test.go
@@ -22,10 +22,7 @@
 // restarts of all control VMs, once together with the entry VMs: they arrive all the time.
 func TestLateAnnouncementsAcrossRestarts(t *testing.T) {
 	f := newFleet(t, 3, 2)
-	f.waitUntil("the first configuration is acknowledged", func() bool {
-		status, _ := f.call(0, "POST", "Config.Replace", testConfiguration(3, `"key-1"`))
-		return status == http.StatusOK
-	})
+	f.configure(3)
 	leaving := f.addReplica("i-1", "app", "z0", "v1")
 	f.addReplica("i-2", "app", "z1", "v1")
 	f.waitUntil("both replicas serve", func() bool {
--- a/cmd/dandelionhoistd/platform_test.go
+++ b/cmd/dandelionhoistd/platform_test.go
@@ -358,6 +358,15 @@
  "Limits":{"MaxBodyBytes":100000},"Tenants":[{"Name":"crew","ApiKeys":[%s]}]}`, version, keys)
 }
 
+// configure puts a configuration with the key "key-1" in force.
+func (f *fleet) configure(version int) {
+	f.t.Helper()
+	f.waitUntil("the configuration is acknowledged", func() bool {
+		status, _ := f.call(version%len(f.controls), "POST", "Config.Replace", testConfiguration(version, `"key-1"`))
+		return status == http.StatusOK
+	})
+}
+
 // Guards against a failure between processes on the path through control VM,
 // entry VM and replica: registration, configuration, plain and at-most-once
 // requests, streams that resume on another replica, keys, zones and rollouts.
@@ -458,10 +467,7 @@
 // answered.
 func TestPlatformStopUnderLoad(t *testing.T) {
 	f := newFleet(t, 1, 1)
-	f.waitUntil("the first configuration is acknowledged", func() bool {
-		status, _ := f.call(0, "POST", "Config.Replace", testConfiguration(3, `"key-1"`))
-		return status == http.StatusOK
-	})
+	f.configure(3)
 	app := f.addReplica("i-3", "app", "z0", "v1")
 	f.waitUntil("the pool serves", func() bool {
 		_, got := f.sendRequest(t.Context(), 0, "GET", "/look/1", "key-1")
