--- a/cmd/dandelionhoistd/main.go
+++ b/cmd/dandelionhoistd/main.go
@@ -33,11 +33,16 @@
 	"dandelionhoist.example/platform"
 )
 
+// hangupsIgnored is set if the process ignored hangups before earlySignals received them.
+// One that comes then announces settings that the process has not read yet.
+var hangupsIgnored bool
+
 // earlySignals receives signals from before main runs, because SIGHUP or SIGTERM
 // ends the process with an error until a handler is registered.
 var earlySignals = notifySignals()
 
 func notifySignals() chan os.Signal {
+	hangupsIgnored = signal.Ignored(syscall.SIGHUP)
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	return signals
