Measure the memory of the daemon as it is built for use

The processes were the test binary, and the race detector takes a multiple of the memory, so that the bound said nothing about the daemon. The tests now build the daemon and run it; the bound stays.

--- a/cmd/dandelionhoistd/endless_test.go
+++ b/cmd/dandelionhoistd/endless_test.go
@@ -119,11 +119,12 @@
 // Guards against a VM that keeps what a faulty process at the address of a control VM sends
 // without end, and runs out of memory.
 func TestEndlessAnswersBetweenVMs(t *testing.T) {
+	program := buildDaemon(t)
 	for _, role := range []string{"entry", "control"} {
 		for name, answer := range endlessAnswers {
 			t.Run(role+" "+name, func(t *testing.T) {
 				f := &fleet{t: t, folder: t.TempDir(), group: dhgroup.New(t.Context())}
-				p := &platformProcess{role: role, ip: fleetIP(1)}
+				p := &platformProcess{role: role, program: program, ip: fleetIP(1)}
 				var servers []*endlessServer
 				for n := 2; n <= 3; n++ {
 					servers = append(servers, startEndlessServer(t, net.JoinHostPort(fleetIP(n), strconv.Itoa(portInternal)), answer[0], answer[1], 0))
--- a/cmd/dandelionhoistd/platform_test.go
+++ b/cmd/dandelionhoistd/platform_test.go
@@ -71,6 +71,15 @@
 	return p.log.String()
 }
 
+// buildDaemon builds the daemon without the race detector and returns its path.
+func buildDaemon(t *testing.T) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "dandelionhoistd")
+	output, err := exec.CommandContext(t.Context(), "go", "build", "-o", path, ".").CombinedOutput()
+	assert.NilError(t, err, "%s", output)
+	return path
+}
+
 // fleetIP returns loopback address n from 0 to 15 of this process.
 func fleetIP(n int) string {
 	pid := os.Getpid()
@@ -82,8 +91,13 @@
 }
 
 // newLimitedFleet returns a fleet whose processes are told a limit on their memory in
-// megabytes, or none if it is 0.
+// megabytes, or none if it is 0. With a limit, they run the daemon as it is built for use:
+// the race detector takes a multiple of the memory.
 func newLimitedFleet(t *testing.T, controls, entries, memory int) *fleet {
+	program := ""
+	if memory > 0 {
+		program = buildDaemon(t)
+	}
 	f := &fleet{t: t, folder: t.TempDir(), group: dhgroup.New(t.Context())}
 	f.client = &http.Client{Transport: &http.Transport{}}
 	ip := fleetIP
@@ -92,7 +106,7 @@
 		seeds = append(seeds, fmt.Sprintf("%q", net.JoinHostPort(ip(1+i), strconv.Itoa(portControl))))
 	}
 	for i := range controls + entries {
-		p := &platformProcess{role: "control", ip: ip(1 + i)}
+		p := &platformProcess{role: "control", program: program, ip: ip(1 + i)}
 		extra := fmt.Sprintf("DataDir = %q\n", filepath.Join(f.folder, fmt.Sprint("data", i)))
 		listen := fmt.Sprintf("Control = \"%s:%d\"", p.ip, portControl)
 		if i >= controls {
