Log the connection of each send and answers that are not its own

Callers saw a request that must run once run twice; of the builds before, no line told which connection a send had used, how often that connection had been used, or that an answer was dropped.

Change: connections to backend servers are numbered, and "answered", "attempt failed" and "escalated" name the one used and the requests that it had carried before. "answer not believed" tells of an answer with another id: its id, its status and the time since the last answer on that connection. "request sent again to a backend server" tells of a second send to one address. Two counters. No decision has changed.

--- a/dh/dhconnection/dhconnection.go
+++ b/dh/dhconnection/dhconnection.go
@@ -12,7 +12,7 @@
 //
 //	pool := &dhconnection.Pool{
 //		Timers: timers, Connect: connect, MaxIdle: 64, IdleTimeout: 1500 * time.Millisecond,
-//		BufferBytes: 2 << 10, MaxHeaderBytes: 64 << 10,
+//		BufferBytes: 2 << 10, MaxHeaderBytes: 64 << 10, IDHeader: "Request-Id", Log: log, Metrics: metrics,
 //	}
 //	exchange, err := pool.Send(address, request)
 //	if errors.Is(err, dhconnection.ErrNotSent) { ... } // the request cannot have run
@@ -30,13 +30,16 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"dandelionhoist.example/dh/dhmetric"
 	"dandelionhoist.example/dh/dhtimer"
 )
 
@@ -66,6 +69,13 @@
 	// MaxHeaderBytes the largest head of a response.
 	BufferBytes    int
 	MaxHeaderBytes int64
+	// IDHeader names the header with the id of a request, which backend servers repeat in
+	// their answers, in canonical form. Answers with another id are logged and counted.
+	IDHeader string
+	Log      *slog.Logger
+	Metrics  *dhmetric.Metrics
+
+	connections atomic.Uint64
 
 	once      sync.Once
 	transport *http.Transport
@@ -81,8 +91,11 @@
 	address string
 	client  *http.ClientConn
 	wire    *countedConn
-	// used is set once the connection has carried a request.
-	used bool
+	// number tells the connection from others in logs. requests counts those that it has
+	// carried, and answeredAt is when the newest answer began.
+	number     uint64
+	requests   int
+	answeredAt time.Time
 
 	// The fields below are guarded by the mutex of the pool. lent is set while a request
 	// uses the connection and its caller has not called Keep.
@@ -96,8 +109,10 @@
 // response and calls either Keep or Discard.
 type Exchange struct {
 	Response *http.Response
-	// Kept is set if the connection had carried earlier requests.
-	Kept       bool
+	// Connection is the number of the connection, and Earlier that of the requests that it
+	// had carried before.
+	Connection uint64
+	Earlier    int
 	connection *connection
 }
 
@@ -118,21 +133,42 @@
 			return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 		}
 	}
-	kept, before := c.used, c.wire.count()
-	c.used = true
+	earlier, before := c.requests, c.wire.count()
+	c.requests++
 	response, err := c.client.RoundTrip(r)
 	if err == nil {
-		return &Exchange{Response: response, Kept: kept, connection: c}, nil
+		c.recordAnswer(r, response)
+		return &Exchange{Response: response, Connection: c.number, Earlier: earlier, connection: c}, nil
 	}
+	err = fmt.Errorf("connection %d after %d earlier requests: %w", c.number, earlier, err)
 	switch sent := c.wire.shut() - before; {
 	case sent > 0:
 		return nil, err
-	case kept && r.Context().Err() == nil:
+	case earlier > 0 && r.Context().Err() == nil:
 		return nil, fmt.Errorf("%w: %w: %w", ErrNotSent, ErrStale, err)
 	}
 	return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 }
 
+// recordAnswer logs an answer with an id that is not the request's.
+func (c *connection) recordAnswer(r *http.Request, response *http.Response) {
+	last := c.answeredAt
+	c.answeredAt = c.pool.Timers.Now()
+	p := c.pool
+	id := response.Header.Get(p.IDHeader)
+	if p.IDHeader == "" || id == r.Header.Get(p.IDHeader) {
+		return
+	}
+	since := time.Duration(-1)
+	if !last.IsZero() {
+		since = c.answeredAt.Sub(last)
+	}
+	p.Metrics.Count("foreign-answer", "ended-request")
+	p.Log.Warn("answer not believed", slog.String("request", r.Header.Get(p.IDHeader)), slog.String("answer-to", id),
+		slog.Int("status", response.StatusCode), slog.String("address", c.address), slog.Uint64("connection", c.number),
+		slog.Int("earlier-requests", c.requests-1), slog.Duration("since-last-answer", since))
+}
+
 // connect opens a connection and reserves it for one request.
 func (p *Pool) connect(ctx context.Context, address string) (*connection, error) {
 	p.once.Do(func() {
@@ -156,7 +192,7 @@
 			ReadBufferSize:     p.BufferBytes, WriteBufferSize: p.BufferBytes, MaxResponseHeaderBytes: p.MaxHeaderBytes,
 		}
 	})
-	c := &connection{pool: p, address: address, lent: true, timeout: p.IdleTimeout}
+	c := &connection{pool: p, address: address, number: p.connections.Add(1), lent: true, timeout: p.IdleTimeout}
 	client, err := p.transport.NewClientConn(context.WithValue(ctx, dialedKey{}, &c.wire), "http", address)
 	if err != nil {
 		return nil, err
--- a/dh/dhconnection/dhconnection_test.go
+++ b/dh/dhconnection/dhconnection_test.go
@@ -133,10 +133,10 @@
 	assert.NilError(t, err)
 	second, err := pool.Send("b:1", request(t.Context()))
 	assert.NilError(t, err)
-	assert.Assert(t, !first.Kept && !second.Kept && s.opened() == 2)
+	assert.Assert(t, first.Earlier == 0 && second.Earlier == 0 && s.opened() == 2)
 	finish(t, first)
 	for range 3 {
-		assert.Assert(t, exchange(t, pool).Kept)
+		assert.Assert(t, exchange(t, pool).Earlier > 0)
 	}
 	finish(t, second)
 	assert.Equal(t, s.opened(), 2)
@@ -150,7 +150,7 @@
 	assert.NilError(t, err)
 	e.Discard()
 	_ = e.Response.Body.Close() // the connection is closed
-	assert.Assert(t, !exchange(t, pool).Kept)
+	assert.Assert(t, exchange(t, pool).Earlier == 0)
 	assert.Equal(t, s.opened(), 2)
 }
 
@@ -174,7 +174,7 @@
 			s.head += c.head
 			exchange(t, pool)
 			timers.Step(c.idle)
-			assert.Equal(t, exchange(t, pool).Kept, c.kept)
+			assert.Equal(t, exchange(t, pool).Earlier > 0, c.kept)
 		})
 	}
 }
@@ -248,7 +248,7 @@
 			assert.Assert(t, errors.Is(err, dhconnection.ErrStale), "%v", err)
 			return poll.Continue("the end is not known yet")
 		}
-		assert.Assert(t, !finish(t, e).Kept)
+		assert.Assert(t, finish(t, e).Earlier == 0)
 		return poll.Success()
 	})
 }
--- a/dh/dhrouter/forward.go
+++ b/dh/dhrouter/forward.go
@@ -113,6 +113,10 @@
 	firstWriteDelay, longestPause time.Duration
 	backend                       *dhbackend.Backend
 	answered                      bool
+	// connection is the one of the newest answer; its number is 0 if there was none.
+	connection Connection
+	// sentTo holds the addresses to which the request has been sent.
+	sentTo []string
 	// escalatedFrom is the newest answer that was dropped in favor of a larger
 	// model's.
 	escalatedFrom *droppedAnswer
@@ -387,7 +391,7 @@
 		f.setModel(f.route.Cascade[0])
 	}
 	f.router.Log.Info("attempt failed", slog.String("request", f.message.ID), slog.String("backend", b.ID),
-		slog.String("release", b.Release), slog.Uint64("sequence", b.Sequence), slog.Int("sends", f.sends),
+		slog.String("release", b.Release), slog.Uint64("sequence", b.Sequence), slog.Int("sends", f.sends), slog.Any("connection", f.connection),
 		slog.Bool("begun", f.begun), slog.String("ran", dhcode.RanOf(err).String()), slog.Bool("connection-lost", f.connectionLost),
 		slog.Int("events", f.events), slog.Duration("ran-for", f.router.Timers.Now().Sub(f.sentAt)),
 		slog.String("fingerprint", dhquarantine.FormatID(f.fingerprint())), slog.String("error", err.Error()))
--- a/dh/dhrouter/forward_escalation.go
+++ b/dh/dhrouter/forward_escalation.go
@@ -112,7 +112,8 @@
 	f.retryPaid = true
 	f.router.Metrics.Count("escalated", f.route.Name)
 	f.router.Log.Info("escalated", slog.String("request", f.message.ID), slog.String("route", f.route.Name),
-		slog.String("from", f.model), slog.String("to", larger), slog.Int("confidence", in.Confidence), slog.Int("sure-from", threshold))
+		slog.String("from", f.model), slog.String("to", larger), slog.Int("confidence", in.Confidence), slog.Int("sure-from", threshold),
+		slog.Any("connection", f.connection))
 	f.escalatedFrom = &droppedAnswer{model: f.model, confidence: in.Confidence}
 	f.setModel(larger)
 	return errLowConfidence
--- a/dh/dhrouter/forward_log.go
+++ b/dh/dhrouter/forward_log.go
@@ -4,9 +4,11 @@
 	"context"
 	"log/slog"
 	"math"
+	"slices"
 	"strconv"
 	"time"
 
+	"dandelionhoist.example/dh/dhbackend"
 	"dandelionhoist.example/dh/dhcode"
 	"dandelionhoist.example/dh/dhmetric"
 	"dandelionhoist.example/dh/dhplacement"
@@ -26,6 +28,19 @@
 		slog.Duration("left", f.limit-now.Sub(f.received)), slog.Int("send", f.sends+1))
 }
 
+// recordSend records that the request has been sent to a backend server, and logs it if the
+// address has had the request before.
+func (f *forward) recordSend(b *dhbackend.Backend, c Connection) {
+	f.connection = c
+	if slices.Contains(f.sentTo, b.Address) {
+		f.router.Metrics.Count("sent-again", "same-address")
+		f.router.Log.Info("request sent again to a backend server", slog.String("request", f.message.ID), slog.String("backend", b.ID),
+			slog.String("address", b.Address), slog.Any("connection", c), slog.Int("send", f.sends+1))
+		return
+	}
+	f.sentTo = append(f.sentTo, b.Address)
+}
+
 // sharedPrefix returns the hash of the longest prefix that other requests may
 // share.
 func (f *forward) sharedPrefix() string {
@@ -55,7 +70,7 @@
 		slog.String("pool", f.poolName), slog.Int("sends", f.sends), slog.Duration("took", took),
 	}
 	if f.backend != nil {
-		attrs = append(attrs, slog.String("backend", f.backend.ID), slog.String("release", f.backend.Release))
+		attrs = append(attrs, slog.String("backend", f.backend.ID), slog.String("release", f.backend.Release), slog.Any("connection", f.connection))
 	}
 	if err == nil {
 		f.router.Metrics.Observe(dhmetric.WholeAnswer, f.account, f.route.Class, took)
--- a/dh/dhrouter/forward_relay.go
+++ b/dh/dhrouter/forward_relay.go
@@ -26,7 +26,7 @@
 func (f *forward) relay(ctx context.Context, p dhplacement.Placement) (time.Duration, error) {
 	b := p.Backend
 	start := f.router.Timers.Now()
-	f.backend, f.answered, f.events, f.connectionLost, f.sentAt = b, false, 0, false, start
+	f.backend, f.answered, f.events, f.connectionLost, f.sentAt, f.connection = b, false, 0, false, start, Connection{}
 	if f.message.Session != "" {
 		f.router.sessions.put(f.poolName, f.session, b.Release, start)
 	}
@@ -44,11 +44,13 @@
 	if err != nil {
 		now := f.router.Timers.Now()
 		if dhcode.RanOf(err) != dhcode.NotRun {
+			f.recordSend(b, Connection{})
 			f.router.delays.observe(f.poolName, f.model, now.Sub(start), now)
 			f.recordLost(err)
 		}
 		return 0, f.attemptError(ctx, err)
 	}
+	f.recordSend(b, in.Connection)
 	if f.answeredBy(in) {
 		f.recordHoldOff(in, b)
 		f.recordRateLimit(in, b, start)
--- a/dh/dhrouter/message.go
+++ b/dh/dhrouter/message.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"dandelionhoist.example/dh/dhbackend"
@@ -84,6 +85,7 @@
 	// KeptConnection is set if the connection had carried earlier requests, so that an
 	// answer without an id may belong to one of them.
 	KeptConnection bool
+	Connection     Connection
 	// AddressReused is set if the address now belongs to another backend server, which did
 	// not run the request.
 	AddressReused bool
@@ -111,6 +113,19 @@
 	Body   io.ReadCloser
 }
 
+// Connection tells a connection to a backend server from others in logs.
+type Connection struct {
+	// Number counts the connections of this VM, Earlier the requests that this one had
+	// carried before.
+	Number  uint64
+	Earlier int
+}
+
+// String returns the number, and the number of earlier requests after a "+".
+func (c Connection) String() string {
+	return strconv.FormatUint(c.Number, 10) + "+" + strconv.Itoa(c.Earlier)
+}
+
 // Brittleness is the statement of a backend server that it ends if it must refuse more than
 // a number of requests in a second for want of room.
 type Brittleness struct {
