Find the answer that belongs to a send, and send no request twice on a connection

Callers were told "not run" of requests that ran, so that they ran again: backend servers write answers too many, also copies of refusals, which bear the id of the refused request while that request is under way again on the same connection. Callers whose requests met the copy of another one's answer got 502.

Cause: http.ClientConn takes the next answer on a connection for that to the request that it has just written. The id was compared afterwards; it does not tell two sends of one request on a connection apart, and once another answer had been taken, the own one could not be read.

Change: dhconnection reads the answers of a connection itself, with http.ReadResponse. An answer with another id, or without one on a used connection, is read to its end and dropped, within 8 MiB, and the request waits for its own. A connection remembers the ids that it has carried, at most 256, and never carries one again; the connection that is passed over for this is closed in exchange for the new one. A connection on which an answer begins that nobody awaits is not used until that answer has been read. Nothing that another request's answer states reaches the router.

TestDiscardedConnection tests what the pool decides by itself now.

--- a/cmd/dandelionhoistd/endless_test.go
+++ b/cmd/dandelionhoistd/endless_test.go
@@ -231,14 +231,7 @@
 	server := startEndlessServer(f.t, "127.0.0.1:0", head, more, pause)
 	r := &replica{id: id, service: service, zone: "z0", version: "v1", born: f.timers.Now().UnixMilli(), address: server.address}
 	r.state.Store("ready")
-	f.group.Go(func(ctx context.Context) error {
-		for i := 0; ; i++ {
-			f.sendHeartbeat(i%len(f.controls), r)
-			if dhtimer.Sleep(ctx, f.timers, testHeartbeatMs*time.Millisecond) != nil {
-				return nil
-			}
-		}
-	})
+	f.announceAll(r)
 	return server
 }
 
--- a/cmd/dandelionhoistd/platform_test.go
+++ b/cmd/dandelionhoistd/platform_test.go
@@ -222,6 +222,12 @@
 	r.server = httptest.NewServer(r)
 	f.t.Cleanup(r.server.Close)
 	f.replicas = append(f.replicas, r)
+	f.announceAll(r)
+	return r
+}
+
+// announceAll sends heartbeats of a replica until the test ends, unless it is gone.
+func (f *fleet) announceAll(r *replica) {
 	f.group.Go(func(ctx context.Context) error {
 		for i := 0; ; i++ {
 			if r.state.Load() != "gone" {
@@ -232,7 +238,6 @@
 			}
 		}
 	})
-	return r
 }
 
 func (f *fleet) sendHeartbeat(control int, r *replica) int {
--- a/dh/dhconnection/dhconnection_test.go
+++ b/dh/dhconnection/dhconnection_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/url"
@@ -18,6 +19,7 @@
 
 	"dandelionhoist.example/dh/dhconnection"
 	"dandelionhoist.example/dh/dhgroup"
+	"dandelionhoist.example/dh/dhmetric"
 	"dandelionhoist.example/dh/dhtimer"
 )
 
@@ -90,7 +92,10 @@
 	t.Helper()
 	s := &server{group: dhgroup.New(t.Context()), head: "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n", body: "good"}
 	timers := dhtimer.NewStepped()
-	pool := &dhconnection.Pool{Timers: timers, Connect: s.connect, MaxIdle: 2, IdleTimeout: 1500 * time.Millisecond, BufferBytes: 2 << 10, MaxHeaderBytes: 64 << 10}
+	pool := &dhconnection.Pool{
+		Timers: timers, Group: s.group, Connect: s.connect, MaxIdle: 2, IdleTimeout: 1500 * time.Millisecond, BufferBytes: 2 << 10, MaxHeaderBytes: 64 << 10,
+		MaxForeignBytes: 1 << 20, MaxRequests: 9, Log: slog.New(slog.DiscardHandler), Metrics: dhmetric.New(4),
+	}
 	t.Cleanup(func() {
 		s.mu.Lock()
 		for _, c := range s.connections {
@@ -110,14 +115,13 @@
 // exchange sends a request and reads its response.
 func exchange(t *testing.T, pool *dhconnection.Pool) *dhconnection.Exchange {
 	t.Helper()
-	e, err := pool.Send("b:1", request(t.Context()))
+	e, err := pool.Send("b:1", "", request(t.Context()))
 	assert.NilError(t, err)
 	return finish(t, e)
 }
 
 func finish(t *testing.T, e *dhconnection.Exchange) *dhconnection.Exchange {
 	t.Helper()
-	e.Keep()
 	text, err := io.ReadAll(e.Response.Body)
 	assert.NilError(t, err)
 	assert.Equal(t, string(text), "good")
@@ -129,9 +133,9 @@
 // its response has been read.
 func TestConnectionUsedAgain(t *testing.T) {
 	s, pool, _ := newServer(t)
-	first, err := pool.Send("b:1", request(t.Context()))
+	first, err := pool.Send("b:1", "", request(t.Context()))
 	assert.NilError(t, err)
-	second, err := pool.Send("b:1", request(t.Context()))
+	second, err := pool.Send("b:1", "", request(t.Context()))
 	assert.NilError(t, err)
 	assert.Assert(t, first.Earlier == 0 && second.Earlier == 0 && s.opened() == 2)
 	finish(t, first)
@@ -142,16 +146,23 @@
 	assert.Equal(t, s.opened(), 2)
 }
 
-// Guards against a connection that stays in use after an answer that may be that to an
-// earlier request.
+// Guards against a connection that stays in use after an answer that may not be that to its
+// request, or that was not read to its end.
 func TestDiscardedConnection(t *testing.T) {
-	s, pool, _ := newServer(t)
-	e, err := pool.Send("b:1", request(t.Context()))
-	assert.NilError(t, err)
-	e.Discard()
-	_ = e.Response.Body.Close() // the connection is closed
-	assert.Assert(t, exchange(t, pool).Earlier == 0)
-	assert.Equal(t, s.opened(), 2)
+	for _, whole := range []bool{true, false} {
+		s, pool, _ := newServer(t)
+		if whole {
+			pool.IDHeader = "Request-Id" // the server answers without it
+		}
+		e, err := pool.Send("b:1", "r", request(t.Context()))
+		assert.NilError(t, err)
+		if whole {
+			finish(t, e)
+		}
+		_ = e.Response.Body.Close() // the connection is closed
+		assert.Assert(t, exchange(t, pool).Earlier == 0)
+		assert.Equal(t, s.opened(), 2)
+	}
 }
 
 // Guards against requests on connections that the backend server is about to close.
@@ -184,7 +195,7 @@
 	s, pool, timers := newServer(t)
 	var all []*dhconnection.Exchange
 	for range 4 {
-		e, err := pool.Send("b:1", request(t.Context()))
+		e, err := pool.Send("b:1", "", request(t.Context()))
 		assert.NilError(t, err)
 		all = append(all, e)
 	}
@@ -219,15 +230,15 @@
 	s.mu.Lock()
 	s.failWrites = true
 	s.mu.Unlock()
-	_, err := pool.Send("b:1", request(t.Context()))
+	_, err := pool.Send("b:1", "", request(t.Context()))
 	assert.Assert(t, errors.Is(err, dhconnection.ErrNotSent) && errors.Is(err, dhconnection.ErrStale), "%v", err)
-	_, err = pool.Send("b:1", request(t.Context()))
+	_, err = pool.Send("b:1", "", request(t.Context()))
 	assert.Assert(t, errors.Is(err, dhconnection.ErrNotSent) && !errors.Is(err, dhconnection.ErrStale), "a new connection: %v", err)
 	s.mu.Lock()
 	s.failWrites, s.head = false, "junk"
 	before := s.requests
 	s.mu.Unlock()
-	_, err = pool.Send("b:1", request(t.Context()))
+	_, err = pool.Send("b:1", "", request(t.Context()))
 	assert.Assert(t, err != nil && !errors.Is(err, dhconnection.ErrNotSent))
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -243,7 +254,7 @@
 	s.mu.Unlock()
 	assert.NilError(t, closed.Close())
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		e, err := pool.Send("b:1", request(t.Context()))
+		e, err := pool.Send("b:1", "", request(t.Context()))
 		if err != nil {
 			assert.Assert(t, errors.Is(err, dhconnection.ErrStale), "%v", err)
 			return poll.Continue("the end is not known yet")
