Treat answers to other requests without end as bytes without end

A backend server that sends more than 8 MiB of other answers before the own one ended the attempt like a connection that broke, which counts as a sign of a crash by the request. It counts as one that sends without end now, as the design says: the request goes on elsewhere where it may, and suspects nothing.

--- a/dh/dhconnection/connection.go
+++ b/dh/dhconnection/connection.go
@@ -28,7 +28,6 @@
 
 var (
 	errInterim = errors.New("too many interim answers")
-	errForeign = errors.New("too many bytes of answers to other requests")
 	errNoMore  = errors.New("the answer to another request ends with the connection")
 )
 
@@ -264,7 +263,7 @@
 		}
 	}
 	if c.wire.received()-c.ownEnd > c.pool.MaxForeignBytes {
-		return errForeign
+		return ErrEndless
 	}
 	return nil
 }
--- a/dh/dhconnection/dhconnection.go
+++ b/dh/dhconnection/dhconnection.go
@@ -57,6 +57,9 @@
 	// ErrStale is wrapped, besides ErrNotSent, if the request was to use a kept connection
 	// that the backend server had closed. This says nothing about its health.
 	ErrStale = errors.New("the kept connection was closed")
+	// ErrEndless is wrapped if more than MaxForeignBytes of other answers came before the
+	// own one.
+	ErrEndless = errors.New("too many bytes of answers to other requests")
 )
 
 // Pool sends requests and keeps connections, by address. Set its exported fields before the
--- a/dh/dhrouter/forward.go
+++ b/dh/dhrouter/forward.go
@@ -384,7 +384,7 @@
 	e.BrokeOff = !f.answered && !notRun && !e.OutOfTime
 	f.suspect(b, &e)
 	f.failedBefore = f.failedBefore || f.answered
-	e.Unreachable = (notRun && !refused) || errors.Is(err, errStalled) || errors.Is(err, errEndless) || errors.Is(err, syscall.ETIMEDOUT)
+	e.Unreachable = (notRun && !refused) || errors.Is(err, errStalled) || errors.Is(err, ErrEndless) || errors.Is(err, syscall.ETIMEDOUT)
 	f.excluded = append(f.excluded, b.ID)
 	if f.message.AnyModel && !f.begun && len(f.route.Cascade) > 0 {
 		// Little time may be left, and the smallest model answers soonest.
--- a/dh/dhrouter/forward_body.go
+++ b/dh/dhrouter/forward_body.go
@@ -28,9 +28,9 @@
 )
 
 var (
-	// errEndless ends an attempt whose backend server sends more bytes than an
-	// answer may have.
-	errEndless = errors.New("the backend server sends without end")
+	// ErrEndless ends an attempt whose backend server sends more bytes than an answer may
+	// have, or than may precede it. A Transport wraps it in the second case.
+	ErrEndless = errors.New("the backend server sends without end")
 	// errNoMemory reports that the shared memory for buffered answers is used up.
 	errNoMemory = errors.New("no memory is left for answers")
 )
@@ -52,13 +52,13 @@
 	return maxSizedBytes
 }
 
-// readAnswer reads a complete answer into memory. It returns errEndless if the
+// readAnswer reads a complete answer into memory. It returns ErrEndless if the
 // answer exceeds its size limit, and errNoMemory together with the part read so
 // far if the shared memory is used up.
 func readAnswer(body io.Reader, length int64, memory *dhlimit.Memory) (*bufferedBody, error) {
 	limit := maxAnswerBytes(length)
 	if length > limit {
-		return nil, errEndless
+		return nil, ErrEndless
 	}
 	b := &bufferedBody{memory: memory}
 	if err := b.reserve(max(length, initialBufferBytes)); err != nil {
@@ -75,7 +75,7 @@
 		switch {
 		case int64(len(b.data)) > limit:
 			b.release()
-			return nil, errEndless
+			return nil, ErrEndless
 		case errors.Is(err, io.EOF):
 			return b, nil
 		case err != nil:
--- a/dh/dhrouter/forward_body_test.go
+++ b/dh/dhrouter/forward_body_test.go
@@ -37,7 +37,7 @@
 	assert.NilError(t, err)
 	assert.Equal(t, len(usual.data), 5000)
 	_, err = readAnswer(endlessReader{}, -1, &dhlimit.Memory{Max: 1 << 30})
-	assert.Assert(t, errors.Is(err, errEndless))
+	assert.Assert(t, errors.Is(err, ErrEndless))
 	for _, b := range append(held, usual) {
 		b.release()
 	}
--- a/dh/dhrouter/forward_relay.go
+++ b/dh/dhrouter/forward_relay.go
@@ -157,7 +157,7 @@
 		return failed(dhcode.DidRun, "backend server %q answers with status %d instead of continuing the stream", id, in.Status)
 	case in.Status >= http.StatusInternalServerError:
 		body, err := readAnswer(in.Body, in.Length, &f.router.AnswerMemory)
-		if errors.Is(err, errEndless) {
+		if errors.Is(err, ErrEndless) {
 			return f.endlessError(err)
 		}
 		switch {
@@ -176,7 +176,7 @@
 	}
 	body, err := readAnswer(in.Body, in.Length, &f.router.AnswerMemory)
 	switch {
-	case errors.Is(err, errEndless):
+	case errors.Is(err, ErrEndless):
 		return f.endlessError(err)
 	case errors.Is(err, errNoMemory):
 		return f.passThrough(in, body)
@@ -208,7 +208,7 @@
 	case err != nil:
 		return f.callerLost(err)
 	case rest.N <= 0:
-		return f.endlessError(errEndless)
+		return f.endlessError(ErrEndless)
 	}
 	f.answered = true
 	now := f.router.Timers.Now()
@@ -289,7 +289,7 @@
 			return f.finishStream(in, held, flush)
 		}
 		if dhcode.Of(err) == dhcode.RequestTooLarge {
-			return f.endlessError(errEndless)
+			return f.endlessError(ErrEndless)
 		}
 		if err != nil {
 			f.recordLost(err)
@@ -301,7 +301,7 @@
 			unnumbered = 0
 			watch.progress(now)
 		} else if unnumbered += len(e.Raw); unnumbered > maxUnnumberedBytes {
-			return f.endlessError(errEndless)
+			return f.endlessError(ErrEndless)
 		}
 		if resumed && e.HasID && !repeated && f.skips(e.ID) {
 			return dhcode.WithRan(dhcode.Errorf(dhcode.StreamBroken, "backend server %q continues with event %d after event %d", f.backend.ID, e.ID, f.lastID), dhcode.DidRun)
