Use no connection on which bytes have come after an answer until they are read

Callers of requests that may run once could get 502: a connection became idle while bytes that were no whole answer already stood behind the last one, and the next request was sent on it before its reader had seen them.

Cause: connections were offered after their reader had been released, and without looking at what had been received. Change: bytes behind an answer, or that come while nothing is awaited, take the connection out of use until they have been read as a whole answer.

--- a/dh/dhconnection/connection.go
+++ b/dh/dhconnection/connection.go
@@ -56,8 +56,8 @@
 	// err is why the connection has ended.
 	err error
 
-	// The mutex of the pool guards the fields below. foreign is set while an answer is read
-	// that no request awaits.
+	// The mutex of the pool guards the fields below. foreign is set while bytes have come
+	// that no request awaits, and are not a whole answer yet.
 	foreign bool
 	expires time.Time
 	timeout time.Duration
@@ -164,7 +164,9 @@
 	if _, err := c.in.Peek(1); err != nil {
 		return err
 	}
-	idle := !c.awaited() && c.pool.markForeign(c)
+	if !c.awaited() {
+		c.pool.setForeign(c, true)
+	}
 	response, err := c.readHead()
 	if err != nil {
 		return err
@@ -175,9 +177,7 @@
 		if err := c.drop(response, last); err != nil {
 			return err
 		}
-		if idle {
-			c.pool.unmarkForeign(c)
-		}
+		c.pool.setForeign(c, c.in.Buffered() > 0)
 		return nil
 	}
 	a.answers <- response
@@ -286,7 +286,7 @@
 	a.once.Do(func() {
 		c := a.connection
 		if a.stop() && complete && a.reusable && a.written.Load() {
-			defer c.pool.offer(c)
+			c.pool.offer(c, c.in.Buffered() > 0)
 		} else {
 			c.fail(net.ErrClosed)
 		}
--- a/dh/dhconnection/idle.go
+++ b/dh/dhconnection/idle.go
@@ -56,20 +56,12 @@
 	p.idle[address] = list
 }
 
-// markForeign takes an idle connection out of use while an answer is read that no request
-// awaits, and reports whether it was idle: if that answer is not whole, the next one cannot
-// be read.
-func (p *Pool) markForeign(c *connection) bool {
+// setForeign takes an idle connection out of use while bytes are read that no request awaits,
+// and back: if they are not a whole answer, the next one cannot be read.
+func (p *Pool) setForeign(c *connection, foreign bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	c.foreign = slices.Contains(p.idle[c.address], c)
-	return c.foreign
-}
-
-func (p *Pool) unmarkForeign(c *connection) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	c.foreign = false
+	c.foreign = foreign
 }
 
 // boundIdleTime bounds the time for which a connection stays idle.
@@ -79,8 +71,8 @@
 	c.timeout = min(c.timeout, timeout)
 }
 
-// offer makes a connection idle.
-func (p *Pool) offer(c *connection) {
+// offer makes a connection idle. foreign is set if bytes have come after the answer.
+func (p *Pool) offer(c *connection, foreign bool) {
 	now := p.Timers.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -89,7 +81,7 @@
 		p.shutSoon(c)
 		return
 	}
-	c.expires = now.Add(c.timeout)
+	c.expires, c.foreign = now.Add(c.timeout), foreign
 	if p.idle == nil {
 		p.idle = make(map[string][]*connection)
 	}
