Log sends that reach an address again, and the connection of sends without an answer

Missing: a caller that came back with its id and reached the same backend server had no line and no counter; a send that got no answer was logged with connection 0+0, also when the router left it for silence; "answer not believed" named its connection in another form than the lines of requests, did not tell the copy of an earlier answer on that connection from an unknown id, and held an id as long as a head may be.

Reason: from the log of one entry VM it must be told that a request went twice to one backend server, on which connections, and which answers were not believed.

The transport names the connection also when it fails. "answer not believed" has connection=NUMBER+EARLIER, carried= (the connection has carried that id) and at most 64 bytes of the id.

--- a/dh/dhconnection/connection.go
+++ b/dh/dhconnection/connection.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"log/slog"
 	"math"
@@ -24,6 +25,8 @@
 	maxDirectBytes = 32 << 10
 	// maxInterim is the number of interim answers (1xx) before an answer.
 	maxInterim = 5
+	// maxLoggedID is the number of bytes of the id of another answer that are logged.
+	maxLoggedID = 64
 )
 
 var (
@@ -121,6 +124,14 @@
 	return i >= 0 && id != "", i >= 0 && c.carried[i].head
 }
 
+// use names the connection and its newest send in logs: its number and, after a "+", how many
+// requests it had carried before.
+func (c *connection) use() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return fmt.Sprintf("%d+%d", c.number, len(c.carried)-1)
+}
+
 // begin makes r the request whose answer is due.
 func (c *connection) begin(id string, r *http.Request) *call {
 	a := &call{connection: c, request: r, id: id, answers: make(chan *http.Response, 1), ended: make(chan struct{})}
@@ -227,10 +238,10 @@
 // no other answer can follow it.
 func (c *connection) drop(r *http.Response, last time.Time) error {
 	id := r.Header.Get(c.pool.IDHeader)
-	_, head := c.hasCarried(id)
+	carried, head := c.hasCarried(id)
 	err := c.readForeign(r, head)
 	c.mu.Lock()
-	awaited, uses := "", len(c.carried)
+	awaited := ""
 	if c.awaiting != nil {
 		awaited = c.awaiting.id
 	}
@@ -247,8 +258,8 @@
 	if !last.IsZero() {
 		since = c.answeredAt.Sub(last)
 	}
-	c.pool.Log.Warn("answer not believed", slog.String("request", awaited), slog.String("answer-to", id), slog.Int("status", r.StatusCode),
-		slog.String("address", c.address), slog.Uint64("connection", c.number), slog.Int("requests", uses),
+	c.pool.Log.Warn("answer not believed", slog.String("request", awaited), slog.String("answer-to", id[:min(len(id), maxLoggedID)]),
+		slog.Int("status", r.StatusCode), slog.String("address", c.address), slog.String("connection", c.use()), slog.Bool("carried", carried),
 		slog.Duration("since-last-answer", since), slog.String("handling", handling))
 	return err
 }
--- a/dh/dhconnection/dhconnection.go
+++ b/dh/dhconnection/dhconnection.go
@@ -106,6 +106,22 @@
 	Earlier    int
 }
 
+// SendError is the error of a request that got no response on its connection.
+type SendError struct {
+	// Connection and Earlier are those of Exchange.
+	Connection uint64
+	Earlier    int
+	Err        error
+}
+
+// Error implements error.
+func (e *SendError) Error() string {
+	return fmt.Sprintf("connection %d after %d earlier requests: %v", e.Connection, e.Earlier, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *SendError) Unwrap() error { return e.Err }
+
 // Send sends a request to the backend server at an address and returns its response. If id is
 // empty, answers belong to the request by their order alone. The request is written at most once. An error that does not wrap ErrNotSent means that the
 // backend server may have received it.
@@ -128,7 +144,7 @@
 		return &Exchange{Response: response, Connection: c.number, Earlier: call.earlier}, nil
 	}
 	call.stop()
-	err := fmt.Errorf("connection %d after %d earlier requests: %w", c.number, call.earlier, c.failure())
+	var err error = &SendError{Connection: c.number, Earlier: call.earlier, Err: c.failure()}
 	switch sent := c.wire.shut() - before; {
 	case sent > 0:
 		return nil, err
--- a/dh/dhconnection/dhconnection_test.go
+++ b/dh/dhconnection/dhconnection_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -19,6 +20,7 @@
 
 	"dandelionhoist.example/dh/dhconnection"
 	"dandelionhoist.example/dh/dhgroup"
+	"dandelionhoist.example/dh/dhlog"
 	"dandelionhoist.example/dh/dhmetric"
 	"dandelionhoist.example/dh/dhtimer"
 )
@@ -263,3 +265,19 @@
 		return poll.Success()
 	})
 }
+
+// Guards against copies that fill the log: with more lines than others leave room for, or
+// with ids that are as long as a head may be.
+func TestCopiesDoNotFloodLog(t *testing.T) {
+	s, pool, timers := newServer(t)
+	var out strings.Builder
+	pool.IDHeader, pool.Log = "Id", slog.New(dhlog.New(slog.NewTextHandler(&out, nil), timers))
+	copies := strings.Repeat("HTTP/1.1 503 X\r\nId: "+strings.Repeat("x", 1000)+"\r\nContent-Length: 0\r\n\r\n", 300)
+	s.head = copies + "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nId: r1\r\n"
+	e, err := pool.Send("b:1", "r1", request(t.Context()))
+	assert.NilError(t, err)
+	finish(t, e)
+	assert.Equal(t, pool.Metrics.Counter("foreign-answer", "passed-over"), int64(300))
+	assert.Equal(t, strings.Count(out.String(), "answer not believed"), 200)
+	assert.Assert(t, out.Len() < 200*400, "%d bytes", out.Len())
+}
--- a/dh/dhconnection/idle.go
+++ b/dh/dhconnection/idle.go
@@ -42,7 +42,7 @@
 		p.shutSoon(c)
 		p.Metrics.Count("connection", "carried-request-before")
 		p.Log.Info("request avoids a connection that has carried it", slog.String("request", id), slog.String("address", address),
-			slog.Uint64("connection", c.number))
+			slog.String("connection", c.use()))
 	}
 	return nil
 }
--- a/dh/dhrouter/dhrouter.go
+++ b/dh/dhrouter/dhrouter.go
@@ -271,6 +271,7 @@
 	sessions    sessions
 	holdOffs    dhlimit.HoldOffs
 	arrivals    arrivals
+	recentSends recentSends
 }
 
 // SetSessionTimeout sets how long the release of a session is kept after its last
--- a/dh/dhrouter/forward.go
+++ b/dh/dhrouter/forward.go
@@ -113,10 +113,8 @@
 	firstWriteDelay, longestPause time.Duration
 	backend                       *dhbackend.Backend
 	answered                      bool
-	// connection is the one of the newest answer; its number is 0 if there was none.
+	// connection is the one of the newest attempt; its number is 0 if there was none.
 	connection Connection
-	// sentTo holds the addresses to which the request has been sent.
-	sentTo []string
 	// escalatedFrom is the newest answer that was dropped in favor of a larger
 	// model's.
 	escalatedFrom *droppedAnswer
--- a/dh/dhrouter/forward_log.go
+++ b/dh/dhrouter/forward_log.go
@@ -4,7 +4,6 @@
 	"context"
 	"log/slog"
 	"math"
-	"slices"
 	"strconv"
 	"time"
 
@@ -29,16 +28,22 @@
 }
 
 // recordSend records that the request has been sent to a backend server, and logs it if the
-// address has had the request before.
-func (f *forward) recordSend(b *dhbackend.Backend, c Connection) {
-	f.connection = c
-	if slices.Contains(f.sentTo, b.Address) {
-		f.router.Metrics.Count("sent-again", "same-address")
-		f.router.Log.Info("request sent again to a backend server", slog.String("request", f.message.ID), slog.String("backend", b.ID),
-			slog.String("address", b.Address), slog.Any("connection", c), slog.Int("send", f.sends+1))
+// address has had the request before: by a send of this call, or by an earlier call of a
+// caller that comes back with its id.
+func (f *forward) recordSend(b *dhbackend.Backend) {
+	now := f.router.Timers.Now()
+	before, again := f.router.recentSends.put(f.account, f.message.ID, b.Address, recentSend{f.connection, f.received, now})
+	if !again {
 		return
 	}
-	f.sentTo = append(f.sentTo, b.Address)
+	by := "caller"
+	if before.received.Equal(f.received) {
+		by = "router"
+	}
+	f.router.Metrics.Count("sent-again", "by-"+by)
+	f.router.Log.Info("request sent again to a backend server", slog.String("request", f.message.ID), slog.String("by", by),
+		slog.String("backend", b.ID), slog.String("address", b.Address), slog.Any("connection", f.connection), slog.Int("send", f.sends+1),
+		slog.Any("connection-before", before.connection), slog.Duration("since", now.Sub(before.seen)))
 }
 
 // sharedPrefix returns the hash of the longest prefix that other requests may
--- a/dh/dhrouter/forward_relay.go
+++ b/dh/dhrouter/forward_relay.go
@@ -37,20 +37,22 @@
 	// The backend server sends the head together with the first event.
 	watch.start(start, f.firstEventTimeout(p))
 	defer watch.end()
-	in, err := f.router.Transport.Send(ctx, &Outbound{
+	out := &Outbound{
 		Message: f.message, Backend: b, Account: f.account, TimeLeft: f.limit - start.Sub(f.received),
 		Model: f.model, Rank: f.rank, LastEvent: f.lastID, HasLastEvent: f.hasLastID,
-	})
+	}
+	in, err := f.router.Transport.Send(ctx, out)
+	f.connection = out.Connection
 	if err != nil {
 		now := f.router.Timers.Now()
 		if dhcode.RanOf(err) != dhcode.NotRun {
-			f.recordSend(b, Connection{})
+			f.recordSend(b)
 			f.router.delays.observe(f.poolName, f.model, now.Sub(start), now)
 			f.recordLost(err)
 		}
 		return 0, f.attemptError(ctx, err)
 	}
-	f.recordSend(b, in.Connection)
+	f.recordSend(b)
 	if f.answeredBy(in) {
 		f.recordHoldOff(in, b)
 		f.recordRateLimit(in, b, start)
--- a/dh/dhrouter/forward_test.go
+++ b/dh/dhrouter/forward_test.go
@@ -37,6 +37,7 @@
 
 func (t *fakeTransport) Send(ctx context.Context, o *Outbound) (*Inbound, error) {
 	t.sent = append(t.sent, o)
+	o.Connection.Number = uint64(len(t.sent))
 	return t.answers[min(len(t.sent), len(t.answers))-1](ctx, o)
 }
 
@@ -222,6 +223,25 @@
 	}
 }
 
+// Guards against a request that reaches an address twice, by the router or because its caller
+// comes back, without a line that tells by which connections.
+func TestForwardLogsSecondSendToAddress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestRouter(t, reply(503, text(""), notRun), failWith(dhcode.RanUnknown), reply(200, text("done")))
+		var out strings.Builder
+		f.Log = slog.New(slog.NewTextHandler(&out, nil))
+		_, _, err := f.ask(t, "order")
+		assert.Equal(t, dhcode.RanOf(err), dhcode.RanUnknown)
+		f.timers.Step(time.Second)
+		_, _, err = f.ask(t, "order")
+		assert.NilError(t, err)
+		for _, line := range []string{"by=router backend=b1 address=10.0.0.1:80 connection=2+0 send=2 connection-before=1+0", "connection=3+0 send=1 connection-before=2+0"} {
+			assert.Assert(t, strings.Contains(out.String(), line), out.String())
+		}
+		assert.Equal(t, f.Metrics.Counter("sent-again", "by-caller"), int64(1))
+	})
+}
+
 // Guards against a backend server's own error answer that is replaced by another
 // error, and against more sends than the route permits.
 func TestForwardRelaysBackendFailure(t *testing.T) {
--- a/dh/dhrouter/message.go
+++ b/dh/dhrouter/message.go
@@ -70,6 +70,8 @@
 	// LastEvent is the number of the event after which the answer resumes.
 	LastEvent    int64
 	HasLastEvent bool
+	// Connection is set by Transport.Send, unless there was none.
+	Connection Connection
 }
 
 // Inbound is the head and the body of a backend server's answer.
@@ -85,7 +87,6 @@
 	// KeptConnection is set if the connection had carried earlier requests, so that an
 	// answer without an id may belong to one of them.
 	KeptConnection bool
-	Connection     Connection
 	// AddressReused is set if the address now belongs to another backend server, which did
 	// not run the request.
 	AddressReused bool
