Show answers that were not believed in trace and losses

Missing: dandelionhoist trace of a request whose answer came too often, and met another request, did not show that line, as it bears the id as answer-to=. dandelionhoist losses did not tell requests whose connection another answer ended from other failures.

Change: trace takes answer-to= too; losses adds "another answer came" to refusals of requests with a line "answer not believed … handling=connection-closed".

--- a/cmd/dandelionhoist/losses.go
+++ b/cmd/dandelionhoist/losses.go
@@ -162,6 +162,11 @@
 		if last["begun"] == "true" {
 			l.reason += ", in the answer"
 		}
+		if slices.ContainsFunc(s.entries, func(e map[string]string) bool {
+			return e["msg"] == "answer not believed" && e["handling"] == "connection-closed"
+		}) {
+			l.reason += ", another answer came"
+		}
 	default:
 		// The VM stopped or the log ends before the request does.
 		l.reason = "no end in the log"
--- a/cmd/dandelionhoist/trace.go
+++ b/cmd/dandelionhoist/trace.go
@@ -48,20 +48,21 @@
 	}
 }
 
-// requestLines returns the lines of a log that contain the request's id.
+// requestLines returns the lines of a log that contain the request's id, also those that say
+// of another request that it met this one's answer.
 func requestLines(file, request string) ([]logLine, error) {
 	f, err := os.Open(file)
 	if err != nil {
 		return nil, err
 	}
 	defer func() { _ = f.Close() }() // opened only for reading
-	field := " request=" + request + " "
+	field, answer := " request="+request+" ", " answer-to="+request+" "
 	var lines []logLine
 	scanner := bufio.NewScanner(f)
 	scanner.Buffer(nil, maxLogLine)
 	for scanner.Scan() {
 		text := scanner.Text()
-		if !strings.Contains(text+" ", field) {
+		if padded := text + " "; !strings.Contains(padded, field) && !strings.Contains(padded, answer) {
 			continue
 		}
 		line := logLine{text: text}
