--- a/dh/dhconnection/dhconnection.go
+++ b/dh/dhconnection/dhconnection.go
@@ -123,8 +123,9 @@
 func (e *SendError) Unwrap() error { return e.Err }
 
 // Send sends a request to the backend server at an address and returns its response. If id is
-// empty, answers belong to the request by their order alone. The request is written at most once. An error that does not wrap ErrNotSent means that the
-// backend server may have received it.
+// empty, answers belong to the request by their order alone. The request is written at most
+// once. An error that does not wrap ErrNotSent means that the backend server may have
+// received it.
 func (p *Pool) Send(address, id string, r *http.Request) (*Exchange, error) {
 	ctx := r.Context()
 	c := p.takeIdle(address, id)
