Join no answer that breaks off in its head with the next one

An answer too many may break off: "HTTP/1.1 421 Misd", and the own answer behind it, is one head for the parser, with the status of the copy and the own id, so that a request that ran was called "not run" and ran again.

Change: an answer that begins before a request is sent on its connection is not that request's; a head with a status line within it, or with two ids, ends the connection as "may have run". Interim answers are bounded by their bytes, as net/http does. Tests of connections that may not be used again, and of a request of which one byte was written.

--- a/cmd/dandelionhoistd/copies_test.go
+++ b/cmd/dandelionhoistd/copies_test.go
@@ -60,14 +60,14 @@
 		id := request.Header.Get("Attempt-Id")
 		r.mu.Lock()
 		r.arrivals[id]++
-		n := r.arrivals[id]
+		n, earlier := r.arrivals[id], r.copy
 		r.mu.Unlock()
 		text := owed + "HTTP/1.1 200 OK\r\nAttempt-Id: " + id + "\r\nServer-Seal: s\r\nContent-Length: 2\r\n\r\nok"
 		switch owed = ""; {
 		case strings.HasPrefix(id, "lost"):
 			return
 		case strings.HasPrefix(id, "full") && n == 1:
-			text, owed = strings.ReplaceAll(r.refusal, "ID", id), strings.ReplaceAll(r.copy, "ID", id)
+			text, owed = strings.ReplaceAll(r.refusal, "ID", id), strings.ReplaceAll(earlier, "ID", id)
 		}
 		if _, err := io.WriteString(conn, text); err != nil {
 			return
@@ -103,7 +103,9 @@
 		assert.Equal(t, send(id, "POST"), http.StatusServiceUnavailable)
 		assert.Equal(t, send(fmt.Sprint("other-", n), "POST"), http.StatusOK, "another request meets the copy")
 	}
-	r.refusal, r.copy = refusal, strings.ReplaceAll(refusal, "Attempt-Id: ID\r\n", "")
+	r.mu.Lock()
+	r.copy = strings.ReplaceAll(refusal, "Attempt-Id: ID\r\n", "")
+	r.mu.Unlock()
 	assert.Equal(t, send("full-without-id", "POST"), http.StatusServiceUnavailable)
 	assert.Equal(t, send("after-without-id", "POST"), http.StatusOK)
 	assert.NilError(t, dhtimer.Sleep(t.Context(), f.timers, 50*time.Millisecond))
--- a/dh/dhconnection/connection.go
+++ b/dh/dhconnection/connection.go
@@ -10,6 +10,7 @@
 	"math"
 	"net"
 	"net/http"
+	"regexp"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -23,15 +24,13 @@
 	// answer is awaited: the buffers of the sockets take it even if the backend server does
 	// not read. A larger one is written concurrently, as it may be answered before it is read.
 	maxDirectBytes = 32 << 10
-	// maxInterim is the number of interim answers (1xx) before an answer.
-	maxInterim = 5
 	// maxLoggedID is the number of bytes of the id of another answer that are logged.
 	maxLoggedID = 64
 )
 
 var (
-	errInterim = errors.New("too many interim answers")
-	errNoMore  = errors.New("the answer to another request ends with the connection")
+	errUnsized = fmt.Errorf("%w: it has no length", ErrOtherAnswer)
+	errJoined  = fmt.Errorf("%w: it broke off in its head", ErrOtherAnswer)
 )
 
 // connection is one connection to a backend server. A goroutine reads its answers, one after
@@ -66,9 +65,13 @@
 	timeout time.Duration
 }
 
-// carriedRequest is what a connection remembers of a request: the answer to HEAD has no body.
+// statusLine is how an answer begins.
+var statusLine = regexp.MustCompile(`HTTP/1\.[01] [0-9]{3}`)
+
+// carriedRequest is what a connection remembers of a request: a hash of its id, and whether it
+// was a HEAD, whose answer has no body.
 type carriedRequest struct {
-	id   uint64
+	hash uint64
 	head bool
 }
 
@@ -77,8 +80,10 @@
 	connection *connection
 	request    *http.Request
 	id         string
-	// earlier is the number of requests that the connection had carried before.
+	// earlier is the number of requests that the connection had carried before, and before
+	// that of the bytes written to it.
 	earlier int
+	before  int64
 	// answers receives the own answer, or is closed without one.
 	answers chan *http.Response
 	// written is set once the whole request has been sent.
@@ -120,7 +125,7 @@
 	hash := xxhash.Sum64String(id)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	i := slices.IndexFunc(c.carried, func(r carriedRequest) bool { return r.id == hash })
+	i := slices.IndexFunc(c.carried, func(r carriedRequest) bool { return r.hash == hash })
 	return i >= 0 && id != "", i >= 0 && c.carried[i].head
 }
 
@@ -129,12 +134,12 @@
 func (c *connection) use() string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return fmt.Sprintf("%d+%d", c.number, len(c.carried)-1)
+	return fmt.Sprintf("%d+%d", c.number, max(len(c.carried)-1, 0))
 }
 
 // begin makes r the request whose answer is due.
 func (c *connection) begin(id string, r *http.Request) *call {
-	a := &call{connection: c, request: r, id: id, answers: make(chan *http.Response, 1), ended: make(chan struct{})}
+	a := &call{connection: c, request: r, id: id, before: c.wire.count(), answers: make(chan *http.Response, 1), ended: make(chan struct{})}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	a.earlier = len(c.carried)
@@ -175,21 +180,25 @@
 	if _, err := c.in.Peek(1); err != nil {
 		return err
 	}
-	if !c.awaited() {
+	begun := c.awaited()
+	if !begun {
 		c.pool.setForeign(c, true)
 	}
 	response, err := c.readHead()
 	if err != nil {
 		return err
 	}
-	a, last := c.match(response), c.answeredAt
+	var a *call
+	if begun {
+		a = c.match(response)
+	}
+	last := c.answeredAt
 	c.answeredAt = c.pool.Timers.Now()
 	if a == nil {
-		if err := c.drop(response, last); err != nil {
-			return err
-		}
+		err := c.dropBody(response)
+		c.logDropped(response, last, err)
 		c.pool.setForeign(c, c.in.Buffered() > 0)
-		return nil
+		return err
 	}
 	a.answers <- response
 	<-a.ended
@@ -206,18 +215,33 @@
 
 // readHead reads the head of the next answer that is not an interim one.
 func (c *connection) readHead() (*http.Response, error) {
-	for range maxInterim + 1 {
-		c.wire.limit(c.pool.MaxHeaderBytes)
+	for {
 		response, err := http.ReadResponse(c.in, nil) // as for GET; HEAD is told apart by its id
 		if err != nil {
 			return nil, err
 		}
-		c.wire.limit(math.MaxInt64)
+		if joined(response, c.pool.IDHeader) {
+			return nil, errJoined
+		}
 		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
+			c.wire.limit(math.MaxInt64)
 			return response, nil
 		}
 	}
-	return nil, errInterim
+}
+
+// joined reports whether a head has a second one within it: that of an answer that broke off,
+// followed by another answer, whose id would make it that answer's.
+func joined(r *http.Response, idHeader string) bool {
+	if len(r.Header[idHeader]) > 1 || statusLine.MatchString(r.Status) {
+		return true
+	}
+	for _, values := range r.Header {
+		if slices.ContainsFunc(values, statusLine.MatchString) {
+			return true
+		}
+	}
+	return false
 }
 
 // match returns the request that an answer belongs to, if it is awaited. An answer without an
@@ -234,12 +258,28 @@
 	return a
 }
 
-// drop reads an answer that belongs to no awaited request, and logs it. An error means that
-// no other answer can follow it.
-func (c *connection) drop(r *http.Response, last time.Time) error {
+// dropBody reads the body of an answer that belongs to no awaited request. An error means
+// that no other answer can follow it.
+func (c *connection) dropBody(r *http.Response) error {
+	if _, head := c.hasCarried(r.Header.Get(c.pool.IDHeader)); !head {
+		if r.ContentLength < 0 && len(r.TransferEncoding) == 0 {
+			return errUnsized
+		}
+		if _, err := io.Copy(io.Discard, io.LimitReader(r.Body, c.pool.MaxForeignBytes)); err != nil {
+			return err
+		}
+	}
+	if c.wire.received()-c.ownEnd > c.pool.MaxForeignBytes {
+		return ErrEndless
+	}
+	return nil
+}
+
+// logDropped logs and counts an answer that belongs to no awaited request. last is when the
+// one before began, and err why the connection ends with it.
+func (c *connection) logDropped(r *http.Response, last time.Time, err error) {
 	id := r.Header.Get(c.pool.IDHeader)
-	carried, head := c.hasCarried(id)
-	err := c.readForeign(r, head)
+	carried, _ := c.hasCarried(id)
 	c.mu.Lock()
 	awaited := ""
 	if c.awaiting != nil {
@@ -261,22 +301,6 @@
 	c.pool.Log.Warn("answer not believed", slog.String("request", awaited), slog.String("answer-to", id[:min(len(id), maxLoggedID)]),
 		slog.Int("status", r.StatusCode), slog.String("address", c.address), slog.String("connection", c.use()), slog.Bool("carried", carried),
 		slog.Duration("since-last-answer", since), slog.String("handling", handling))
-	return err
-}
-
-func (c *connection) readForeign(r *http.Response, head bool) error {
-	if !head {
-		if r.ContentLength < 0 && len(r.TransferEncoding) == 0 {
-			return errNoMore
-		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(r.Body, c.pool.MaxForeignBytes)); err != nil {
-			return err
-		}
-	}
-	if c.wire.received()-c.ownEnd > c.pool.MaxForeignBytes {
-		return ErrEndless
-	}
-	return nil
 }
 
 // attach makes the body of the own answer end the call.
--- a/dh/dhconnection/dhconnection.go
+++ b/dh/dhconnection/dhconnection.go
@@ -14,7 +14,8 @@
 //
 //   - An answer with another id, or without one on a connection that has carried other
 //     requests, is read to its end and dropped. The own answer may follow, and the request
-//     waits for it until its context ends, within MaxForeignBytes.
+//     waits for it until its context ends, within MaxForeignBytes. What begins before a
+//     request is sent is not its answer.
 //   - The id does not tell two sends of the same request apart. A connection therefore never
 //     carries the same id twice: it remembers those that it has carried, and is closed after
 //     MaxRequests of them.
@@ -60,6 +61,9 @@
 	// ErrEndless is wrapped if more than MaxForeignBytes of other answers came before the
 	// own one.
 	ErrEndless = errors.New("too many bytes of answers to other requests")
+	// ErrOtherAnswer is wrapped if the own answer cannot be read after another one. This
+	// says nothing about the health of the backend server.
+	ErrOtherAnswer = errors.New("the answer to another request ended the connection")
 )
 
 // Pool sends requests and keeps connections, by address. Set its exported fields before the
@@ -136,7 +140,6 @@
 		}
 		c = p.open(address, conn)
 	}
-	before := c.wire.count()
 	call := c.begin(id, r)
 	call.stop = context.AfterFunc(ctx, func() { c.fail(context.Cause(ctx)) })
 	c.send(call)
@@ -146,7 +149,7 @@
 	}
 	call.stop()
 	var err error = &SendError{Connection: c.number, Earlier: call.earlier, Err: c.failure()}
-	switch sent := c.wire.shut() - before; {
+	switch sent := c.wire.shut() - call.before; {
 	case sent > 0:
 		return nil, err
 	case call.earlier > 0 && ctx.Err() == nil:
--- a/dh/dhconnection/dhconnection_test.go
+++ b/dh/dhconnection/dhconnection_test.go
@@ -35,8 +35,8 @@
 	connections []net.Conn
 	// ended counts the connections that have ended.
 	requests, ended int
-	// failWrites makes writes of callers fail.
-	failWrites bool
+	// failWrites makes writes of callers fail, after one byte if partly is set.
+	failWrites, partly bool
 }
 
 type callerConn struct {
@@ -47,8 +47,12 @@
 // Write implements net.Conn.
 func (c callerConn) Write(b []byte) (int, error) {
 	c.server.mu.Lock()
-	fail := c.server.failWrites
+	fail, partly := c.server.failWrites, c.server.partly
 	c.server.mu.Unlock()
+	if fail && partly {
+		_, _ = c.Conn.Write(b[:1]) // the error below ends the connection
+		return 1, errors.New("broken pipe")
+	}
 	if fail {
 		return 0, errors.New("broken pipe")
 	}
@@ -167,6 +171,33 @@
 	}
 }
 
+// Guards against connections that are used again though their answer, or the number of their
+// requests, forbids it.
+func TestConnectionsThatEnd(t *testing.T) {
+	for head, kept := range map[string]bool{
+		"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nConnection: close\r\n":              false,
+		"HTTP/1.0 200 OK\r\nContent-Length: 4\r\n":                                   false,
+		"HTTP/1.1 101 Switching\r\nContent-Length: 4\r\n":                            false,
+		"HTTP/1.1 103 Early\r\nA: b\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n": true,
+	} {
+		s, pool, _ := newServer(t)
+		s.head = head
+		e, err := pool.Send("b:1", "", request(t.Context()))
+		assert.NilError(t, err)
+		_, _ = io.ReadAll(e.Response.Body)
+		assert.NilError(t, e.Response.Body.Close())
+		assert.Assert(t, e.Response.StatusCode != http.StatusEarlyHints)
+		e, err = pool.Send("b:1", "", request(t.Context()))
+		assert.NilError(t, err)
+		assert.Equal(t, e.Earlier > 0, kept, "%q", head)
+		_ = e.Response.Body.Close() // the connection is closed
+	}
+	_, pool, _ := newServer(t)
+	for n := range 2 * pool.MaxRequests {
+		assert.Equal(t, exchange(t, pool).Earlier, n%pool.MaxRequests)
+	}
+}
+
 // Guards against requests on connections that the backend server is about to close.
 func TestIdleTimeout(t *testing.T) {
 	for _, c := range []struct {
@@ -227,7 +258,7 @@
 // Guards against a failure "may have run" of a request that met a kept connection that the
 // backend server had closed, and one "not run" of a request that was written.
 func TestNothingSent(t *testing.T) {
-	s, pool, _ := newServer(t)
+	s, pool, timers := newServer(t)
 	exchange(t, pool)
 	s.mu.Lock()
 	s.failWrites = true
@@ -237,6 +268,23 @@
 	_, err = pool.Send("b:1", "", request(t.Context()))
 	assert.Assert(t, errors.Is(err, dhconnection.ErrNotSent) && !errors.Is(err, dhconnection.ErrStale), "a new connection: %v", err)
 	s.mu.Lock()
+	s.partly = true
+	s.mu.Unlock()
+	failed := dhgroup.New(t.Context())
+	failed.Go(func(context.Context) error {
+		_, err := pool.Send("b:1", "", request(t.Context()))
+		assert.Check(t, err != nil && !errors.Is(err, dhconnection.ErrNotSent), "a byte was written: %v", err)
+		return nil
+	})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		timers.Step(50 * time.Millisecond) // an answer may still come
+		if s.opened() < 3 || !openConnections(s, 0)(t).Done() {
+			return poll.Continue("the connection is open")
+		}
+		return poll.Success()
+	})
+	assert.NilError(t, failed.Wait())
+	s.mu.Lock()
 	s.failWrites, s.head = false, "junk"
 	before := s.requests
 	s.mu.Unlock()
--- a/dh/dhconnection/wire.go
+++ b/dh/dhconnection/wire.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 )
 
+var errHead = errors.New("the head of an answer is too long")
+
 // wire is a connection that counts the bytes written to it, and bounds those read.
 type wire struct {
 	net.Conn
@@ -15,7 +17,7 @@
 	written int64
 	ended   bool
 
-	// Only the reader of answers uses left, the number of bytes that may be read.
+	// left is the number of bytes that may be read. It belongs to whoever reads at present.
 	left int64
 	read atomic.Int64
 }
@@ -43,8 +45,6 @@
 	return n, err
 }
 
-var errHead = errors.New("the head of an answer is too long")
-
 // limit bounds the bytes of the next reads.
 func (c *wire) limit(n int64) { c.left = n }
 
