End connections whose answer too many breaks off

Change: an answer that is not awaited and from which no byte comes for 0.5 s has broken off. A request that finds only connections with unread bytes closes the oldest for the new one.

--- a/dh/dhconnection/connection.go
+++ b/dh/dhconnection/connection.go
@@ -24,13 +24,17 @@
 	// answer is awaited: the buffers of the sockets take it even if the backend server does
 	// not read. A larger one is written concurrently, as it may be answered before it is read.
 	maxDirectBytes = 32 << 10
+	// maxForeignPause is the time without a byte after which an answer that is not awaited
+	// has broken off.
+	maxForeignPause = 500 * time.Millisecond
 	// maxLoggedID is the number of bytes of the id of another answer that are logged.
 	maxLoggedID = 64
 )
 
 var (
-	errUnsized = fmt.Errorf("%w: it has no length", ErrOtherAnswer)
-	errJoined  = fmt.Errorf("%w: it broke off in its head", ErrOtherAnswer)
+	errUnsized   = fmt.Errorf("%w: it has no length", ErrOtherAnswer)
+	errBrokenOff = fmt.Errorf("%w: it broke off", ErrOtherAnswer)
+	errJoined    = fmt.Errorf("%w: it broke off in its head", ErrOtherAnswer)
 )
 
 // connection is one connection to a backend server. A goroutine reads its answers, one after
@@ -183,6 +187,7 @@
 	begun := c.awaited()
 	if !begun {
 		c.pool.setForeign(c, true)
+		defer c.limitPauses()()
 	}
 	response, err := c.readHead()
 	if err != nil {
@@ -206,6 +211,26 @@
 	return c.failure()
 }
 
+// limitPauses ends the connection when no byte comes for maxForeignPause, until stop is called.
+func (c *connection) limitPauses() (stop func()) {
+	var stopped atomic.Bool
+	var check func(time.Time)
+	last := c.wire.received()
+	check = func(time.Time) {
+		now := c.wire.received()
+		switch {
+		case stopped.Load():
+		case now == last:
+			c.fail(errBrokenOff)
+		default:
+			last = now
+			c.pool.Timers.After(maxForeignPause, check)
+		}
+	}
+	cancel := c.pool.Timers.After(maxForeignPause, check)
+	return func() { stopped.Store(true); cancel() }
+}
+
 // awaited reports whether a request awaits its answer.
 func (c *connection) awaited() bool {
 	c.mu.Lock()
@@ -265,6 +290,7 @@
 		if r.ContentLength < 0 && len(r.TransferEncoding) == 0 {
 			return errUnsized
 		}
+		defer c.limitPauses()()
 		if _, err := io.Copy(io.Discard, io.LimitReader(r.Body, c.pool.MaxForeignBytes)); err != nil {
 			return err
 		}
--- a/dh/dhconnection/idle.go
+++ b/dh/dhconnection/idle.go
@@ -17,9 +17,10 @@
 	sweepsPerTimeout = 2
 )
 
-// takeIdle returns the newest usable idle connection to an address that has not carried the
-// request, or nil. If all have carried it, the oldest of them is closed: backend servers bound
-// their connections, and a new one will take its place.
+// takeIdle returns the newest usable idle connection to an address, or nil. One that has
+// carried the request, or has received bytes that are no whole answer, is not usable. If there
+// are only such ones, the oldest is closed: backend servers bound their connections, and a new
+// one will take its place.
 func (p *Pool) takeIdle(address, id string) *connection {
 	now := p.Timers.Now()
 	p.mu.Lock()
@@ -27,22 +28,26 @@
 	list, oldest := p.idle[address], -1
 	for i := len(list) - 1; i >= 0; i-- {
 		c := list[i]
-		if c.foreign || !now.Before(c.expires) || c.failure() != nil {
-			continue
-		}
-		if carried, _ := c.hasCarried(id); !carried {
+		carried, _ := c.hasCarried(id)
+		switch {
+		case !now.Before(c.expires) || c.failure() != nil:
+		case carried || c.foreign:
+			oldest = i
+		default:
 			p.setIdle(address, slices.Delete(list, i, i+1))
 			return c
 		}
-		oldest = i
 	}
 	if oldest >= 0 {
 		c := list[oldest]
 		p.setIdle(address, slices.Delete(list, oldest, oldest+1))
 		p.shutSoon(c)
-		p.Metrics.Count("connection", "carried-request-before")
-		p.Log.Info("request avoids a connection that has carried it", slog.String("request", id), slog.String("address", address),
-			slog.String("connection", c.use()))
+		reason, text := "carried-request-before", "request avoids a connection that has carried it"
+		if c.foreign {
+			reason, text = "unread-bytes", "request avoids a connection with unread bytes"
+		}
+		p.Metrics.Count("connection", reason)
+		p.Log.Info(text, slog.String("request", id), slog.String("address", address), slog.String("connection", c.use()))
 	}
 	return nil
 }
