--- a/dh/dhconnection/connection.go
+++ b/dh/dhconnection/connection.go
@@ -27,6 +27,9 @@
 	// maxForeignPause is the time without a byte after which an answer that is not awaited
 	// has broken off.
 	maxForeignPause = 500 * time.Millisecond
+	// answerGrace is the time for which an answer is awaited after a write has failed: a
+	// backend server may refuse a request before it has read the whole body, and close.
+	answerGrace = 50 * time.Millisecond
 	// maxLoggedID is the number of bytes of the id of another answer that are logged.
 	maxLoggedID = 64
 )
@@ -170,11 +173,14 @@
 	if err == nil {
 		err = c.out.Flush()
 	}
-	if err != nil {
+	switch {
+	case err == nil:
+		a.written.Store(true)
+	case c.wire.count() > a.before:
+		c.pool.Timers.After(answerGrace, func(time.Time) { c.fail(err) })
+	default:
 		c.fail(err)
-		return
 	}
-	a.written.Store(true)
 }
 
 // readAnswer reads the next answer: it passes the own one of a request on and waits until it
