Take answers to other requests for no sign against their backend server

A connection that ended with the answer to another request, one without a length for instance, counted as a failure of the backend server, as evidence against its version and as a sign of a crash by the request.

Change: such ends are told by ErrOtherAnswer, and count for nothing.

--- a/dh/dhrouter/forward.go
+++ b/dh/dhrouter/forward.go
@@ -394,9 +394,9 @@
 		slog.Int("events", f.events), slog.Duration("ran-for", f.router.Timers.Now().Sub(f.sentAt)),
 		slog.String("fingerprint", dhquarantine.FormatID(f.fingerprint())), slog.String("error", err.Error()))
 	f.router.Metrics.Count("attempt-failed", dhcode.Of(err).String())
-	// A refusal, or a caller that has disconnected, is not a failure of the backend
-	// server.
-	return e, !refused && !f.callerGone
+	// A refusal, an answer to another request, or a caller that has disconnected, is not a
+	// failure of the backend server.
+	return e, !refused && !f.callerGone && !errors.Is(err, ErrOtherAnswer)
 }
 
 func (f *forward) event(b *dhbackend.Backend, first time.Duration, failed bool) Event {
--- a/dh/dhrouter/message.go
+++ b/dh/dhrouter/message.go
@@ -138,6 +138,10 @@
 // to be closed before anything was sent. The backend server may be healthy.
 var ErrStaleConnection = errors.New("a kept connection was closed")
 
+// ErrOtherAnswer is wrapped by an error if the connection ended with the answer to another
+// request. The backend server may be healthy.
+var ErrOtherAnswer = errors.New("the answer to another request came instead")
+
 // Transport sends messages to backend servers.
 type Transport interface {
 	// Send sends a message at most once and waits for the head of the answer. An error is
--- a/dh/dhrouter/quarantine.go
+++ b/dh/dhrouter/quarantine.go
@@ -126,9 +126,9 @@
 }
 
 // recordLost records that the connection to the backend server broke. Silence, bytes without
-// end and the end of the request are no signs of a crash.
+// end, answers to other requests and the end of the request are no signs of a crash.
 func (f *forward) recordLost(err error) {
-	f.connectionLost = !errors.Is(err, syscall.ETIMEDOUT) && !errors.Is(err, ErrEndless) && !errors.Is(err, context.Canceled) && !errors.Is(err, context.DeadlineExceeded)
+	f.connectionLost = !errors.Is(err, syscall.ETIMEDOUT) && !errors.Is(err, ErrEndless) && !errors.Is(err, ErrOtherAnswer) && !errors.Is(err, context.Canceled) && !errors.Is(err, context.DeadlineExceeded)
 }
 
 // recordEnd records the end of an attempt that may have run on a backend server.
