Tie the answers of other VMs to their calls

What callers saw: nothing yet.

Cause: calls between control and entry VMs are twirp over kept HTTP/1.1 connections, and net/http takes the next answer on a connection for that to the call under way. Most answers name nothing of their call. One that is taken for another one - counts as a promise or an accept that the voter did not give (Prepare, Accept), - marks a sound voter as rolled back for good, if its record number is lower (all three), - confirms the lease on keys from the begin of a later call than it answers (Watch), so that a revoked key is accepted for longer. Our own servers write one answer per call; what else is at an address, or a fault of a build, may not.

A copy on an idle connection is found by net/http, which closes it.

Change: each call over HTTP/1.1 carries an id, which the answer repeats. An answer with another id ends its connection, and the call fails as if there had been no answer. VMs of earlier builds repeat none: an answer without one counts on connections on which none has been repeated. HTTP/2 needs none of this: the numbers of streams tie answers to calls.

--- a/dh/dhcontrol/service.go
+++ b/dh/dhcontrol/service.go
@@ -23,7 +23,7 @@
 		mux.Handle(voter.PathPrefix()+method, voter)
 	}
 	bounds := &dhwire.Bounds{MaxBytes: maxCallBytes, MaxTotalBytes: maxTotalCallBytes}
-	return bounds.Handler(mux)
+	return dhwire.RepeatCalls(bounds.Handler(mux))
 }
 
 const (
--- a/dh/dhpeer/dhpeer.go
+++ b/dh/dhpeer/dhpeer.go
@@ -1,4 +1,5 @@
-// Package dhpeer is the client for the services of other entry VMs, using twirp over h2c.
+// Package dhpeer is the client for the services of other entry VMs, using twirp over h2c, or
+// over HTTP/1.1 with an id of each call that its answer repeats.
 //
 // # Usage
 //
@@ -78,8 +79,14 @@
 			DisableCompression:     c.OneCallPerConnection,
 			MaxResponseHeaderBytes: dhwire.MaxHeaderBytes,
 		}
+		var next http.RoundTripper = transport
+		if c.OneCallPerConnection {
+			calls := new(dhwire.Calls) // HTTP/2 ties answers to calls by the numbers of streams
+			transport.DialContext = calls.Connect(dialer.DialContext)
+			next = calls.Client(transport)
+		}
 		bounds := &dhwire.Bounds{MaxBytes: maxAnswerBytes, MaxTotalBytes: maxTotalAnswerBytes}
-		c.http = &http.Client{Transport: bounds.Client(&keyTransport{key: c.Key, next: transport})}
+		c.http = &http.Client{Transport: bounds.Client(&keyTransport{key: c.Key, next: next})}
 		c.clients = make(map[string]peerClients)
 	})
 }
--- a/dh/dhwire/dhwire.go
+++ b/dh/dhwire/dhwire.go
@@ -1,5 +1,6 @@
 // Package dhwire converts between errors that carry a result code and errors
-// of the connect protocol, and reads and writes keys in request headers.
+// of the connect protocol, reads and writes keys in request headers, and ties the
+// answers of other VMs to their calls.
 //
 // # Usage
 //
