Choose the server that cancels a request before the request is sent

Cause: do starts cancelLater on a goroutine of its own, which read c.server after its pause, while send moves on to the next server after a broken stream.

Change: the server is chosen before the goroutine starts. After a move this may be the one that serves the request; a cancel works at each.

--- a/cmd/dandelionhoist-load/call.go
+++ b/cmd/dandelionhoist-load/call.go
@@ -66,8 +66,9 @@
 	}
 	done, end := context.WithCancel(ctx)
 	if c.request.CancelAfter > 0 {
+		next := c.routers[(c.server+1)%len(c.routers)] // send changes c.server
 		group.Go(func(context.Context) error {
-			c.cancelLater(done, report)
+			c.cancelLater(done, next, report)
 			return nil
 		})
 	}
@@ -86,12 +87,11 @@
 	}
 }
 
-// cancelLater cancels the request at the server after its own.
-func (c *call) cancelLater(ctx context.Context, report *report) {
+// cancelLater cancels the request at another server than the first one that it was sent to.
+func (c *call) cancelLater(ctx context.Context, router dhpbconnect.RouterServiceClient, report *report) {
 	if dhtimer.Sleep(ctx, c.load.Timers, c.request.CancelAfter) != nil {
 		return
 	}
-	router := c.routers[(c.server+1)%len(c.routers)]
 	response, err := router.Cancel(ctx, &dhpb.CancelRequest{RequestId: c.request.ID})
 	report.addCancel(err == nil && response.GetFound())
 }
