Let callers of the soak come back with their id after a refusal

Seen: no caller of the soak used an id twice, so nothing brought the same request back to a connection that had carried it, and the checker forgot the runs of an id that was sent again. Change: half of the refused requests are sent again with their id, on the same connection. The checker keeps the runs of all sends: "twice" and "refused" hold over all of them, the bound on attempts holds for each send, and each send counts for the retry budget. A new check "copied" says that a request whose sound answer follows the copy of another one is served, unless a fault on its VM or backend server comes between. Measured: TestCheckerDetectsViolations has four rows more, TestCheckerAcceptsCorrectRun a request that comes again and runs once; both pass.

--- a/cmd/dandelionhoist-soak/dhsoak/caller.go
+++ b/cmd/dandelionhoist-soak/dhsoak/caller.go
@@ -35,7 +35,9 @@
 	cancelShare     = 0.04
 	reconnectShare  = 0.02
 	chunkedShare    = 0.3
-	maxBody         = 3000
+	// comeBackShare of the refused requests are sent again with their id.
+	comeBackShare = 0.5
+	maxBody       = 3000
 	// maxCancelDelay is the longest time after which a request is cancelled.
 	maxCancelDelay = 100 * time.Millisecond
 )
@@ -92,7 +94,8 @@
 	}
 }
 
-// ask sends one request and reports whether the connection is still usable.
+// ask sends one request, perhaps again after a refusal, and reports whether the connection is
+// still usable.
 func (c *caller) ask(ctx context.Context) bool {
 	route, key := routes[c.random.IntN(len(routes))], keyAlways
 	if c.random.Float64() < otherRouteShare {
@@ -111,8 +114,24 @@
 	}
 	if path := c.deployment.deadlyRequestNow(c.random); path != "" && route.always {
 		r.path, r.key, body = route.prefix()+path, keyAlways, []byte(path)
-		key, r.body = keyAlways, digest(body)
+		r.body = digest(body)
 	}
+	if route.pool == poolEngine {
+		r.prompt = c.deployment.prompt(c.random, r.id)
+	}
+	usable, refused := c.send(ctx, r, body)
+	for usable && refused && c.random.Float64() < comeBackShare {
+		if dhtimer.Sleep(ctx, c.deployment.soak.Timers, time.Duration(c.random.Int64N(int64(maxThinkTime)))) != nil {
+			break // the run has ended
+		}
+		usable, refused = c.send(ctx, r, body)
+	}
+	return usable
+}
+
+// send sends a request once. It reports whether the connection is still usable, and whether
+// the request was refused.
+func (c *caller) send(ctx context.Context, r *request, body []byte) (usable, refused bool) {
 	limited, cancel := dhtimer.WithTimeout(ctx, c.deployment.soak.Timers, callerDeadline)
 	defer cancel()
 	if c.random.Float64() < cancelShare {
@@ -129,24 +148,24 @@
 	}
 	out.Host = hostName
 	out.Header.Set(platform.HeaderID, r.id)
-	out.Header.Set("Authorization", "Bearer "+key)
+	out.Header.Set("Authorization", "Bearer "+r.key)
 	out.Header.Set(platform.HeaderDeadline, strconv.FormatInt(callerDeadline.Milliseconds(), 10))
-	if route.pool == poolEngine {
+	if r.prompt != "" {
 		out.Header.Set(platform.HeaderModel, "*")
-		out.Header.Set(platform.HeaderPrefix, c.deployment.prompt(c.random, r.id))
+		out.Header.Set(platform.HeaderPrefix, r.prompt)
 		out.Header.Set(platform.HeaderTokens, "570,80")
 	}
 	c.deployment.checker.Sent(r)
 	response, err := c.client.Do(out)
 	if err != nil {
 		c.deployment.checker.Answered(r, outcome{closed: true, cancelled: limited.Err() != nil})
-		return limited.Err() != nil
+		return limited.Err() != nil, false
 	}
 	defer func() { _ = response.Body.Close() }()
 	text, err := io.ReadAll(response.Body)
-	c.deployment.checker.Answered(r, outcome{
+	refused = c.deployment.checker.Answered(r, outcome{
 		status: response.StatusCode, seal: response.Header.Get(platform.HeaderSeal), id: response.Header.Get(platform.HeaderID),
 		body: string(text), complete: err == nil, cancelled: limited.Err() != nil,
 	})
-	return err == nil
+	return err == nil, refused
 }
--- a/cmd/dandelionhoist-soak/dhsoak/checker.go
+++ b/cmd/dandelionhoist-soak/dhsoak/checker.go
@@ -55,14 +55,22 @@
 // request is one request of a caller and what is known about its execution.
 type request struct {
 	id, method, path string
-	body             uint64
-	route            *routeInfo
-	key, entry       string
-	sentAt           time.Time
+	// prompt lists the parts of its prompt; it is empty for a plain request.
+	prompt     string
+	body       uint64
+	route      *routeInfo
+	key, entry string
+	sentAt     time.Time
 	// arrived is true once a backend server has received the request, even if it
 	// refused to run it.
 	arrived bool
 	runs    []run
+	// sends holds when it was sent: a caller may come back with the id after a refusal.
+	// earlierRuns counts the runs before the latest.
+	sends       []time.Time
+	earlierRuns int
+	// failedAt is when one was last not served.
+	failedAt time.Time
 	// refusalStatus is the status of an answer that guarantees that the request has
 	// not run; 0 without such an answer.
 	refusalStatus int
@@ -79,6 +87,8 @@
 	status int
 	// leaving is true if the answer announces that the backend server leaves.
 	leaving bool
+	// met is true if a copy of an earlier answer preceded the answer, which is sound.
+	met bool
 }
 
 type arrival struct {
@@ -148,10 +158,12 @@
 	return h.Sum64()
 }
 
-// Sent records that a caller is about to send a request.
+// Sent records that a caller is about to send a request, or one again that was refused.
 func (j *Checker) Sent(r *request) {
 	defer j.lock()()
 	r.sentAt = j.Timers.Now()
+	r.sends, r.earlierRuns = append(r.sends, r.sentAt), len(r.runs)
+	r.arrived, r.refusalStatus = false, 0
 	j.requests[r.id] = r
 }
 
@@ -167,6 +179,8 @@
 	refused bool
 	// leaving is true if the answer announces that the backend server leaves.
 	leaving bool
+	// met is true if a copy of an earlier answer precedes the answer, which will be sound.
+	met bool
 	// cause is the part or the path by which it crashes backend servers, or empty.
 	cause string
 	// limited is true if the answer states a limit of requests per second.
@@ -200,7 +214,7 @@
 	if s.refused {
 		return
 	}
-	r.runs = append(r.runs, run{backend: s.backend, pool: s.pool, zone: s.zone, account: s.account, version: s.version, at: now, seal: s.seal, leaving: s.leaving})
+	r.runs = append(r.runs, run{backend: s.backend, pool: s.pool, zone: s.zone, account: s.account, version: s.version, at: now, seal: s.seal, leaving: s.leaving, met: s.met})
 	switch {
 	case s.method != r.method || s.path != r.path || s.body != r.body:
 		j.addViolation("unasked", "request %s runs on %s with method, path or body changed", r.id, s.backend)
@@ -212,8 +226,8 @@
 		j.addViolation("unasked", "request %s runs with model %q, its route has %q", r.id, s.model, r.route.models)
 	case !r.route.repeatable && len(r.runs) > 1:
 		j.addViolation("twice", "request %s of route %s runs on %s and %s", r.id, r.route.name, r.runs[0].backend, s.backend)
-	case len(r.runs) > r.route.attempts:
-		j.addViolation("budget", "request %s runs %d times, %d are allowed", r.id, len(r.runs), r.route.attempts)
+	case len(r.runs)-r.earlierRuns > r.route.attempts:
+		j.addViolation("budget", "request %s runs %d times, %d are allowed", r.id, len(r.runs)-r.earlierRuns, r.route.attempts)
 	case r.refusalStatus != 0 && !r.route.repeatable:
 		j.addViolation("refused", "request %s runs on %s after it was refused with %d", r.id, s.backend, r.refusalStatus)
 	}
@@ -360,13 +374,14 @@
 	closed bool
 }
 
-// Answered records the end of a request.
-func (j *Checker) Answered(r *request, o outcome) {
+// Answered records the end of a request, and reports whether the answer promises that it has
+// not run.
+func (j *Checker) Answered(r *request, o outcome) (refused bool) {
 	defer j.lock()()
 	now := j.Timers.Now()
 	if o.cancelled {
 		r.cancelledAt = now
-		return
+		return false
 	}
 	ran := len(r.runs) > 0
 	if r.route.always && r.key == keyAlways && !j.calmSince.IsZero() && r.sentAt.After(j.calmSince) {
@@ -381,8 +396,11 @@
 	if i >= 0 && r.runs[i].leaving {
 		j.recordLeaving(r, r.runs[i].backend)
 	}
-	refused := o.status == http.StatusTooManyRequests || o.status == http.StatusServiceUnavailable ||
+	refused = o.status == http.StatusTooManyRequests || o.status == http.StatusServiceUnavailable ||
 		o.status == http.StatusRequestTimeout || o.status == http.StatusMisdirectedRequest
+	if o.status != http.StatusOK || !o.complete {
+		r.failedAt = now
+	}
 	switch {
 	case o.closed:
 		// A closed connection does not say whether the request ran, but a VM
@@ -410,6 +428,7 @@
 			j.addViolation("config", "request %s on route %s with key %s of all configurations in force gets %d", r.id, r.route.name, r.key, o.status)
 		}
 	}
+	return refused
 }
 
 // allowedByAll reports whether every configuration that may be in force allows
@@ -573,6 +592,8 @@
 	for _, r := range j.requests {
 		report.Requests++
 		report.Runs += len(r.runs)
+		report.Met += j.checkMet(r)
+		report.Again += len(r.sends) - 1
 	}
 	if float64(j.calmServed) < minServedShare*float64(j.calmRequests) {
 		j.addViolation("recover", "%d of %d requests are served after the recovery", j.calmServed, j.calmRequests)
@@ -581,13 +602,31 @@
 	report.Unserved = j.unserved
 }
 
+// checkMet checks that a request whose answer followed the copy of another is served, unless
+// a fault comes between. It returns the number of such answers.
+func (j *Checker) checkMet(r *request) (met int) {
+	for _, run := range r.runs {
+		if !run.met {
+			continue
+		}
+		met++
+		from := r.sentAt.Add(-settleTime)
+		if run.status != http.StatusOK || run.at.Before(r.sentAt) || r.failedAt.Before(r.sentAt) ||
+			j.disturbed(r.entry, from, r.failedAt) || j.disturbed(stopping(r.entry), from, r.failedAt) || j.disturbed(run.backend, from, r.failedAt) {
+			continue
+		}
+		j.addViolation("copied", "request %s runs on %s, which sends copies before its answer, and %s does not pass it on", r.id, run.backend, r.entry)
+	}
+	return met
+}
+
 // checkBudget checks the number of retries to each pool in every retryWindow.
 func (j *Checker) checkBudget() {
 	for pool, list := range j.arrivals {
 		var sent []time.Time
 		for _, r := range j.requests {
 			if r.route.pool == pool {
-				sent = append(sent, r.sentAt)
+				sent = append(sent, r.sends...)
 			}
 		}
 		slices.SortFunc(sent, time.Time.Compare)
--- a/cmd/dandelionhoist-soak/dhsoak/checker_test.go
+++ b/cmd/dandelionhoist-soak/dhsoak/checker_test.go
@@ -135,6 +135,33 @@
 			h.Answered(r, outcome{status: http.StatusTooManyRequests})
 			h.arrive(r, "b", nil)
 		}},
+		"comes again after a refusal and runs twice": {"twice", func(h harness) {
+			r := h.ask(order, keyAlways)
+			h.Answered(r, outcome{status: http.StatusServiceUnavailable})
+			h.Sent(r)
+			h.arrive(r, "b", nil)
+			h.arrive(r, "c", nil)
+		}},
+		"comes again after a refusal, runs and is refused": {"refused", func(h harness) {
+			r := h.ask(order, keyAlways)
+			h.Answered(r, outcome{status: http.StatusServiceUnavailable})
+			h.Sent(r)
+			h.arrive(r, "b", nil)
+			h.Answered(r, outcome{status: http.StatusServiceUnavailable})
+		}},
+		"comes again after a refusal with too many attempts": {"budget", func(h harness) {
+			r := h.ask(look, keyAlways)
+			h.Answered(r, outcome{status: http.StatusServiceUnavailable})
+			h.Sent(r)
+			for range r.route.attempts + 1 {
+				h.arrive(r, "b", nil)
+			}
+		}},
+		"not served after the copy of another answer": {"copied", func(h harness) {
+			r := h.ask(order, keyAlways)
+			h.arrive(r, "b", func(s *backendRequest) { s.met = true })
+			h.Answered(r, outcome{status: http.StatusBadGateway})
+		}},
 		"success without a seal": {"mixed", func(h harness) {
 			r := h.ask(order, keyAlways)
 			h.arrive(r, "b", nil)
@@ -387,6 +414,11 @@
 	h.arrive(retried, "b", nil)
 	h.arrive(retried, "c", nil)
 	h.Answered(retried, completeAnswer(retried, "c"))
+	again := h.ask(order, keyAlways)
+	h.Answered(again, outcome{status: http.StatusServiceUnavailable})
+	h.Sent(again)
+	h.arrive(again, "b", func(s *backendRequest) { s.met = true })
+	h.Answered(again, completeAnswer(again, "b"))
 	killed := h.Disturb("entry-0")
 	for range maxLostAnswers + 1 {
 		r := h.ask(order, keyAlways)
--- a/cmd/dandelionhoist-soak/dhsoak/dhsoak.go
+++ b/cmd/dandelionhoist-soak/dhsoak/dhsoak.go
@@ -136,14 +136,17 @@
 	// others by status; 0 stands for a connection that ended without an answer.
 	CalmServed int
 	Unserved   map[int]int
+	// Met is the number of runs whose answers followed the copy of another one, Again that
+	// of requests sent again with their id after a refusal.
+	Met, Again int
 	Faults     []string
 	Violations []string
 }
 
 // String returns the report as lines of text.
 func (r Report) String() string {
-	text := fmt.Sprintf("seed %d: controls %d, entries %d, backends %d, callers %d; faults %d; requests %d, served %d, runs %d; calm %d, served %d; violations %d",
-		r.Seed, r.Size.Controls, r.Size.Entries, r.Size.Backends, r.Size.Callers, len(r.Faults), r.Requests, r.Served, r.Runs, r.Calm, r.CalmServed, len(r.Violations))
+	text := fmt.Sprintf("seed %d: controls %d, entries %d, backends %d, callers %d; faults %d; requests %d, served %d, runs %d; copies met %d, sent again %d; calm %d, served %d; violations %d",
+		r.Seed, r.Size.Controls, r.Size.Entries, r.Size.Backends, r.Size.Callers, len(r.Faults), r.Requests, r.Served, r.Runs, r.Met, r.Again, r.Calm, r.CalmServed, len(r.Violations))
 	if len(r.Unserved) > 0 {
 		text += fmt.Sprintf("; not served %v", r.Unserved)
 	}
@@ -177,6 +180,8 @@
 		report.Faults = append(report.Faults, f.String())
 	}
 	err := s.runPhases(group.Context(), d, faults)
+	// Requests that the end of the run breaks off are no findings.
+	checker.Disturb(disturbedBy(d.vms())...)
 	group.Stop()
 	d.end()
 	if waitErr := group.Wait(); err == nil && ctx.Err() == nil {
