Play backend servers that send answers too many in the soak

Change: a conduct "copying-answers" under which a backend server writes up to three copies of an answer (503, 421, 500 and complete ones, also streams) on the same connection: with the first, while the connection is idle, before the next answer, or before that after up to three others; some without an id, with an unknown one, or with headers that state a pause, a leave, a limit and the end of the connection. It refuses three in ten requests, so that callers come back, and fails some plain ones. In each storm the backend servers of both pools do so in three series, and restart in place under a new id without closing their connections; in the calm phase every second one does. The present program plays it in the calm phase alone beside an old one, which may believe copies.

--- a/cmd/dandelionhoist-soak/dhsoak/backend.go
+++ b/cmd/dandelionhoist-soak/dhsoak/backend.go
@@ -104,14 +104,17 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.starts++
-	b.id, b.sequence, b.leaving, b.silent = fmt.Sprintf("%s-%d", b.name, b.starts), 0, false, false
-	b.startedAt = b.deployment.soak.Timers.Now()
-	b.coldUntil, b.limitEnd = b.startedAt.Add(cold), time.Time{}
-	server := &http.Server{Handler: b}
+	b.newInstance(cold)
+	server := &http.Server{
+		Handler: b,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connectionKey{}, c)
+		},
+		ConnState: func(c net.Conn, state http.ConnState) { c.(*answerConn).changeState(state) },
+	}
 	b.server = server
 	b.deployment.group.Go(func(context.Context) error {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(answerListener{listener, b}); !errors.Is(err, http.ErrServerClosed) {
 			return err
 		}
 		return nil
@@ -123,6 +126,24 @@
 	return nil
 }
 
+// newInstance begins a new incarnation. The caller holds mu.
+func (b *backend) newInstance(cold time.Duration) {
+	b.starts++
+	b.id, b.sequence, b.leaving, b.silent = fmt.Sprintf("%s-%d", b.name, b.starts), 0, false, false
+	b.startedAt = b.deployment.soak.Timers.Now()
+	b.coldUntil, b.limitEnd = b.startedAt.Add(cold), time.Time{}
+}
+
+// restartInPlace begins a new incarnation that takes over the open connections.
+func (b *backend) restartInPlace() {
+	b.deployment.checker.Disturb(b.instance())()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.server != nil {
+		b.newInstance(0)
+	}
+}
+
 // listen opens the server's address. It retries while the address is in use: a
 // process forked by the run holds a copy of a closed listener until its exec.
 func (b *backend) listen() (net.Listener, error) {
@@ -156,10 +177,11 @@
 // crash ends the incarnation and resets its connections.
 func (b *backend) crash() {
 	b.mu.Lock()
-	server := b.server
+	server, id := b.server, b.id
 	b.server, b.id = nil, ""
 	b.mu.Unlock()
 	if server != nil {
+		b.deployment.checker.Disturb(id)()
 		_ = server.Close() // only the listener can fail to close; start would report that
 		b.deployment.network.reset(b.name)
 	}
@@ -394,7 +416,12 @@
 	if pool == poolPlain {
 		slots = plainSlots
 	}
-	full := b.active >= slots || behaviour == refusing
+	cause, draw := causeOf(r.URL.Path, r.Header.Get(platform.HeaderPrefix)), b.random.Float64()
+	// The check of requests that crash backend servers counts refused ones as well.
+	full := b.active >= slots || behaviour == refusing || (behaviour == copying && cause == "" && draw < copiedRefusalShare)
+	if behaviour == copying && pool == poolPlain && draw > 1-copiedFailureShare {
+		behaviour = failing // answers of engines count in a rollout
+	}
 	if !full {
 		b.active++
 		b.runs++
@@ -407,7 +434,7 @@
 	s := backendRequest{
 		id: r.Header.Get(platform.HeaderID), method: r.Method, path: r.URL.Path, body: digest(body), model: r.Header.Get(platform.HeaderModel),
 		account: r.Header.Get(platform.HeaderTenant), keyForwarded: r.Header.Get("Authorization") != "", cold: timers.Now().Before(b.coldUntil),
-		refused: full, backend: id, pool: pool, zone: b.zone, version: b.version, cause: causeOf(r.URL.Path, r.Header.Get(platform.HeaderPrefix)), number: b.runs, seal: fmt.Sprintf("seal-%s-%d", id, b.runs),
+		refused: full, backend: id, pool: pool, zone: b.zone, version: b.version, cause: cause, number: b.runs, seal: fmt.Sprintf("seal-%s-%d", id, b.runs),
 	}
 	lowConfidence := b.random.Float64() < lowConfidenceShare
 	pause := time.Duration(0)
@@ -416,6 +443,7 @@
 			pause = requestedPause
 		}
 	}
+	s.met = s.cause == "" && !lowConfidence && (behaviour == healthy || behaviour == copying) && metCopy(r.Context())
 	s.leaving, s.limit, s.limited = b.leaving, b.limit, timers.Now().Before(b.limitEnd)
 	b.mu.Unlock()
 	w.Header().Set("Instance-Id", id)
--- a/cmd/dandelionhoist-soak/dhsoak/caller.go
+++ b/cmd/dandelionhoist-soak/dhsoak/caller.go
@@ -26,6 +26,8 @@
 	callerDeadline = 6 * time.Second
 	// maxThinkTime is the longest time between two requests of a caller.
 	maxThinkTime = 80 * time.Millisecond
+	// maxReturnTime is the longest time until a refused request is sent again.
+	maxReturnTime = 10 * time.Millisecond
 	// Shares of requests with another or an unknown key, to another route,
 	// cancelled by the caller, sent to a newly chosen entry VM, and sent with a
 	// chunked body.
@@ -121,7 +123,7 @@
 	}
 	usable, refused := c.send(ctx, r, body)
 	for usable && refused && c.random.Float64() < comeBackShare {
-		if dhtimer.Sleep(ctx, c.deployment.soak.Timers, time.Duration(c.random.Int64N(int64(maxThinkTime)))) != nil {
+		if dhtimer.Sleep(ctx, c.deployment.soak.Timers, time.Duration(c.random.Int64N(int64(maxReturnTime)))) != nil {
 			break // the run has ended
 		}
 		usable, refused = c.send(ctx, r, body)
--- a/cmd/dandelionhoist-soak/dhsoak/deployment.go
+++ b/cmd/dandelionhoist-soak/dhsoak/deployment.go
@@ -35,6 +35,8 @@
 	portBackendDirect = 8081
 
 	zones = 3
+	// One in poolStride backend servers is in the pool of plain ones.
+	poolStride = 3
 	// seedCount is how many control VMs the settings list as seeds.
 	seedCount = 3
 	// readyPeriod is the time between two readiness checks of the load balancer.
@@ -123,7 +125,7 @@
 	for i := range d.size.Backends {
 		b := &backend{deployment: d, name: fmt.Sprintf("backend-%d", i), ip: d.ip(2, i), zone: zone(i + i/zones), version: versionOld, random: rand.New(rand.NewPCG(d.soak.Seed, uint64(1000+i)))}
 		b.pool = poolEngine
-		if i%3 == 2 {
+		if i%poolStride == poolStride-1 {
 			b.pool = poolPlain
 		}
 		d.backends = append(d.backends, b)
@@ -316,8 +318,15 @@
 		b.leave(ctx)
 		b.restart(0)
 	case misbehave:
+		if f.conduct == copying && d.soak.OldProgram != "" {
+			return // the old program may believe copies; the calm phase plays them
+		}
 		b.setConduct(f.conduct)
 		wait()
+		if f.conduct == copying {
+			b.restartInPlace()
+			wait()
+		}
 		b.setConduct(healthy)
 	case limitRequests:
 		b.setLimit(requestLimits[f.target%len(requestLimits)], f.duration+limitAfterFault)
--- a/cmd/dandelionhoist-soak/dhsoak/dhsoak.go
+++ b/cmd/dandelionhoist-soak/dhsoak/dhsoak.go
@@ -6,7 +6,8 @@
 // seed are injected: processes are killed, paused, stopped and restarted by
 // signals, a disk is lost or reaches a size limit, connections between VMs and to
 // backend servers are delayed, reset, blocked in one or both directions, or go
-// silent, and backend servers crash, fail, truncate answers, start cold and leave.
+// silent, and backend servers crash, fail, truncate answers, write answers too many,
+// start cold and leave.
 // Then all faults end, and the system has Recovery to serve again. In the calm
 // phase the guarantees with a time bound are checked too, during planned
 // maintenance.
@@ -228,6 +229,11 @@
 		return err
 	}
 	d.checker.startCalm()
+	for i, b := range d.backends {
+		if uint64(i)%2 == s.Seed%2 {
+			b.setConduct(copying)
+		}
+	}
 	operator.calm.Store(true)
 	planned := dhgroup.New(ctx)
 	planned.Go(func(ctx context.Context) error { return d.plannedWork(ctx, operator) })
--- a/cmd/dandelionhoist-soak/dhsoak/enum_string.go
+++ b/cmd/dandelionhoist-soak/dhsoak/enum_string.go
@@ -67,11 +67,12 @@
 	_ = x[slow-7]
 	_ = x[flaky-8]
 	_ = x[conductCount-9]
+	_ = x[copying-10]
 }
 
-const _conduct_name = "soundfailinghangingbreaking-offresettingadding-bytesrefusingslowflakyconduct-kinds"
+const _conduct_name = "soundfailinghangingbreaking-offresettingadding-bytesrefusingslowflakyconduct-kindscopying-answers"
 
-var _conduct_index = [...]uint8{0, 5, 12, 19, 31, 40, 52, 60, 64, 69, 82}
+var _conduct_index = [...]uint8{0, 5, 12, 19, 31, 40, 52, 60, 64, 69, 82, 97}
 
 func (i conduct) String() string {
 	idx := int(i) - 0
--- a/cmd/dandelionhoist-soak/dhsoak/fault.go
+++ b/cmd/dandelionhoist-soak/dhsoak/fault.go
@@ -66,6 +66,8 @@
 	slow                        // slow
 	flaky                       // flaky
 	conductCount                // conduct-kinds
+	// copying is drawn after all others.
+	copying // copying-answers
 )
 
 // fault is one injected fault. It affects the VM or backend server whose index is
@@ -152,6 +154,15 @@
 	for range random.IntN(maxLingering + 1) {
 		list = append(list, fault{start: time.Duration(random.Int64N(int64(storm))), kind: lingerBackend, target: random.IntN(1 << 16)})
 	}
+	// All backend servers of a pool write copies together, so that callers are refused and
+	// come back. It lasts twice the duration, before and after a restart in place.
+	for first := range poolStride {
+		f := fault{start: time.Duration(random.Int64N(int64(storm / 2))), kind: misbehave, conduct: copying}
+		f.duration = storm/8 + time.Duration(random.Int64N(int64(storm/8)))
+		for f.target = first; f.target < size.Backends; f.target += poolStride {
+			list = append(list, f)
+		}
+	}
 	return list
 }
 
--- a/cmd/dandelionhoist-soak/main_test.go
+++ b/cmd/dandelionhoist-soak/main_test.go
@@ -54,6 +54,7 @@
 			var out, logs bytes.Buffer
 			assert.NilError(t, run(t.Context(), o, &out, &logs), "%s%s", out.String(), logs.String())
 			assert.Assert(t, cmp.Contains(out.String(), "violations 0"))
+			assert.Assert(t, !strings.Contains(out.String(), "copies met 0,"), "no answer followed the copy of another")
 			t.Log(out.String())
 		})
 	}
