Let the soak wait for each address that is in use

Backend servers wait for this already. Change: the addresses of control VMs and of the network wait in the same way.

--- a/cmd/dandelionhoist-soak/dhsoak/backend.go
+++ b/cmd/dandelionhoist-soak/dhsoak/backend.go
@@ -12,7 +12,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"google.golang.org/protobuf/types/known/durationpb"
@@ -98,7 +97,7 @@
 
 // start begins a new incarnation that is cold for the given time.
 func (b *backend) start(cold time.Duration) error {
-	listener, err := b.listen()
+	listener, err := b.deployment.network.bind(address(b.ip, portBackendDirect))
 	if err != nil {
 		return err
 	}
@@ -144,24 +143,6 @@
 	}
 }
 
-// listen opens the server's address. It retries while the address is in use: a
-// process forked by the run holds a copy of a closed listener until its exec.
-func (b *backend) listen() (net.Listener, error) {
-	const (
-		tries = 250
-		pause = 20 * time.Millisecond
-	)
-	for try := 0; ; try++ {
-		listener, err := net.Listen("tcp", address(b.ip, portBackendDirect))
-		if err == nil || try == tries || !errors.Is(err, syscall.EADDRINUSE) {
-			return listener, err
-		}
-		if err := dhtimer.Sleep(b.deployment.group.Context(), b.deployment.soak.Timers, pause); err != nil {
-			return nil, err
-		}
-	}
-}
-
 func (b *backend) restart(cold time.Duration) {
 	b.restarting.Lock()
 	defer b.restarting.Unlock()
--- a/cmd/dandelionhoist-soak/dhsoak/network.go
+++ b/cmd/dandelionhoist-soak/dhsoak/network.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"dandelionhoist.example/dh/dhgroup"
@@ -60,7 +61,7 @@
 // listen accepts connections at address and relays them to target, which belongs
 // to the VM or backend server name.
 func (n *network) listen(name, address, target string) error {
-	listener, err := net.Listen("tcp", address)
+	listener, err := n.bind(address)
 	if err != nil {
 		return err
 	}
@@ -86,6 +87,24 @@
 	return nil
 }
 
+// bind opens an address. It retries while the address is in use: a process forked by
+// the run holds a copy of a closed listener until its exec.
+func (n *network) bind(address string) (net.Listener, error) {
+	const (
+		tries = 250
+		pause = 20 * time.Millisecond
+	)
+	for try := 0; ; try++ {
+		listener, err := net.Listen("tcp", address)
+		if err == nil || try == tries || !errors.Is(err, syscall.EADDRINUSE) {
+			return listener, err
+		}
+		if err := dhtimer.Sleep(n.group.Context(), n.timers, pause); err != nil {
+			return nil, err
+		}
+	}
+}
+
 // relay forwards bytes in both directions until both sides have closed.
 func (n *network) relay(ctx context.Context, caller *net.TCPConn, to, target string) {
 	source, _, _ := net.SplitHostPort(caller.RemoteAddr().String()) // a TCP address has both
