--- a/cmd/dandelionhoist-soak/dhsoak/dhsoak.go
+++ b/cmd/dandelionhoist-soak/dhsoak/dhsoak.go
@@ -6,7 +6,8 @@
 // seed are injected: processes are killed, paused, stopped and restarted by
 // signals, a disk is lost or reaches a size limit, connections between VMs and to
 // backend servers are delayed, reset, blocked in one or both directions, or go
-// silent, and backend servers crash, fail, truncate answers, start cold and leave.
+// silent, and backend servers crash, fail, truncate answers, write answers too many,
+// start cold and leave.
 // Then all faults end, and the system has Recovery to serve again. In the calm
 // phase the guarantees with a time bound are checked too, during planned
 // maintenance.
@@ -136,14 +137,17 @@
 	// others by status; 0 stands for a connection that ended without an answer.
 	CalmServed int
 	Unserved   map[int]int
+	// Met is the number of runs whose answers followed the copy of another one, Again that
+	// of requests sent again with their id after a refusal.
+	Met, Again int
 	Faults     []string
 	Violations []string
 }
 
 // String returns the report as lines of text.
 func (r Report) String() string {
-	text := fmt.Sprintf("seed %d: controls %d, entries %d, backends %d, callers %d; faults %d; requests %d, served %d, runs %d; calm %d, served %d; violations %d",
-		r.Seed, r.Size.Controls, r.Size.Entries, r.Size.Backends, r.Size.Callers, len(r.Faults), r.Requests, r.Served, r.Runs, r.Calm, r.CalmServed, len(r.Violations))
+	text := fmt.Sprintf("seed %d: controls %d, entries %d, backends %d, callers %d; faults %d; requests %d, served %d, runs %d; copies met %d, sent again %d; calm %d, served %d; violations %d",
+		r.Seed, r.Size.Controls, r.Size.Entries, r.Size.Backends, r.Size.Callers, len(r.Faults), r.Requests, r.Served, r.Runs, r.Met, r.Again, r.Calm, r.CalmServed, len(r.Violations))
 	if len(r.Unserved) > 0 {
 		text += fmt.Sprintf("; not served %v", r.Unserved)
 	}
@@ -177,6 +181,8 @@
 		report.Faults = append(report.Faults, f.String())
 	}
 	err := s.runPhases(group.Context(), d, faults)
+	// Requests that the end of the run breaks off are no findings.
+	checker.Disturb(disturbedBy(d.vms())...)
 	group.Stop()
 	d.end()
 	if waitErr := group.Wait(); err == nil && ctx.Err() == nil {
@@ -223,6 +229,11 @@
 		return err
 	}
 	d.checker.startCalm()
+	for i, b := range d.backends {
+		if uint64(i)%2 == s.Seed%2 {
+			b.setConduct(copying)
+		}
+	}
 	operator.calm.Store(true)
 	planned := dhgroup.New(ctx)
 	planned.Go(func(ctx context.Context) error { return d.plannedWork(ctx, operator) })
