Count the new voter of a VM that lost its disk once when registers are read

What was lost: acknowledged changes. While a voter with a lost disk was replaced by the new voter of the same VM, a read could take the empty voter for the lost one too. It then had a majority without a voter that held the value: it read none or an older one, and the copy of the registers to the new voter left values out, so that the next lost disk took the last copy.

Cause: the joint set has two members with one address. The response to ReadState carries no identity and was attributed to whichever member was asked. Prepare and Accept check the identity. Record numbers that proposers remember of the lost voter hid the fault (its new one has lower numbers and is refused); they are forgotten when all control VMs lose power, so that it takes the loss of a disk and of all power at once, which the users now play.

Change: the answers of members that share an address are not counted in reads. No majority needs them, as one of the two never answers. No change of the messages, so that one build next to an older one is safe by itself. An identity in the response was weighed: old voters would not send it, and this rule would be needed for them.

Evidence: TestVoterAtAddressOfLostOneCountsOnce fails without the change: Read returns no value and no error, though "one" was decided; it passes with it.

--- a/dh/dhquorum/list.go
+++ b/dh/dhquorum/list.go
@@ -138,7 +138,7 @@
 	ctx, cancel := dhtimer.WithTimeout(ctx, p.Timers, p.tryTimeout())
 	defer cancel()
 	var page *dhpb.ReadStateResponse
-	a := p.sendVerified(ctx, set, m, func() (answer, string, uint64) {
+	a := p.sendRead(ctx, set, m, func() (answer, string, uint64) {
 		var err error
 		page, err = p.Transport.ReadState(ctx, m.Address, request)
 		return answer{err: err, epoch: page.GetEpoch(), voters: page.GetVoters()}, m.ID, page.GetSequence()
--- a/dh/dhquorum/round.go
+++ b/dh/dhquorum/round.go
@@ -152,6 +152,20 @@
 	}
 }
 
+// sendRead is sendVerified for ReadState, whose response carries no identity. A voter
+// answers with the set's epoch only after it installed a set that contains it, so that the
+// address tells which member answers, unless two members share it. Neither of these is
+// counted: the new voter of a VM that lost its disk would stand for the lost one too, and
+// what was decided could be missed. No majority needs them: one of the two never answers.
+func (p *Proposer) sendRead(ctx context.Context, set VoterSet, m Member,
+	send func() (a answer, id string, sequence uint64),
+) answer {
+	if set.sharesAddress(m) {
+		return answer{member: m, err: dhcode.Errorf(dhcode.QuorumUnreachable, "two voters of epoch %d have the address %s", set.Epoch, m.Address)}
+	}
+	return p.sendVerified(ctx, set, m, send)
+}
+
 // InstallSet sends a decided set to a voter and reports whether the voter has installed it.
 func (p *Proposer) InstallSet(ctx context.Context, set VoterSet, m Member) (bool, error) {
 	r, err := p.Transport.Accept(ctx, m.Address, &dhpb.AcceptRequest{Epoch: set.Epoch, Key: VotersKey, Value: set.Encode()})
@@ -250,7 +264,7 @@
 	request := &dhpb.ReadStateRequest{Prefix: key, Known: known.accepted.message(), Epoch: set.Epoch}
 	var agreed answer
 	_, err := p.runRound(ctx, set, func(ctx context.Context, m Member) answer {
-		return p.sendVerified(ctx, set, m, func() (answer, string, uint64) {
+		return p.sendRead(ctx, set, m, func() (answer, string, uint64) {
 			a, err := p.Transport.ReadState(ctx, m.Address, request)
 			got := answer{err: err, epoch: a.GetEpoch(), voters: a.GetVoters(), ok: a.GetEpoch() == set.Epoch}
 			if rs := a.GetRegisters(); len(rs) > 0 {
@@ -259,8 +273,6 @@
 					got.value = known.value
 				}
 			}
-			// The response carries no identity. A voter answers with the set's
-			// epoch only after it installed a set that contains it.
 			return got, m.ID, a.GetSequence()
 		})
 	}, func(r *round) bool {
--- a/dh/dhquorum/voters_test.go
+++ b/dh/dhquorum/voters_test.go
@@ -99,6 +99,37 @@
 	})
 }
 
+// Guards against an empty voter that stands for the lost one at its address too: without the
+// one voter that held a value, a read found none and a copy of the registers left it out.
+func TestVoterAtAddressOfLostOneCountsOnce(t *testing.T) {
+	run(t, 8, 3, 3, func(ctx context.Context, c *cluster, p *dhquorum.Proposer) {
+		c.crash(1)
+		_, err := p.Update(ctx, "edit/1", setValue("one"))
+		assert.NilError(t, err)
+		c.crash(0)
+		c.disks[0].Restore(nil)
+		c.start(0, "new-id")
+		c.start(1, "unused")
+		fresh := c.addProposer(9, 1) // it knows no record numbers, as after a loss of power
+		_, err = fresh.Find(ctx, []string{"v1", "v2"})
+		assert.NilError(t, err)
+		joint, err := fresh.Replace(ctx, "id0", c.member(0))
+		assert.NilError(t, err)
+		for c.voters[0].Status().Set.Epoch+c.voters[1].Status().Set.Epoch != 2*joint.Epoch {
+			_, err = fresh.Read(ctx, "edit/2") // installs the joint set
+			assert.NilError(t, err)
+		}
+		c.network.Partition([]string{"v2"})
+		value, err := fresh.Read(ctx, "edit/1")
+		assert.Equal(t, dhcode.Of(err), dhcode.QuorumUnreachable, "value %q", value)
+		c.network.Partition()
+		_, err = fresh.Join(ctx, c.voters[0])
+		assert.NilError(t, err)
+		c.crash(2)
+		assertValue(ctx, t, fresh, "edit/1", "one")
+	})
+}
+
 // Guards against a voter that makes promises after a disk fault or does not
 // report its cause, and against an outage when only one voter has a disk fault.
 func TestVoterStopsOnDiskFault(t *testing.T) {
--- a/dh/dhquorum/voterset.go
+++ b/dh/dhquorum/voterset.go
@@ -74,6 +74,12 @@
 	return all
 }
 
+// sharesAddress reports whether two members of the set have the address of m. This is so
+// while a voter with a lost disk is replaced by the new voter of the same VM.
+func (s VoterSet) sharesAddress(m Member) bool {
+	return slices.ContainsFunc(s.Members(), func(o Member) bool { return o.Address == m.Address && o.ID != m.ID })
+}
+
 // Quorum reports whether the voters for which has returns true form a quorum.
 func (s VoterSet) Quorum(has func(id string) bool) bool {
 	return majority(s.Voters, has) && (!s.Joint() || majority(s.Next, has))
