Play a loss of all power while disks are lost

TestPowerLossWithLostDisks plays it on disks that forget what was not synced or keep torn tails, at random moments of a stream of documents, zones taken out, rollouts and leaves: with steady changes, while voters are replaced or added, while a spare joins, and with a control VM that is cut off, with one and two tolerated disks, each twice, the second time with other disks. Afterwards no control VM may return an older document; the voters must be complete after CatchUpS; and from ContactMs after the return of all VMs on, entry VMs must have all that was acknowledged in force, also when backend servers that left are announced late.

--- a/dh/dhcontrol/cluster_test.go
+++ b/dh/dhcontrol/cluster_test.go
@@ -45,6 +45,8 @@
 	configure func(e *dhentry.Entry)
 	// slots is the number of slots that announceWhileUp announces; 0 means 64.
 	slots int32
+	// tolerated is the number of voters that may fail; 0 means 1.
+	tolerated int
 }
 
 // clock converts the stepped time to a duration since a fixed start.
@@ -119,7 +121,7 @@
 	disk := c.disks[name]
 	control := &dhcontrol.Control{
 		Name: name, Zone: "z" + name[1:], Address: name, Incarnation: uint64(c.timers.Now().UnixMilli()), Seeds: c.seeds,
-		Bootstrap: bootstrap, ToleratedFailures: 1, BackendLease: 4 * time.Second, AnnouncePeriod: 1200 * time.Millisecond,
+		Bootstrap: bootstrap, ToleratedFailures: cmp.Or(c.tolerated, 1), BackendLease: 4 * time.Second, AnnouncePeriod: 1200 * time.Millisecond,
 		Exposure: exposure, Decode: decode, OpenDisk: func() (dhdisk.Disk, error) { return disk, nil },
 		Timers: c.timers, Clock: clock{c.timers}, Log: slog.New(slog.DiscardHandler), Metrics: dhmetric.New(4),
 	}
