Tell entry VMs no document before the state that limits it

What was missing, for a time: zones out, rollouts and leaves that had been acknowledged.

Cause: a control VM that has just started reads document, operations and departures one after the other, and told entry VMs each as soon as it was read. A read waits where voters disagree, which is usual after changes in flight.

Entry VMs that have a document are told everything else as before.

TestPowerLossWithLostDisks now checks entry VMs from their start on.

--- a/dh/dhcontrol/departures.go
+++ b/dh/dhcontrol/departures.go
@@ -145,7 +145,10 @@
 				_ = dhtimer.Sleep(ctx, c.Timers, departuresRetry) // the loop ends with ctx
 				continue
 			}
-			s.once.Do(func() { close(s.known) })
+			s.once.Do(func() {
+				close(s.known)
+				c.notify() // watches of entry VMs wait for it
+			})
 		}
 		_ = dhtimer.Sleep(ctx, c.Timers, settlePeriod) // the loop ends with ctx
 		current = c.inMajority()
--- a/dh/dhcontrol/dhcontrol.go
+++ b/dh/dhcontrol/dhcontrol.go
@@ -101,6 +101,8 @@
 	// confirmed is the reading of Clock since which the durable state is
 	// confirmed by majority reads, or 0 before the first ones.
 	confirmed atomic.Int64
+	// firstConfirmed is the reading of Clock at which confirmed was first set, or 0.
+	firstConfirmed atomic.Int64
 	// started is the start time of this VM, from which registryComplete tells
 	// whether it has received the announcements of all backend servers.
 	started time.Time
@@ -264,6 +266,9 @@
 			next, reads = (next+1)%len(registers), reads+1
 			if reads >= len(registers) {
 				c.confirmed.Store(int64(slices.Min(began)))
+				if c.firstConfirmed.CompareAndSwap(0, int64(c.Clock.Elapsed())) {
+					c.notify() // watches of entry VMs wait for it
+				}
 			} else {
 				pause = 0
 			}
@@ -309,6 +314,18 @@
 	return c.Clock.Elapsed() - time.Duration(at), at != 0
 }
 
+// knowsState reports whether this VM has read all durable state since its start: the
+// document, the operations and, unless they take longer than departuresWait, the departures.
+func (c *Control) knowsState() bool {
+	first := c.firstConfirmed.Load()
+	select {
+	case <-c.departures.known:
+		return first != 0
+	default:
+		return first != 0 && c.Clock.Elapsed()-time.Duration(first) > departuresWait
+	}
+}
+
 // inMajority reports whether this VM has recently completed a majority read.
 func (c *Control) inMajority() bool {
 	age, ok := c.confirmedAge()
--- a/dh/dhcontrol/power_test.go
+++ b/dh/dhcontrol/power_test.go
@@ -166,6 +166,7 @@
 			p.restartAll(p.upTo(150), name)
 		}
 	}
+	defer p.timers.Subscribe(10*time.Millisecond, p.check)()
 	if p.announceLeft(); cutOff {
 		for range p.random.IntN(4) {
 			p.reads(names[p.random.IntN(len(names))])
@@ -178,8 +179,6 @@
 	for _, name := range slices.Concat(names, names) {
 		p.waitFor(recoveryTime, "the document on "+name, func() bool { return p.reads(name) })
 	}
-	p.advance(contactTime - p.timers.Now().Sub(back))
-	defer p.timers.Subscribe(10*time.Millisecond, p.check)()
 	p.advance(catchUpTime - p.timers.Now().Sub(back))
 	set, whole := p.voters()
 	assert.Assert(p.t, whole && set.Epoch >= before.Epoch, "voters %+v, before %+v", set, before)
--- a/dh/dhcontrol/watch.go
+++ b/dh/dhcontrol/watch.go
@@ -82,7 +82,7 @@
 // hasChanges reports whether there are changes that the caller must receive soon.
 func (c *Control) hasChanges(m *dhpb.ControlWatchRequest) bool {
 	document, operations := c.state()
-	if document.GetVersion() > m.GetDocument() || operations.GetNumber() > m.GetOperations() || c.grantor.outdated(m) ||
+	if c.tellsDocument(m) && document.GetVersion() > m.GetDocument() || operations.GetNumber() > m.GetOperations() || c.grantor.outdated(m) ||
 		c.quarantine.Number() != m.GetQuarantine() {
 		return true
 	}
@@ -103,6 +103,7 @@
 		after = 0
 	}
 	usable := m.GetControl() != nil || c.departures.await(ctx)
+	tellsDocument := c.tellsDocument(m) // before the departures are taken
 	var err error
 	switch {
 	case !usable: // the caller asks again
@@ -145,7 +146,7 @@
 	}
 	a.Controls = c.peers.records(m.GetHeard())
 	document, operations := c.state()
-	if document.GetVersion() > m.GetDocument() {
+	if tellsDocument && document.GetVersion() > m.GetDocument() {
 		a.Document = document
 	}
 	if operations.GetNumber() > m.GetOperations() {
@@ -158,6 +159,12 @@
 	return a, nil
 }
 
+// tellsDocument reports whether the caller may get a document. An entry VM serves once it
+// has one, and must not do so without the zones that are out, the rollouts and the departures.
+func (c *Control) tellsDocument(m *dhpb.ControlWatchRequest) bool {
+	return m.GetControl() != nil || c.knowsState()
+}
+
 // registryComplete reports whether this VM is in the majority and has been up
 // long enough to have received the announcements of all live backend servers,
 // directly or through other control VMs.
