--- a/dh/dhconnection/connection.go
+++ b/dh/dhconnection/connection.go
@@ -6,11 +6,8 @@
 	"errors"
 	"fmt"
 	"io"
-	"log/slog"
-	"math"
 	"net"
 	"net/http"
-	"regexp"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -24,20 +21,9 @@
 	// answer is awaited: the buffers of the sockets take it even if the backend server does
 	// not read. A larger one is written concurrently, as it may be answered before it is read.
 	maxDirectBytes = 32 << 10
-	// maxForeignPause is the time without a byte after which an answer that is not awaited
-	// has broken off.
-	maxForeignPause = 500 * time.Millisecond
 	// answerGrace is the time for which an answer is awaited after a write has failed: a
 	// backend server may refuse a request before it has read the whole body, and close.
 	answerGrace = 50 * time.Millisecond
-	// maxLoggedID is the number of bytes of the id of another answer that are logged.
-	maxLoggedID = 64
-)
-
-var (
-	errUnsized   = fmt.Errorf("%w: it has no length", ErrOtherAnswer)
-	errBrokenOff = fmt.Errorf("%w: it broke off", ErrOtherAnswer)
-	errJoined    = fmt.Errorf("%w: it broke off in its head", ErrOtherAnswer)
 )
 
 // connection is one connection to a backend server. A goroutine reads its answers, one after
@@ -61,7 +47,7 @@
 	// carried holds the requests that the connection has carried.
 	carried []carriedRequest
 	// awaiting is the request whose answer is due.
-	awaiting *call
+	awaiting *attempt
 	// err is why the connection has ended.
 	err error
 
@@ -72,9 +58,6 @@
 	timeout time.Duration
 }
 
-// statusLine is how an answer begins.
-var statusLine = regexp.MustCompile(`HTTP/1\.[01] [0-9]{3}`)
-
 // carriedRequest is what a connection remembers of a request: a hash of its id, and whether it
 // was a HEAD, whose answer has no body.
 type carriedRequest struct {
@@ -82,8 +65,8 @@
 	head bool
 }
 
-// call is a request on a connection.
-type call struct {
+// attempt is one send of a request on a connection.
+type attempt struct {
 	connection *connection
 	request    *http.Request
 	id         string
@@ -126,7 +109,7 @@
 	return c
 }
 
-// hasCarried reports whether the connection has carried a request with the id of r, and
+// hasCarried reports whether the connection has carried a request with an id, and
 // whether that was a HEAD.
 func (c *connection) hasCarried(id string) (carried, head bool) {
 	hash := xxhash.Sum64String(id)
@@ -145,8 +128,8 @@
 }
 
 // begin makes r the request whose answer is due.
-func (c *connection) begin(id string, r *http.Request) *call {
-	a := &call{connection: c, request: r, id: id, before: c.wire.count(), answers: make(chan *http.Response, 1), ended: make(chan struct{})}
+func (c *connection) begin(id string, r *http.Request) *attempt {
+	a := &attempt{connection: c, request: r, id: id, before: c.wire.count(), answers: make(chan *http.Response, 1), ended: make(chan struct{})}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	a.earlier = len(c.carried)
@@ -160,7 +143,7 @@
 }
 
 // send writes the request.
-func (c *connection) send(a *call) {
+func (c *connection) send(a *attempt) {
 	if a.request.ContentLength > maxDirectBytes {
 		c.pool.Group.Go(func(context.Context) error { c.write(a); return nil })
 		return
@@ -168,7 +151,7 @@
 	c.write(a)
 }
 
-func (c *connection) write(a *call) {
+func (c *connection) write(a *attempt) {
 	err := a.request.Write(c.out)
 	if err == nil {
 		err = c.out.Flush()
@@ -183,160 +166,8 @@
 	}
 }
 
-// readAnswer reads the next answer: it passes the own one of a request on and waits until it
-// has been read, and drops any other.
-func (c *connection) readAnswer() error {
-	c.wire.limit(c.pool.MaxHeaderBytes)
-	if _, err := c.in.Peek(1); err != nil {
-		return err
-	}
-	begun := c.awaited()
-	if !begun {
-		c.pool.setForeign(c, true)
-		defer c.limitPauses()()
-	}
-	response, err := c.readHead()
-	if err != nil {
-		return err
-	}
-	var a *call
-	if begun {
-		a = c.match(response)
-	}
-	last := c.answeredAt
-	c.answeredAt = c.pool.Timers.Now()
-	if a == nil {
-		err := c.dropBody(response)
-		c.logDropped(response, last, err)
-		c.pool.setForeign(c, c.in.Buffered() > 0)
-		return err
-	}
-	a.answers <- response
-	<-a.ended
-	c.ownEnd = c.wire.received()
-	return c.failure()
-}
-
-// limitPauses ends the connection when no byte comes for maxForeignPause, until stop is called.
-func (c *connection) limitPauses() (stop func()) {
-	var stopped atomic.Bool
-	var check func(time.Time)
-	last := c.wire.received()
-	check = func(time.Time) {
-		now := c.wire.received()
-		switch {
-		case stopped.Load():
-		case now == last:
-			c.fail(errBrokenOff)
-		default:
-			last = now
-			c.pool.Timers.After(maxForeignPause, check)
-		}
-	}
-	cancel := c.pool.Timers.After(maxForeignPause, check)
-	return func() { stopped.Store(true); cancel() }
-}
-
-// awaited reports whether a request awaits its answer.
-func (c *connection) awaited() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.awaiting != nil
-}
-
-// readHead reads the head of the next answer that is not an interim one.
-func (c *connection) readHead() (*http.Response, error) {
-	for {
-		response, err := http.ReadResponse(c.in, nil) // as for GET; HEAD is told apart by its id
-		if err != nil {
-			return nil, err
-		}
-		if joined(response, c.pool.IDHeader) {
-			return nil, errJoined
-		}
-		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
-			c.wire.limit(math.MaxInt64)
-			return response, nil
-		}
-	}
-}
-
-// joined reports whether a head has a second one within it: that of an answer that broke off,
-// followed by another answer, whose id would make it that answer's.
-func joined(r *http.Response, idHeader string) bool {
-	if len(r.Header[idHeader]) > 1 || statusLine.MatchString(r.Status) {
-		return true
-	}
-	for _, values := range r.Header {
-		if slices.ContainsFunc(values, statusLine.MatchString) {
-			return true
-		}
-	}
-	return false
-}
-
-// match returns the request that an answer belongs to, if it is awaited. An answer without an
-// id belongs to the first request of a connection; on a later one it may be that to any.
-func (c *connection) match(r *http.Response) *call {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	a, id := c.awaiting, r.Header.Get(c.pool.IDHeader)
-	if a == nil || (a.id != "" && id != a.id && (id != "" || a.earlier > 0)) {
-		return nil
-	}
-	c.awaiting = nil
-	a.reusable = (a.id == "" || id == a.id) && !r.Close && r.StatusCode != http.StatusSwitchingProtocols && len(c.carried) < c.pool.MaxRequests
-	return a
-}
-
-// dropBody reads the body of an answer that belongs to no awaited request. An error means
-// that no other answer can follow it.
-func (c *connection) dropBody(r *http.Response) error {
-	if _, head := c.hasCarried(r.Header.Get(c.pool.IDHeader)); !head {
-		if r.ContentLength < 0 && len(r.TransferEncoding) == 0 {
-			return errUnsized
-		}
-		defer c.limitPauses()()
-		if _, err := io.Copy(io.Discard, io.LimitReader(r.Body, c.pool.MaxForeignBytes)); err != nil {
-			return err
-		}
-	}
-	if c.wire.received()-c.ownEnd > c.pool.MaxForeignBytes {
-		return ErrEndless
-	}
-	return nil
-}
-
-// logDropped logs and counts an answer that belongs to no awaited request. last is when the
-// one before began, and err why the connection ends with it.
-func (c *connection) logDropped(r *http.Response, last time.Time, err error) {
-	id := r.Header.Get(c.pool.IDHeader)
-	carried, _ := c.hasCarried(id)
-	c.mu.Lock()
-	awaited := ""
-	if c.awaiting != nil {
-		awaited = c.awaiting.id
-	}
-	c.mu.Unlock()
-	handling := "passed-over"
-	switch {
-	case err != nil:
-		handling = "connection-closed"
-	case awaited == "":
-		handling = "passed-over-idle"
-	}
-	c.pool.Metrics.Count("foreign-answer", handling)
-	since := time.Duration(-1) // no answer came before
-	if !last.IsZero() {
-		since = c.answeredAt.Sub(last)
-	}
-	c.pool.Log.Warn("answer not believed", slog.String("request", awaited), slog.String("answer-to", id[:min(len(id), maxLoggedID)]),
-		slog.Int("status", r.StatusCode), slog.String("address", c.address), slog.String("connection", c.use()), slog.Bool("carried", carried),
-		slog.Duration("since-last-answer", since), slog.String("handling", handling))
-}
-
-// attach makes the body of the own answer end the call.
-func (a *call) attach(r *http.Response) {
+// attach makes the body of the own answer end the attempt.
+func (a *attempt) attach(r *http.Response) {
 	if timeout, stated := keepAlive(r.Header); stated {
 		a.connection.pool.boundIdleTime(a.connection, timeout-keepAliveMargin)
 	}
@@ -345,11 +176,11 @@
 		a.end(true)
 		return
 	}
-	r.Body = &body{from: r.Body, call: a}
+	r.Body = &body{from: r.Body, attempt: a}
 }
 
-// end ends the call. complete is set if the whole answer has been read.
-func (a *call) end(complete bool) {
+// end ends the attempt. complete is set if the whole answer has been read.
+func (a *attempt) end(complete bool) {
 	a.once.Do(func() {
 		c := a.connection
 		if a.stop() && complete && a.reusable && a.written.Load() {
@@ -380,9 +211,9 @@
 
 // body is the body of an own answer.
 type body struct {
-	from   io.Reader
-	call   *call
-	closed atomic.Bool
+	from    io.Reader
+	attempt *attempt
+	closed  atomic.Bool
 }
 
 // Read implements io.Reader.
@@ -392,13 +223,13 @@
 	}
 	n, err := b.from.Read(p)
 	if errors.Is(err, io.EOF) {
-		b.call.end(true)
+		b.attempt.end(true)
 		return n, err
 	}
 	if err != nil {
-		c := b.call.connection
+		c := b.attempt.connection
 		c.fail(err)
-		b.call.end(false)
+		b.attempt.end(false)
 		err = c.failure() // the context of the request may have ended first
 	}
 	return n, err
@@ -407,6 +238,6 @@
 // Close implements io.Closer.
 func (b *body) Close() error {
 	b.closed.Store(true)
-	b.call.end(false)
+	b.attempt.end(false)
 	return nil
 }
--- a/dh/dhconnection/dhconnection.go
+++ b/dh/dhconnection/dhconnection.go
@@ -140,19 +140,19 @@
 		}
 		c = p.open(address, conn)
 	}
-	call := c.begin(id, r)
-	call.stop = context.AfterFunc(ctx, func() { c.fail(context.Cause(ctx)) })
-	c.send(call)
-	if response, ok := <-call.answers; ok {
-		call.attach(response)
-		return &Exchange{Response: response, Connection: c.number, Earlier: call.earlier}, nil
+	a := c.begin(id, r)
+	a.stop = context.AfterFunc(ctx, func() { c.fail(context.Cause(ctx)) })
+	c.send(a)
+	if response, ok := <-a.answers; ok {
+		a.attach(response)
+		return &Exchange{Response: response, Connection: c.number, Earlier: a.earlier}, nil
 	}
-	call.stop()
-	var err error = &SendError{Connection: c.number, Earlier: call.earlier, Err: c.failure()}
-	switch sent := c.wire.shut() - call.before; {
+	a.stop()
+	var err error = &SendError{Connection: c.number, Earlier: a.earlier, Err: c.failure()}
+	switch sent := c.wire.shut() - a.before; {
 	case sent > 0:
 		return nil, err
-	case call.earlier > 0 && ctx.Err() == nil:
+	case a.earlier > 0 && ctx.Err() == nil:
 		return nil, fmt.Errorf("%w: %w: %w", ErrNotSent, ErrStale, err)
 	}
 	return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
