Let the test of copies wait until the entry VM listens

Its readiness poll required a connection, which an entry VM that has just started does not accept yet. It polls as the other tests of processes do.

--- a/cmd/dandelionhoistd/copies_test.go
+++ b/cmd/dandelionhoistd/copies_test.go
@@ -94,7 +94,10 @@
 		_ = response.Body.Close()
 		return response.StatusCode
 	}
-	f.waitUntil("the replica serves", func() bool { return send(fmt.Sprint("ready-", f.timers.Now().UnixNano()), "POST") == http.StatusOK })
+	f.waitUntil("the replica serves", func() bool {
+		_, got := f.sendRequest(t.Context(), 0, "POST", "/order/1", "key-1")
+		return got.status == http.StatusOK
+	})
 	for n := range 25 {
 		id := fmt.Sprint("full-again-", n)
 		assert.Equal(t, send(id, "POST"), http.StatusServiceUnavailable)
