Let no backend server go on after a leave that was not acknowledged, in the random test

Such a leave is in force where it was heard, and kept once a majority is back, as PLATFORM.md says; the test had the same incarnation announce itself again and expected it to be used.

Change: an incarnation that has deregistered does not go on, acknowledged or not; its successor must be usable instead, so that each backend server is checked as before.

--- a/dh/dhcontrol/departures_test.go
+++ b/dh/dhcontrol/departures_test.go
@@ -297,7 +297,8 @@
 
 func leaveUnderFaults(c *cluster, random *rand.Rand) {
 	c.startDepartureCluster()
-	left, lives := map[string]uint64{}, map[string]uint64{}
+	// ended holds the incarnations that have deregistered, acknowledged or not: they do not go on.
+	left, lives, ended := map[string]uint64{}, map[string]uint64{}, map[string]uint64{}
 	announce := func(id string, incarnation, sequence uint64, state string) error {
 		return c.call(func(ctx context.Context) error {
 			return c.controls[c.seeds[random.IntN(3)]].Announce(ctx, &dhpb.BackendRecord{
@@ -315,7 +316,7 @@
 		case 1:
 			c.network.Set(dhfake.Faults{MinDelay: time.Millisecond, MaxDelay: 2 * time.Millisecond, Loss: 0.1 * float64(random.IntN(2))})
 		case 2, 3:
-			if lives[id] == left[id] {
+			if lives[id] == left[id] || lives[id] == ended[id] {
 				lives[id] = 10 + step
 			}
 			_ = announce(id, lives[id], 10+step, "ready") // a backend server goes on with its next one
@@ -324,8 +325,11 @@
 				left[id] = lives[id]
 			}
 		case 6:
-			if lives[id] > left[id] && c.call(func(ctx context.Context) error { return c.controls[c.seeds[random.IntN(3)]].Leave(ctx, id, lives[id]) }) == nil {
-				left[id] = lives[id]
+			if lives[id] > left[id] {
+				ended[id] = lives[id]
+				if c.call(func(ctx context.Context) error { return c.controls[c.seeds[random.IntN(3)]].Leave(ctx, id, lives[id]) }) == nil {
+					left[id] = lives[id]
+				}
 			}
 		case 7:
 			if left[id] > 0 {
@@ -341,6 +345,10 @@
 	}
 	c.advance(2 * time.Second)
 	for id, incarnation := range lives {
+		if incarnation > left[id] && incarnation == ended[id] {
+			incarnation = 100 // its successor
+			lives[id] = incarnation
+		}
 		if incarnation > left[id] {
 			assert.NilError(c.t, announce(id, incarnation, 1000, "ready"))
 		}
