Review case 9: a kill during the first start leaves no voter set for good

Claim: if all core processes are killed before the first voter set is made, and are back with Bootstrap false, no voter set is ever made and no configuration is taken.

--- a/review/stand-2/deployment.go
+++ b/review/stand-2/deployment.go
@@ -65,11 +65,13 @@
 
 // deployment holds the processes and stand-ins of a case.
 type deployment struct {
-	program  string
-	record   *record
-	trouble  bool
-	folder   string
-	network  string // the first three numbers of its loopback addresses
+	program string
+	record  *record
+	trouble bool
+	folder  string
+	network string // the first three numbers of its loopback addresses
+	// place tells apart deployments that run at the same time.
+	place    int
 	controls []*machine
 	entries  []*machine
 	replicas []*replica
@@ -103,7 +105,7 @@
 	}
 	d.folder = folder
 	for i := range 200 {
-		network := fmt.Sprintf("127.%d.%d", 20+i, 1+os.Getpid()%250)
+		network := fmt.Sprintf("127.%d.%d", 20+(i+10*d.place)%200, 1+os.Getpid()%250)
 		listener, err := net.Listen("tcp", address(network+".11", portControl))
 		if err != nil {
 			continue
@@ -263,12 +265,20 @@
 	return status == http.StatusOK
 }
 
-func (d *deployment) startAll() error {
+// openLinks lets the machines reach the control machines.
+func (d *deployment) openLinks() error {
 	for _, m := range d.controls {
 		if err := d.links.listen(address(m.ip, portInternal), address(m.privateIP, portInternal)); err != nil {
 			return err
 		}
 	}
+	return nil
+}
+
+func (d *deployment) startAll() error {
+	if err := d.openLinks(); err != nil {
+		return err
+	}
 	for _, m := range append(append([]*machine{}, d.controls...), d.entries...) {
 		if err := m.start(); err != nil {
 			return err
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -22,6 +22,7 @@
 	"revoked-key":       revokedKey,
 	"unreadable-leave":  unreadableLeave,
 	"partial-heartbeat": partialHeartbeat,
+	"first-start":       firstStart,
 }
 
 func main() {
