Review case 6: send on connections that were opened before the cut

The clients of case 6 opened a connection for each request, although the platform may have taken the machine out of rotation by then. They keep connections open now, which stay with the machine.

--- a/review/stand-2/revoked.go
+++ b/review/stand-2/revoked.go
@@ -24,6 +24,8 @@
 	// away, at the machine that is cut off. Their deadline is that of stock-look.
 	perSecond = 200
 	deadline  = 1500 * time.Millisecond
+	// connectionCount is the number of connections to the machine that they keep open.
+	connectionCount = 60
 )
 
 func tenants(revoked map[string]bool) []map[string]any {
@@ -65,18 +67,28 @@
 	}
 }
 
-// attempt sends a request to a machine and returns its answer.
-func (c *revoked) attempt(m *machine, key string, left time.Duration) (status string, retryAfter time.Duration) {
+// kept is a connection that a client keeps open for many requests.
+type kept struct {
+	net.Conn
+	in *bufio.Reader
+}
+
+func open(m *machine) (*kept, error) {
+	conn, err := net.DialTimeout("tcp", address(m.ip, portFrontend), time.Second)
+	if err != nil {
+		return nil, err
+	}
+	return &kept{Conn: conn, in: bufio.NewReader(conn)}, nil
+}
+
+// attempt sends a request on a connection and returns its answer. reusable is set if the
+// connection may be used again.
+func (c *revoked) attempt(conn *kept, m *machine, key string, left time.Duration) (status string, retryAfter time.Duration, reusable bool) {
 	defer func() {
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		c.counts[status]++
 	}()
-	conn, err := net.DialTimeout("tcp", address(m.ip, portFrontend), time.Second)
-	if err != nil {
-		return "no connection", 0
-	}
-	defer func() { _ = conn.Close() }()
 	now := time.Now()
 	_ = conn.SetDeadline(now.Add(left))
 	c.mu.Lock()
@@ -85,41 +97,65 @@
 	c.keys[id], c.sent[id] = key, now
 	c.mu.Unlock()
 	fmt.Fprintf(conn, "GET /look/x HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\nAuthorization: Bearer %s\r\n\r\n", host, id, left.Milliseconds(), key)
-	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	response, err := http.ReadResponse(conn.in, nil)
 	if err != nil {
 		c.d.record.add("client: %s to %s with %s, sent at %.4f: no answer", id, m.name, key, now.Sub(c.d.record.start).Seconds())
-		return "no answer", 0
+		return "no answer", 0, false
 	}
-	_, _ = io.Copy(io.Discard, response.Body)
+	_, err = io.Copy(io.Discard, response.Body)
 	seconds, _ := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
 	c.d.record.add("client: %s to %s with %s, sent at %.4f: %d", id, m.name, key, now.Sub(c.d.record.start).Seconds(), response.StatusCode)
-	return fmt.Sprint(response.StatusCode), time.Duration(seconds * float64(time.Second))
+	return fmt.Sprint(response.StatusCode), time.Duration(seconds * float64(time.Second)), err == nil && !response.Close
 }
 
-// client sends a request, and once more after the time that a refusal names, on a new
-// connection, which may reach another machine.
-func (c *revoked) client(m *machine, key string) {
+// client sends a request on a kept connection, and once more after the time that a refusal
+// names, on a new connection, which reaches another machine.
+func (c *revoked) client(m *machine, connections chan *kept, key string) {
 	defer c.clients.Done()
 	begun := time.Now()
-	for try := range 2 {
-		if try > 0 {
-			m = c.d.entries[rand.IntN(len(c.d.entries))]
-		}
-		left := deadline - time.Since(begun)
-		if left <= 0 {
-			return
+	conn := <-connections
+	status, after, reusable := c.attempt(conn, m, key, deadline)
+	if !reusable {
+		_ = conn.Close()
+		var err error
+		if conn, err = open(m); err != nil {
+			return // one connection less
 		}
-		status, after := c.attempt(m, key, left)
-		if status != "503" && status != "no answer" {
-			return
+	}
+	connections <- conn
+	if status != "503" && status != "no answer" {
+		return
+	}
+	time.Sleep(after)
+	other := m
+	for other == m {
+		other = c.d.entries[rand.IntN(len(c.d.entries))]
+	}
+	if left := deadline - time.Since(begun); left > 0 {
+		if conn, err := open(other); err == nil {
+			c.attempt(conn, other, key, left)
+			_ = conn.Close()
 		}
-		time.Sleep(after)
 	}
 }
 
 // send sends requests to a machine until stop is closed.
 func (c *revoked) send(m *machine, key string, stop chan struct{}) {
 	defer c.clients.Done()
+	connections := make(chan *kept, connectionCount)
+	for range connectionCount {
+		conn, err := open(m)
+		if err != nil {
+			c.d.record.add("no connection to %s: %v", m.name, err)
+			continue
+		}
+		connections <- conn
+	}
+	defer func() {
+		for len(connections) > 0 {
+			_ = (<-connections).Close()
+		}
+	}()
 	next := time.Now()
 	for {
 		next = next.Add(time.Duration(rand.ExpFloat64() * float64(time.Second) / perSecond))
@@ -128,7 +164,7 @@
 			return
 		case <-time.After(time.Until(next)):
 			c.clients.Add(1)
-			go c.client(m, key)
+			go c.client(m, connections, key)
 		}
 	}
 }
