Publish the lease on keys together with the tables that it vouches for

Cause: the lease was one number, renewed as soon as a response arrived; the document of the same response came into force later, on the control loop. Every reader combined the two at its own moment.

Change: dhwatch.Lease is an immutable value. Before the send a request is placed again if the tables have changed. A log line, "tables confirmed", and a counter, document/not-decoded, tell the order of events.

--- a/dh/dhentry/dhentry.go
+++ b/dh/dhentry/dhentry.go
@@ -88,7 +88,6 @@
 	shares     *dhgrant.Shares
 	quarantine *dhquarantine.Filter
 	budget     *dhlimit.WindowBudget
-	lease      *dhwatch.Lease
 	follower   *dhwatch.Follower
 	paths      *dhdetour.Paths
 	relay      *dhdetour.Relay
@@ -101,8 +100,10 @@
 	entryCount, entryRank atomic.Int64
 
 	// Only the control loop uses the fields below, except for the atomic ones.
-	table      dhbackend.Table
-	tables     *dhtable.Tables
+	table  dhbackend.Table
+	tables *dhtable.Tables
+	// lease is the lease of tables.
+	lease      dhwatch.Lease
 	operations *dhpb.Operations
 	// returnedAt holds when each zone that had been taken out was put back into
 	// service.
@@ -167,7 +168,7 @@
 	e.operations = &dhpb.Operations{}
 	e.returnedAt = make(map[string]time.Time)
 	e.counts = newCounts(e.Name, e.Incarnation)
-	e.lease = &dhwatch.Lease{Clock: e.Clock, Duration: e.KeyLease}
+	e.lease = dhwatch.Lease{Clock: e.Clock, Duration: e.KeyLease}
 	e.cold = &dhcold.Rates{Timers: e.Timers, VM: e.Name}
 	e.shares = &dhgrant.Shares{Timers: e.Timers, Clock: e.Clock, VM: e.Name}
 	e.quarantine = &dhquarantine.Filter{Timers: e.Timers, VM: e.Name, Log: e.Log, Metrics: e.Metrics}
@@ -178,15 +179,15 @@
 		Quarantine: e.quarantine, Brittle: &dhlimit.Brittle{Timers: e.Timers},
 		OwnLoad: func(id string) int { return e.placer.Load(id).Running }, Place: func() (rank, vms int) { return int(e.entryRank.Load()), int(e.entryCount.Load()) },
 		Retries: e.budget, Breakers: &dhlimit.Breakers{Timers: e.Timers, Backoff: breakerBackoff},
-		Transport: e.Transport, Lease: e.lease, Random: rand.Float64, VM: e.Name, Zone: e.Zone, Report: e.countAttempt, ReportSpeed: func(s dhrouter.Speed) { e.counts.addSpeed(s) },
+		Transport: e.Transport, Random: rand.Float64, VM: e.Name, Zone: e.Zone, Report: e.countAttempt, ReportSpeed: func(s dhrouter.Speed) { e.counts.addSpeed(s) },
 	}
 	e.router.AnswerMemory.Max = e.AnswerBytes
 	e.router.SetSessionTimeout(e.SessionTimeout)
 	e.buildPaths()
 	e.counts.pathsBroken = e.paths.BrokenSince
 	e.follower = &dhwatch.Follower{
-		VM: e.Name, Incarnation: e.Incarnation, Zone: e.Zone, Seeds: e.Seeds, Source: e.Source, Timers: e.Timers, Log: e.Log,
-		Lease: e.lease, Report: e.entryReport, OnUpdate: e.enqueue,
+		VM: e.Name, Incarnation: e.Incarnation, Zone: e.Zone, Seeds: e.Seeds, Source: e.Source, Timers: e.Timers, Clock: e.Clock, Log: e.Log,
+		Report: e.entryReport, OnUpdate: e.enqueue,
 		Versions: func() (uint64, uint64) { return e.documentVersion.Load(), e.operationsNumber.Load() },
 		Grants:   e.shares.Held, WantsRelays: e.paths.WantsRelays,
 	}
@@ -213,7 +214,8 @@
 // Ready reports whether this VM can serve requests: it has confirmed tables and
 // is not leaving.
 func (e *Entry) Ready() bool {
-	return !e.leaving.Load() && e.router.Snapshot().Tables != nil && e.lease.Valid()
+	s := e.router.Snapshot()
+	return !e.leaving.Load() && s.Tables != nil && s.Lease.Valid()
 }
 
 // Leaving reports whether Leave was called.
@@ -272,6 +274,7 @@
 	if d := u.GetDocument(); d.GetVersion() > e.documentVersion.Load() {
 		e.applyDocument(d, u.From)
 	}
+	e.confirmTables(u)
 	e.publish()
 	e.updateAdmission(u)
 }
@@ -284,6 +287,7 @@
 	if err != nil {
 		// Control VMs accept only valid documents, so one of them must run another
 		// release. The previous document stays in force.
+		e.Metrics.Count("document", "not-decoded")
 		e.Log.Error("document not decoded", slog.Uint64("version", d.GetVersion()), slog.String("error", err.Error()))
 		return
 	}
@@ -293,6 +297,20 @@
 		slog.Int("accounts", len(tables.Accounts)), slog.String("from", from))
 }
 
+// confirmTables renews the lease of the tables in force if the response names none that are
+// newer. A document that could not be decoded may have revoked keys that they still hold.
+func (e *Entry) confirmTables(u dhwatch.Update) {
+	if u.GetDocument().GetVersion() > e.documentVersion.Load() {
+		return
+	}
+	renewed := e.lease.WithConfirmed(u.ConfirmedAt)
+	if renewed.Valid() && !e.lease.Valid() {
+		e.Log.Info("tables confirmed", slog.Uint64("version", e.documentVersion.Load()), slog.Duration("age", renewed.Age()),
+			slog.String("from", u.From))
+	}
+	e.lease = renewed
+}
+
 func (e *Entry) applyBackends(u dhwatch.Update, now time.Time) {
 	records, err := dhwatch.Records(u.ControlWatchResponse)
 	if err != nil {
@@ -360,7 +378,7 @@
 // publish builds and publishes the next snapshot.
 func (e *Entry) publish() {
 	view := e.table.View(e.Timers.Now())
-	s := &dhrouter.Snapshot{Tables: e.tables, Backends: view, Partial: !e.complete, Rollouts: e.rollouts(view)}
+	s := &dhrouter.Snapshot{Tables: e.tables, Lease: e.lease, Backends: view, Partial: !e.complete, Rollouts: e.rollouts(view)}
 	if out := e.operations.GetZonesOut(); len(out) > 0 {
 		s.ZoneWeight = make(map[string]float64, len(out))
 		for _, zone := range out {
--- a/dh/dhrouter/delays_test.go
+++ b/dh/dhrouter/delays_test.go
@@ -106,9 +106,9 @@
 			synctest.Test(t, func(t *testing.T) {
 				f := newTestRouter(t, reply(200, strings.NewReader("done")))
 				start := f.timers.Now()
-				f.Lease = delayedLease{f.timers, start.Add(c.lease)}
+				f.setLease(delayedLease{f.timers, start.Add(c.lease)})
 				whole := f.Snapshot()
-				f.Publish(&Snapshot{Tables: whole.Tables, Backends: whole.Backends, Partial: c.complete > 0})
+				f.Publish(&Snapshot{Tables: whole.Tables, Lease: whole.Lease, Backends: whole.Backends, Partial: c.complete > 0})
 				f.timers.After(c.complete, func(time.Time) { f.Publish(whole) })
 				_, _, err := f.ask(t, c.route)
 				assert.NilError(t, err)
--- a/dh/dhrouter/deliver.go
+++ b/dh/dhrouter/deliver.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"strconv"
 	"time"
@@ -22,7 +23,8 @@
 	// further attempt is allowed.
 	placementRequest(s *Snapshot) (dhplacement.Request, error)
 	// dispatch runs immediately before the first byte is sent. It makes durable
-	// whatever must be durable before the send, or returns why nothing may be sent.
+	// whatever must be durable before the send, or returns why nothing may be sent:
+	// errNewTables if the request must be placed again.
 	dispatch(ctx context.Context) error
 	// relay sends the request to a backend server and relays the answer. It returns
 	// the time to the first token, or 0 if there was none.
@@ -43,6 +45,9 @@
 	r.Retries.RecordAttempt(x.pool())
 	for retry := 0; ; retry++ {
 		err := r.attempt(ctx, x)
+		for errors.Is(err, errNewTables) {
+			err = r.attempt(ctx, x) // nothing was sent
+		}
 		if err == nil || retry+1 >= maxAttempts || !x.retryable(ctx, err) || x.takeRetry() != nil {
 			return err
 		}
--- a/dh/dhrouter/dhrouter.go
+++ b/dh/dhrouter/dhrouter.go
@@ -160,7 +160,11 @@
 
 // Snapshot is the control state as seen by request goroutines. It is immutable.
 type Snapshot struct {
-	Tables       *dhtable.Tables
+	Tables *dhtable.Tables
+	// Lease is the lease of Tables, for HTTP requests. It is part of the snapshot, so that
+	// no request combines the tables of one snapshot with the lease of a later one. A nil
+	// Lease is always valid.
+	Lease        Lease
 	LeaseExpired bool
 	Backends     *dhbackend.View
 	// Partial is set until Backends has contained every known backend server.
@@ -176,6 +180,14 @@
 	Rollouts map[string]dhversion.Rollout
 }
 
+// leaseValid reports whether the tables are recent enough to accept API keys.
+func (s *Snapshot) leaseValid() bool { return s.Lease == nil || s.Lease.Valid() }
+
+// tablesFresh reports whether the tables are recent enough to deny a request for good.
+func (s *Snapshot) tablesFresh() bool {
+	return s.Lease == nil || s.Lease.ConfirmedWithin(maxDenialAge)
+}
+
 // Event reports the end of an attempt to the control loop.
 type Event struct {
 	Pool, Backend string
@@ -242,10 +254,8 @@
 	Planner    Planner
 	Ratings    Ratings
 	Engine     Engine
-	// Transport, Lease and Random are used for HTTP requests. A nil Lease is always
-	// valid; Random returns a number in [0, 1).
+	// Transport and Random are used for HTTP requests. Random returns a number in [0, 1).
 	Transport Transport
-	Lease     Lease
 	Random    func() float64
 	// AnswerMemory limits the memory for buffered answers of HTTP requests that are
 	// not streams. An answer that does not fit is relayed as it arrives.
--- a/dh/dhrouter/forward.go
+++ b/dh/dhrouter/forward.go
@@ -61,6 +61,9 @@
 	errMoved = errors.New("another backend server is at the address")
 	// errNoEvents ends an attempt whose stream ended before its first event.
 	errNoEvents = errors.New("the stream ended without an event")
+	// errNewTables ends an attempt before the send because other tables came into force
+	// after the placement.
+	errNewTables = errors.New("newer tables are in force")
 	// errLowConfidence ends an attempt whose answer is dropped because of the
 	// model's low confidence.
 	errLowConfidence = errors.New("the model is unsure of its answer")
@@ -75,6 +78,8 @@
 	// limit is the time for the complete answer, counted from received.
 	limit time.Duration
 
+	// tables are those by which the request was last judged.
+	tables   *dhtable.Tables
 	route    *dhtable.Route
 	account  string
 	rank     int
@@ -214,17 +219,18 @@
 // before each attempt, so that a change of the tables applies to requests that
 // have been waiting.
 func (f *forward) authorize(s *Snapshot) error {
+	f.tables = s.Tables
 	route, ok := s.Tables.FindRoute(f.message.Host, f.message.Path)
 	if !ok {
-		return f.denial(dhcode.Errorf(dhcode.RouteUnknown, "no route of host %q begins path %q", f.message.Host, f.message.Path))
+		return f.denial(s, dhcode.Errorf(dhcode.RouteUnknown, "no route of host %q begins path %q", f.message.Host, f.message.Path))
 	}
 	account, rank := dhtable.Account{}, route.Priority
 	if !route.Public {
-		if err := f.checkLease(); err != nil {
+		if err := f.checkLease(s); err != nil {
 			return err
 		}
 		if account, ok = s.Tables.AccountByKey(f.message.Key); !ok {
-			return f.denial(dhcode.Errorf(dhcode.UnknownKey, "the key belongs to no client account"))
+			return f.denial(s, dhcode.Errorf(dhcode.UnknownKey, "the key belongs to no client account"))
 		}
 		if account.Rank != nil {
 			rank = *account.Rank
@@ -235,17 +241,15 @@
 	return nil
 }
 
-// checkLease refuses the request if its key may have been revoked without this
-// VM's knowledge.
-func (f *forward) checkLease() error {
-	if f.leaseValid() {
+// checkLease refuses the request if its key may have been revoked without the
+// knowledge of a snapshot.
+func (f *forward) checkLease(s *Snapshot) error {
+	if s.leaseValid() {
 		return nil
 	}
 	return f.leaseLapsed("keys may be out of date")
 }
 
-func (f *forward) leaseValid() bool { return f.router.Lease == nil || f.router.Lease.Valid() }
-
 func (f *forward) leaseLapsed(reason string) error {
 	return f.withRetryAfter(dhcode.Errorf(dhcode.TablesLeaseLapsed, "entry VM %q cannot confirm its tables, so %s", f.router.VM, reason))
 }
@@ -254,19 +258,15 @@
 // Configurations promise to be in force after a longer time.
 const maxDenialAge = 1500 * time.Millisecond
 
-// denial returns the error of a request that the tables do not allow, or one that lets
-// the caller return if newer tables may allow it.
-func (f *forward) denial(err error) error {
-	if f.tablesFresh() {
+// denial returns the error of a request that the tables of a snapshot do not allow, or one
+// that lets the caller return if newer tables may allow it.
+func (f *forward) denial(s *Snapshot, err error) error {
+	if s.tablesFresh() {
 		return err
 	}
 	return f.leaseLapsed("newer ones may allow the request")
 }
 
-func (f *forward) tablesFresh() bool {
-	return f.router.Lease == nil || f.router.Lease.ConfirmedWithin(maxDenialAge)
-}
-
 // withRetryAfter adds random jitter to the retry-after hint of err, or to
 // minRetryAfter if that is longer, so that refused callers do not all return at
 // once. The result is at most a quarter of the time left, since callers wait for
@@ -356,14 +356,18 @@
 	return dhplacement.SmallLane
 }
 
-// dispatch implements exchange. It checks the lease again, since the key may
-// have been revoked after the request was placed, for example while the VM was
-// frozen.
+// dispatch implements exchange. It checks the tables and the lease again, since the
+// key may have been revoked after the request was placed, for example while the VM
+// was frozen.
 func (f *forward) dispatch(context.Context) error {
+	s := f.router.Snapshot()
+	if s.Tables != f.tables {
+		return errNewTables
+	}
 	if f.route.Public {
 		return nil
 	}
-	return f.checkLease()
+	return f.checkLease(s)
 }
 
 // finishAttempt implements exchange.
--- a/dh/dhrouter/forward_start.go
+++ b/dh/dhrouter/forward_start.go
@@ -58,9 +58,9 @@
 	}
 	route, ok := s.Tables.FindRoute(f.message.Host, f.message.Path)
 	if !ok {
-		return f.tablesFresh()
+		return s.tablesFresh()
 	}
-	if !route.Public && !f.leaseValid() {
+	if !route.Public && !s.leaseValid() {
 		return false
 	}
 	if !hasUsableBackend(s, route.Target(0)) {
--- a/dh/dhrouter/forward_test.go
+++ b/dh/dhrouter/forward_test.go
@@ -115,7 +115,7 @@
 		Timers: timers, Group: dhgroup.New(t.Context()), Log: slog.New(slog.DiscardHandler), Metrics: dhmetric.New(4),
 		Placer:  &dhplacement.Placer{Timers: timers, Zone: "a", Settings: dhplacement.Defaults()},
 		Credits: &dhcold.Rates{Timers: timers, VM: "vm"}, Retries: &dhlimit.Budget{Ratio: 9, Max: 100},
-		Breakers: &dhlimit.Breakers{Timers: timers}, Transport: f.transport, Lease: fixedLease(true),
+		Breakers: &dhlimit.Breakers{Timers: timers}, Transport: f.transport,
 		Random: func() float64 { return 0.5 }, VM: "vm", Zone: "a", Report: func(Event) {},
 	}
 	var table dhbackend.Table
@@ -127,10 +127,17 @@
 		}
 		assert.NilError(t, table.Announce(b))
 	}
-	f.Publish(&Snapshot{Tables: testTables(), Backends: table.View(timers.Now())})
+	f.Publish(&Snapshot{Tables: testTables(), Lease: fixedLease(true), Backends: table.View(timers.Now())})
 	return f
 }
 
+// setLease publishes the newest snapshot with another lease.
+func (f *testRouter) setLease(l Lease) {
+	s := *f.Snapshot()
+	s.Lease = l
+	f.Publish(&s)
+}
+
 func testTables() *dhtable.Tables {
 	route := func(name string, change func(r *dhtable.Route)) dhtable.Route {
 		r := dhtable.Route{Name: name, Class: name, Pool: "p", Deadline: 20 * time.Second, Forwarding: dhtable.Forwarding{
@@ -470,7 +477,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				f := newTestRouter(t, reply(200, text("done")))
-				f.Lease = agedLease(c.age)
+				f.setLease(agedLease(c.age))
 				_, _, err := f.ask(t, "order", func(m *Message) { m.Key = "other" })
 				assert.Equal(t, dhcode.Of(err), c.unknown)
 				_, _, err = f.ask(t, "order", func(m *Message) { m.Path = "/nothing/1" })
@@ -492,7 +499,7 @@
 		assert.Equal(t, dhcode.Of(err), dhcode.UnknownKey)
 		_, _, err = f.ask(t, "order", func(m *Message) { m.Path = "/nothing/1" })
 		assert.Equal(t, dhcode.Of(err), dhcode.RouteUnknown)
-		f.Lease = fixedLease(false)
+		f.setLease(fixedLease(false))
 		_, _, err = f.ask(t, "order")
 		assert.Equal(t, dhcode.Of(err), dhcode.TablesLeaseLapsed)
 		assert.Equal(t, dhcode.RanOf(err), dhcode.NotRun)
@@ -548,7 +555,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newTestRouter(t, reply(200, text("done")))
 		for checks := range 5 {
-			f.Lease = &expiringLease{checks}
+			f.setLease(&expiringLease{checks})
 			_, _, err := f.ask(t, "order")
 			if err == nil {
 				break
--- a/dh/dhrouter/holdoff_test.go
+++ b/dh/dhrouter/holdoff_test.go
@@ -140,10 +140,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newTestRouter(t, reply(200, text("done")))
 		f.Random = func() float64 { return 0.9 }
-		f.Lease = &expiringLease{}
+		f.setLease(&expiringLease{})
 		f.timers.Step(startupPeriod + time.Second)
 		_, _, first := f.ask(t, "look")
-		f.Lease = &expiringLease{checks: 2} // valid on arrival and at admission
+		f.setLease(&expiringLease{checks: 2}) // valid on arrival and at admission
 		_, _, late := f.ask(t, "look")
 		for _, err := range []error{first, late} {
 			assert.Equal(t, dhcode.Of(err), dhcode.TablesLeaseLapsed)
--- a/dh/dhrouter/message.go
+++ b/dh/dhrouter/message.go
@@ -149,7 +149,7 @@
 	Send(ctx context.Context, o *Outbound) (*Inbound, error)
 }
 
-// Lease tells how recent this VM's copy of the configuration is.
+// Lease tells how recent the tables of a Snapshot are.
 type Lease interface {
 	// Valid reports whether it is recent enough to accept API keys.
 	Valid() bool
--- a/dh/dhwatch/dhwatch.go
+++ b/dh/dhwatch/dhwatch.go
@@ -7,10 +7,14 @@
 //
 // # Usage
 //
-//	lease := &dhwatch.Lease{Clock: dhtimer.Boot{}, Duration: 4 * time.Second}
+//	lease := dhwatch.Lease{Clock: dhtimer.Boot{}, Duration: 4 * time.Second}
 //	follower := &dhwatch.Follower{
-//		VM: "edge-1", Zone: "mrc-a", Seeds: seeds, Source: client, Timers: timers, Lease: lease,
-//		OnUpdate: func(u dhwatch.Update) { ... },
+//		VM: "edge-1", Zone: "mrc-a", Seeds: seeds, Source: client, Timers: timers, Clock: dhtimer.Boot{},
+//		OnUpdate: func(u dhwatch.Update) {
+//			... // put the document of u in force
+//			lease = lease.WithConfirmed(u.ConfirmedAt)
+//			... // publish the document and the lease together
+//		},
 //	}
 //	group.Go(follower.Run)
 package dhwatch
@@ -19,7 +23,6 @@
 	"context"
 	"log/slog"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -66,38 +69,34 @@
 	Elapsed() time.Duration
 }
 
-// Lease tracks whether this VM's view was recently confirmed as the newest. It is
-// safe for concurrent use.
+// Lease tells whether a document was recently confirmed as the newest. It is immutable and
+// vouches only for the document with which it is published: a reader that took the document
+// and the lease from two places could judge an old document by the lease of a newer one.
 type Lease struct {
 	Clock Clock
-	// Duration is how long a view may be used after it was confirmed.
+	// Duration is how long a document may be used after it was confirmed.
 	Duration time.Duration
 
-	confirmed atomic.Int64
+	confirmedAt time.Duration
 }
 
-// Confirm records that the view was the newest at the given reading of Clock.
-func (l *Lease) Confirm(at time.Duration) {
-	for {
-		old := l.confirmed.Load()
-		if int64(at) <= old || l.confirmed.CompareAndSwap(old, int64(at)) {
-			return
-		}
-	}
+// WithConfirmed returns the lease of a document that was the newest at the given reading of
+// Clock, unless it was confirmed later than that.
+func (l Lease) WithConfirmed(at time.Duration) Lease {
+	l.confirmedAt = max(l.confirmedAt, at)
+	return l
 }
 
 // Age returns the time since the last confirmation.
-func (l *Lease) Age() time.Duration {
-	return l.Clock.Elapsed() - time.Duration(l.confirmed.Load())
-}
+func (l Lease) Age() time.Duration { return l.Clock.Elapsed() - l.confirmedAt }
 
 // Valid reports whether the lease is valid now. It is not valid before the first
-// Confirm.
-func (l *Lease) Valid() bool { return l.ConfirmedWithin(l.Duration) }
+// confirmation.
+func (l Lease) Valid() bool { return l.ConfirmedWithin(l.Duration) }
 
-// ConfirmedWithin reports whether the view was confirmed less than a time ago.
-func (l *Lease) ConfirmedWithin(age time.Duration) bool {
-	return l.confirmed.Load() != 0 && l.Age() < age
+// ConfirmedWithin reports whether the document was confirmed less than a time ago.
+func (l Lease) ConfirmedWithin(age time.Duration) bool {
+	return l.confirmedAt > 0 && l.Age() < age
 }
 
 // Update is one response of a control VM.
@@ -105,8 +104,11 @@
 	*dhpb.ControlWatchResponse
 	// From is the address of the control VM.
 	From string
-	// Sent is when the call was sent, by the clock of the lease.
+	// Sent is when the call was sent, by the clock of the Follower.
 	Sent time.Duration
+	// ConfirmedAt is a time at which the document that the control VM knew was the newest, by
+	// the same clock, or 0 if no majority has confirmed it.
+	ConfirmedAt time.Duration
 }
 
 // Follower watches control VMs. Set the exported fields before calling Run.
@@ -119,8 +121,8 @@
 	Seeds  []string
 	Source Source
 	Timers dhtimer.Service
+	Clock  Clock
 	Log    *slog.Logger
-	Lease  *Lease
 	// Report returns the report that each call sends to the control VM.
 	Report func() *dhpb.EntryReport
 	// Versions returns the versions of the document and of the operations that
@@ -169,7 +171,7 @@
 			_ = dhtimer.Sleep(ctx, f.Timers, retryPause) // the loop ends with ctx
 			continue
 		}
-		sent := f.Lease.Clock.Elapsed()
+		sent := f.Clock.Elapsed()
 		reply, err := f.callWatch(ctx, address, epoch, position, quarantine)
 		if ctx.Err() != nil {
 			return nil
@@ -181,7 +183,7 @@
 		}
 		epoch, position, quarantine = reply.GetEpoch(), reply.GetPosition(), reply.GetQuarantine().GetNumber()
 		f.updateControls(reply)
-		f.OnUpdate(Update{ControlWatchResponse: reply, From: address, Sent: sent})
+		f.OnUpdate(Update{ControlWatchResponse: reply, From: address, Sent: sent, ConfirmedAt: confirmedAt(reply, sent)})
 		if !reply.GetConfirmed() || reply.GetConfirmedAge().AsDuration() > maxConfirmedAge {
 			f.markFailed(address, true, "")
 			_ = dhtimer.Sleep(ctx, f.Timers, retryPause)
@@ -192,14 +194,21 @@
 	return nil
 }
 
-// callWatch makes one watch call. The lease counts from the start of the call,
-// less the age in the response. The response was sent later, so this is never
-// after the time at which the state was confirmed.
+// confirmedAt returns a time at which the state in the response to a call was the newest, or
+// 0 if that is not known. It is the start of the call, less the age in the response. The
+// response was sent later, so this is never after the time of the confirmation.
+func confirmedAt(reply *dhpb.ControlWatchResponse, sent time.Duration) time.Duration {
+	if !reply.GetConfirmed() {
+		return 0
+	}
+	return sent - reply.GetConfirmedAge().AsDuration()
+}
+
+// callWatch makes one watch call.
 func (f *Follower) callWatch(ctx context.Context, address string, epoch, position, quarantine uint64) (*dhpb.ControlWatchResponse, error) {
 	ctx, cancel := dhtimer.WithTimeout(ctx, f.Timers, watchWait+answerTimeout)
 	defer cancel()
 	document, operations := f.Versions()
-	began := f.Lease.Clock.Elapsed()
 	request := &dhpb.ControlWatchRequest{
 		Vm: f.VM, Incarnation: f.Incarnation, Zone: f.Zone, Epoch: epoch, Position: position,
 		Document: document, Operations: operations, Wait: durationpb.New(watchWait), Report: f.Report(),
@@ -209,14 +218,7 @@
 		request.Grants = f.Grants()
 	}
 	request.WantsRelays = f.WantsRelays != nil && f.WantsRelays()
-	reply, err := f.Source.Watch(ctx, address, request)
-	if err != nil {
-		return nil, err
-	}
-	if reply.GetConfirmed() {
-		f.Lease.Confirm(began - reply.GetConfirmedAge().AsDuration())
-	}
-	return reply, nil
+	return f.Source.Watch(ctx, address, request)
 }
 
 // SetSeeds replaces the seed addresses and adds those that are not known yet.
--- a/dh/dhwatch/dhwatch_test.go
+++ b/dh/dhwatch/dhwatch_test.go
@@ -64,7 +64,7 @@
 		change(s)
 		follower := &dhwatch.Follower{
 			VM: "e0", Incarnation: 1, Zone: "z0", Seeds: []string{"c0", "c1", "c2"}, Source: s, Timers: timers,
-			Log: slog.New(slog.DiscardHandler), Lease: &dhwatch.Lease{Clock: clock{timers}, Duration: time.Minute},
+			Log: slog.New(slog.DiscardHandler), Clock: clock{timers},
 			Report:   func() *dhpb.EntryReport { return nil },
 			Versions: func() (uint64, uint64) { return 0, 0 }, OnUpdate: func(dhwatch.Update) {},
 		}
