Confirm no document that a control VM has not read yet

Cause: a response took the document and the operations first and the time of their confirmation afterwards. A majority read that ended in between brought a newer document and its time, so that the response confirmed the old document by the new read.

Change: the confirmation is read before the state.

Evidence: TestResponseConfirmsNoUnreadDocument lets the read end at each reading of the clock while the response is built.

--- a/dh/dhcontrol/watch.go
+++ b/dh/dhcontrol/watch.go
@@ -148,6 +148,9 @@
 		return nil, err
 	}
 	a.Controls = c.peers.records(m.GetHeard())
+	// The confirmation is read before the state. A majority read that ends in between
+	// makes the state newer than the confirmation, and never older.
+	age, confirmed := c.confirmedAge()
 	document, operations := c.state()
 	if tellsDocument && document.GetVersion() > m.GetDocument() {
 		a.Document = document
@@ -158,7 +161,6 @@
 	a.Grants = c.grantor.handOut(m)
 	a.TrialSessions = c.trialSessionRows(operations, m)
 	a.Quarantine = c.quarantine.State(m.GetControl() != nil)
-	age, confirmed := c.confirmedAge()
 	a.Confirmed, a.ConfirmedAge = confirmed, durationpb.New(age)
 	return a, nil
 }
