Do not confirm a document while a newer one is withheld

Cause: a control VM that has just started sends entry VMs no document until it has read the departures, for up to 2 s. Its responses confirmed the entry VM's document all the same, also one that it knew to be replaced.

Change: such a response confirms nothing. The entry VM then looks for another control VM as it does for one without a majority. Responses to entry VMs without a document, or with the newest one, are as before.

--- a/dh/dhcontrol/confirm_test.go
+++ b/dh/dhcontrol/confirm_test.go
@@ -108,3 +108,22 @@
 		}
 	}
 }
+
+// Guards against an entry VM that accepts a revoked key for another lease, because a control
+// VM that has just started withholds the document that revokes it, and confirms the one
+// before.
+func TestWithheldDocumentIsNotConfirmed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newConfirmTest(t)
+		c.firstConfirmed.Store(int64(c.Elapsed())) // the departures are not known
+		c.confirm(1)
+		assert.Assert(t, c.watch(t).GetConfirmed(), "nothing is withheld")
+		c.confirm(2)
+		response := c.watch(t)
+		assert.Assert(t, response.GetDocument() != nil || !response.GetConfirmed())
+		close(c.departures.known)
+		response = c.watch(t)
+		assert.Equal(t, response.GetDocument().GetVersion(), uint64(2))
+		assert.Assert(t, response.GetConfirmed())
+	})
+}
--- a/dh/dhcontrol/watch.go
+++ b/dh/dhcontrol/watch.go
@@ -152,8 +152,11 @@
 	// makes the state newer than the confirmation, and never older.
 	age, confirmed := c.confirmedAge()
 	document, operations := c.state()
-	if tellsDocument && document.GetVersion() > m.GetDocument() {
+	switch newer := document.GetVersion() > m.GetDocument(); {
+	case newer && tellsDocument:
 		a.Document = document
+	case newer && m.GetDocument() > 0:
+		confirmed = false // the caller's document is not the newest, and it does not get that
 	}
 	if operations.GetNumber() > m.GetOperations() {
 		a.Operations = operations
