Refuse names that cannot be encoded in all calls

Cause: the id of a deregistration was not checked. The departure was kept in memory although it could not be made durable, and a response with it cannot be encoded. Announcements have been checked since. Zones of evacuations and the pools and versions of rollouts were not checked either; their calls failed with 503 and no reason, and names of any length were taken.

Change: dhbackend.CheckName refuses names that are too long or no UTF-8 with 400 in deregistrations, evacuations and rollouts, and is used for announcements as before. The line "leave refused" and the counter leave/refused tell of it.

--- a/dh/dhbackend/dhbackend.go
+++ b/dh/dhbackend/dhbackend.go
@@ -12,6 +12,7 @@
 package dhbackend
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"sort"
@@ -70,7 +71,7 @@
 func (b *Backend) Has(v dhtable.Version) bool { return slices.Contains(b.Versions, v) }
 
 const (
-	// maxNameBytes bounds each name in an announcement, maxVersions the number of loaded
+	// maxNameBytes bounds each name, maxVersions the number of loaded
 	// versions and maxLoad the numbers of requests and slots.
 	maxNameBytes = 256
 	maxVersions  = 256
@@ -79,6 +80,15 @@
 	maxColdFor = 24 * time.Hour
 )
 
+// CheckName returns an error with the code request-malformed if a name is too long or no
+// UTF-8. A message with a name that is no UTF-8 cannot be encoded.
+func CheckName(name string) error {
+	if len(name) > maxNameBytes || !utf8.ValidString(name) {
+		return dhcode.Errorf(dhcode.RequestMalformed, "the name %.32q has %d bytes; at most %d are accepted, in UTF-8", name, len(name), maxNameBytes)
+	}
+	return nil
+}
+
 // checkBounds returns an error if a field of an announcement is out of its range. All
 // VMs keep and pass on what one of them accepts.
 func checkBounds(r *dhpb.BackendRecord) error {
@@ -87,9 +97,8 @@
 		names = append(names, v.GetModel(), v.GetVersion())
 	}
 	for _, name := range names {
-		if len(name) > maxNameBytes || !utf8.ValidString(name) {
-			return dhcode.Errorf(dhcode.RequestMalformed, "announcement of %.32q has the name %.32q of %d bytes; at most %d are accepted, in UTF-8",
-				r.GetId(), name, len(name), maxNameBytes)
+		if err := CheckName(name); err != nil {
+			return dhcode.Wrap(dhcode.RequestMalformed, fmt.Errorf("announcement of %.32q: %w", r.GetId(), err))
 		}
 	}
 	for _, n := range []int32{r.GetSlots(), r.GetRunning(), r.GetWaiting(), r.GetSustainableLoad()} {
--- a/dh/dhcontrol/operators.go
+++ b/dh/dhcontrol/operators.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/durationpb"
 
+	"dandelionhoist.example/dh/dhbackend"
 	"dandelionhoist.example/dh/dhcode"
 	"dandelionhoist.example/dh/dhpb"
 	"dandelionhoist.example/dh/dhversion"
@@ -62,8 +63,11 @@
 }
 
 // TakeOut takes an availability zone out of service: its backend servers receive
-// no new requests.
+// no new requests. Code: request-malformed.
 func (c *Control) TakeOut(ctx context.Context, zone string) error {
+	if err := dhbackend.CheckName(zone); err != nil {
+		return err
+	}
 	return c.updateOperations(ctx, "zone taken out", zone, func(o *dhpb.Operations) error {
 		if !slices.Contains(o.ZonesOut, zone) {
 			o.ZonesOut = append(o.ZonesOut, zone)
@@ -72,8 +76,11 @@
 	})
 }
 
-// TakeBack puts a zone that TakeOut removed back into service.
+// TakeBack puts a zone that TakeOut removed back into service. Code: request-malformed.
 func (c *Control) TakeBack(ctx context.Context, zone string) error {
+	if err := dhbackend.CheckName(zone); err != nil {
+		return err
+	}
 	return c.updateOperations(ctx, "zone taken back", zone, func(o *dhpb.Operations) error {
 		o.ZonesOut = slices.DeleteFunc(o.ZonesOut, func(z string) bool { return z == zone })
 		return nil
@@ -87,6 +94,11 @@
 	if pool == "" || target == "" || duration <= 0 {
 		return dhcode.Errorf(dhcode.RequestMalformed, "a rollout needs a pool, a version and a duration above 0")
 	}
+	for _, name := range []string{pool, target} {
+		if err := dhbackend.CheckName(name); err != nil {
+			return err
+		}
+	}
 	started := c.Timers.Now().UnixMilli()
 	plan := dhversion.NewPlan(c.exposure(), c.entries.rate(pool), duration)
 	return c.updateOperations(ctx, "rollout", pool+" to "+target, func(o *dhpb.Operations) error {
--- a/dh/dhcontrol/registry.go
+++ b/dh/dhcontrol/registry.go
@@ -51,9 +51,15 @@
 }
 
 // Leave removes a backend server permanently, whether this VM knows it or not. An
-// incarnation of 0 stands for the known one. Codes: quorum-unreachable if the leave may be
-// forgotten, or if it names no incarnation and this VM does not know all backend servers.
+// incarnation of 0 stands for the known one. Codes: request-malformed, quorum-unreachable if
+// the leave may be forgotten, or if it names no incarnation and this VM does not know all
+// backend servers.
 func (c *Control) Leave(ctx context.Context, id string, incarnation uint64) error {
+	if err := dhbackend.CheckName(id); err != nil {
+		c.Metrics.Count("leave", "refused")
+		c.Log.Warn("leave refused", slog.String("error", err.Error()))
+		return err
+	}
 	change, known := c.registry.Remove(id, incarnation)
 	c.Log.Info("backend server leaves", slog.String("backend", id), slog.Uint64("incarnation", incarnation),
 		slog.Bool("known", known), slog.Bool("changed", change.Content))
