Send with revoked keys around the end of a cut in the soak

Cause: the soak checks that revoked keys do not run, but hardly sent any: callers take keys from the newest four configurations, revoked 1 to 2 s before, with a bound of 3 s, and cuts last 4 s at most.

Change: between the recovery and the calm phase all entry VMs but one are cut off from the control VMs for 5 s, and eight callers each send with a key that was revoked meanwhile, from 0.2 s before the end of the cut until 0.2 s after it.

--- a/cmd/dandelionhoist-soak/dhsoak/caller.go
+++ b/cmd/dandelionhoist-soak/dhsoak/caller.go
@@ -109,11 +109,7 @@
 	if c.random.Float64() < unknownKeyShare {
 		key = keyUnknown
 	}
-	body := bytes.Repeat([]byte{byte('a' + c.random.IntN(26))}, c.random.IntN(maxBody))
-	r := &request{
-		id: fmt.Sprintf("%016x", requestNumber.Add(1)), method: http.MethodPost, path: route.prefix() + strconv.Itoa(c.random.IntN(100)),
-		body: digest(body), route: route, key: key, entry: c.entry.name,
-	}
+	r, body := c.newRequest(route, key)
 	if path := c.deployment.deadlyRequestNow(c.random); path != "" && route.always {
 		r.path, r.key, body = route.prefix()+path, keyAlways, []byte(path)
 		r.body = digest(body)
@@ -131,6 +127,15 @@
 	return usable
 }
 
+// newRequest returns a request with a random body.
+func (c *caller) newRequest(route *routeInfo, key string) (*request, []byte) {
+	body := bytes.Repeat([]byte{byte('a' + c.random.IntN(26))}, c.random.IntN(maxBody))
+	return &request{
+		id: fmt.Sprintf("%016x", requestNumber.Add(1)), method: http.MethodPost, path: route.prefix() + strconv.Itoa(c.random.IntN(100)),
+		body: digest(body), route: route, key: key, entry: c.entry.name,
+	}, body
+}
+
 // send sends a request once. It reports whether the connection is still usable, and whether
 // the request was refused.
 func (c *caller) send(ctx context.Context, r *request, body []byte) (usable, refused bool) {
--- a/cmd/dandelionhoist-soak/dhsoak/dhsoak.go
+++ b/cmd/dandelionhoist-soak/dhsoak/dhsoak.go
@@ -157,9 +157,13 @@
 	return text
 }
 
-// exchangeStream selects the random numbers of the exchanges of a seed; the callers use
-// those from 2 on.
-const exchangeStream = 1 << 32
+// exchangeStream selects the random numbers of the exchanges of a seed, and those from
+// keyStream on are used by the callers with revoked keys. The other callers use those from 2
+// on.
+const (
+	exchangeStream = 1 << 32
+	keyStream      = 2 << 32
+)
 
 // startLimit is the time within which the first request must be served.
 const startLimit = 20 * time.Second
@@ -192,7 +196,7 @@
 	return report, err
 }
 
-// runPhases starts everything and executes the storm, recovery and calm phases.
+// runPhases starts everything and executes the storm, recovery, revocation and calm phases.
 func (s *Soak) runPhases(ctx context.Context, d *deployment, faults []fault) error {
 	if err := d.start(); err != nil {
 		return err
@@ -228,6 +232,9 @@
 	if err := dhtimer.Sleep(ctx, s.Timers, s.Recovery); err != nil {
 		return err
 	}
+	if err := d.revokeDuringCut(ctx, operator); err != nil {
+		return err
+	}
 	d.checker.startCalm()
 	for i, b := range d.backends {
 		if uint64(i)%2 == s.Seed%2 {
