Finish a first start that was interrupted

Cause: only the first start creates the first voter set. A VM whose first start was cut off before that is started with Bootstrap false, and did not go on.

Change: a VM notes the first start and the addresses of the first voters on its empty disk before its voter exists. Later starts go on if the note is there, the VM is one of the first voters, and its voter has never served in a set. Bootstrap was safe to repeat by any of them already.

Evidence: TestInterruptedFirstStartIsFinished failed before the change ("no configuration is acknowledged", 3 of 3 runs) and passes with it, for kills and losses of power.

--- a/dh/dhcontrol/dhcontrol.go
+++ b/dh/dhcontrol/dhcontrol.go
@@ -89,6 +89,7 @@
 	documents  *dhedit.Documents
 	disk       dhdisk.Disk
 	voter      atomic.Pointer[dhquorum.Voter]
+	firstStart atomic.Pointer[firstStart]
 	registry   *dhbackend.Registry
 	entries    *entries
 	views      views
--- a/dh/dhcontrol/voter.go
+++ b/dh/dhcontrol/voter.go
@@ -64,6 +64,9 @@
 		if err != nil {
 			return dhcode.Wrap(dhcode.DiskFailed, err)
 		}
+		if err := c.openFirstStart(disk); err != nil {
+			return err
+		}
 		c.disk = disk
 	}
 	v, err := dhquorum.OpenVoter(c.disk, randomID())
@@ -91,6 +94,7 @@
 // quarantineDamagedFiles renames damaged files, so that the voter restarts with a
 // new identity.
 func (c *Control) quarantineDamagedFiles() {
+	c.firstStart.Store(nil)
 	names, err := c.disk.List()
 	if err != nil {
 		c.Log.Warn("damaged files not listed", slog.String("error", err.Error()))
@@ -119,17 +123,13 @@
 	return nil, dhcode.Errorf(dhcode.DiskFailed, "control VM %q has no running voter", c.Name)
 }
 
-// findVoters finds the current voter set, or creates the first one if Bootstrap
-// is set.
+// findVoters finds the current voter set, or creates the first one if Bootstrap is set
+// or the first start was interrupted.
 func (c *Control) findVoters(ctx context.Context) error {
-	var first []dhquorum.Member
-	for _, address := range c.Seeds {
-		first = append(first, dhquorum.Member{Address: address})
-	}
 	for ctx.Err() == nil {
 		set, err := c.proposer.Find(ctx, c.peers.addresses())
-		if err != nil && c.Bootstrap {
-			set, err = c.proposer.Bootstrap(ctx, first)
+		if first := c.firstVoters(); err != nil && len(first) > 0 {
+			set, err = c.proposer.Bootstrap(ctx, members(first))
 		}
 		if err == nil {
 			c.Log.Info("voter set", slog.Uint64("epoch", set.Epoch), slog.Any("voters", set.Members()))
--- a/dh/dhquorum/voterset.go
+++ b/dh/dhquorum/voterset.go
@@ -50,6 +50,9 @@
 // Joint reports whether a replacement or addition of a voter is in progress.
 func (s VoterSet) Joint() bool { return len(s.Next) > 0 }
 
+// Serving reports whether registers may be used in the set.
+func (s VoterSet) Serving() bool { return s.Epoch >= servingEpoch }
+
 // Contains reports whether id is a voter of the set.
 func (s VoterSet) Contains(id string) bool {
 	return indexOf(s.Voters, id) >= 0 || indexOf(s.Next, id) >= 0
