Fill the buffers in TestEndsAreToldApart until a write blocks

Cause: the test, not the product. It wrote 32 MB with a deadline of 10 ms, which at times passed before the buffers of both sides were full. The peer's buffer then took the rest, so that nothing was left unread by the socket and the expected error did not apply.

Change: the test writes until a write sends nothing within 10 ms, and checks that it ended by its deadline. What is expected is as before.

--- a/dh/dhsocket/dhsocket_test.go
+++ b/dh/dhsocket/dhsocket_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"testing"
 	"time"
 
@@ -12,32 +13,51 @@
 	"dandelionhoist.example/dh/dhsocket"
 )
 
+// pause lets what was sent arrive.
+const pause = 10 * time.Millisecond
+
+// fillBuffers writes to a connection whose peer does not read until a write sends nothing,
+// because the buffers of both sides are full.
+func fillBuffers(t *testing.T, conn net.Conn) {
+	t.Helper()
+	chunk := make([]byte, 1<<20)
+	for {
+		_ = conn.SetWriteDeadline(time.Now().Add(pause))
+		n, err := conn.Write(chunk)
+		if n == 0 {
+			assert.Assert(t, errors.Is(err, os.ErrDeadlineExceeded), "%v", err)
+			break
+		}
+	}
+	_ = conn.SetWriteDeadline(time.Time{})
+}
+
 // Guards against ends of a peer that look alike to a reader: a reset whose error a Write has
 // taken, or that follows the end of the peer's side, and an end before all was received.
 func TestEndsAreToldApart(t *testing.T) {
-	const pause = 10 * time.Millisecond // lets what was sent arrive
 	for name, c := range map[string]struct {
 		written int
+		fill    bool
 		end     func(peer *net.TCPConn)
 		want    error
 	}{
-		"clean": {4, func(peer *net.TCPConn) {
+		"clean": {written: 4, end: func(peer *net.TCPConn) {
 			_, _ = io.ReadFull(peer, make([]byte, 4))
 			_ = peer.Close()
-		}, nil},
-		"half-closed": {0, func(peer *net.TCPConn) { _ = peer.CloseWrite() }, nil},
-		"half-closed, then reset": {0, func(peer *net.TCPConn) {
+		}},
+		"half-closed": {end: func(peer *net.TCPConn) { _ = peer.CloseWrite() }},
+		"half-closed, then reset": {end: func(peer *net.TCPConn) {
 			_ = peer.CloseWrite()
 			time.Sleep(pause)
 			_ = peer.SetLinger(0)
 			_ = peer.Close()
-		}, dhsocket.ErrReset},
-		"reset": {4, func(peer *net.TCPConn) {
+		}, want: dhsocket.ErrReset},
+		"reset": {written: 4, end: func(peer *net.TCPConn) {
 			time.Sleep(pause)
 			_ = peer.SetLinger(0)
 			_ = peer.Close()
-		}, dhsocket.ErrReset},
-		"half-closed before it has received all": {32 << 20, func(peer *net.TCPConn) { _ = peer.CloseWrite() }, dhsocket.ErrUnread},
+		}, want: dhsocket.ErrReset},
+		"half-closed before it has received all": {fill: true, end: func(peer *net.TCPConn) { _ = peer.CloseWrite() }, want: dhsocket.ErrUnread},
 	} {
 		t.Run(name, func(t *testing.T) {
 			listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -49,12 +69,14 @@
 			peer, err := listener.Accept()
 			assert.NilError(t, err)
 			defer func() { _ = peer.Close() }() // it may be closed
-			_ = conn.SetWriteDeadline(time.Now().Add(pause))
-			_, err = conn.Write(make([]byte, c.written))
-			assert.Equal(t, err == nil, c.written < 1<<20, "%v", err)
+			if c.fill {
+				fillBuffers(t, conn)
+			} else {
+				_, err = conn.Write(make([]byte, c.written))
+				assert.NilError(t, err)
+			}
 			c.end(peer.(*net.TCPConn))
 			time.Sleep(pause)
-			_ = conn.SetWriteDeadline(time.Time{})
 			if errors.Is(c.want, dhsocket.ErrReset) {
 				_, _ = conn.Write([]byte("x")) // takes the error of the reset
 			}
