Refuse requests that a stopping VM cannot finish

Cause: a request whose head came before the shutdown was taken whenever its body was whole, and sent although its time for the answer ended after the grace period.

Change: at the start of the shutdown the router learns when answers will be broken off. Requests whose time for the complete answer is longer are refused as not run, so that their callers go to another VM; others are served.

--- a/dh/dhrouter/dhrouter.go
+++ b/dh/dhrouter/dhrouter.go
@@ -273,6 +273,8 @@
 	NewRequestID func() string
 
 	snapshot atomic.Pointer[Snapshot]
+	// stopsAt is when the answers to HTTP requests are broken off, or nil.
+	stopsAt atomic.Pointer[time.Time]
 	// started is the time of the first Publish, firstBackends that of the first
 	// Publish with backend servers.
 	started, firstBackends atomic.Pointer[time.Time]
@@ -291,6 +293,11 @@
 // HTTP request. It must be called before use.
 func (r *Router) SetSessionTimeout(d time.Duration) { r.sessions.retention = d }
 
+// StopAt tells the router when the answers to HTTP requests will be broken off. From now on
+// it refuses those whose time for the complete answer is longer than that. Their callers can
+// go to another VM, which a request that may not be repeated cannot once it was sent.
+func (r *Router) StopAt(end time.Time) { r.stopsAt.Store(&end) }
+
 // Publish sets the snapshot that request goroutines read.
 func (r *Router) Publish(s *Snapshot) {
 	now := r.Timers.Now()
--- a/dh/dhrouter/forward.go
+++ b/dh/dhrouter/forward.go
@@ -185,6 +185,9 @@
 	if m.TimeLeft > 0 {
 		f.limit = min(f.limit, m.TimeLeft)
 	}
+	if end := f.router.stopsAt.Load(); end != nil && f.received.Add(f.limit).After(*end) {
+		return f.withRetryAfter(dhcode.Errorf(dhcode.Leaving, "entry VM %q stops before the request may end", f.router.VM))
+	}
 	f.router.arrivals.add(f.poolName, f.received)
 	f.setParts()
 	if m.AnyModel && len(f.route.Cascade) > 0 {
--- a/dh/dhrouter/forward_test.go
+++ b/dh/dhrouter/forward_test.go
@@ -512,6 +512,22 @@
 	})
 }
 
+// Guards against a request that is taken late in a planned stop, because its body arrives
+// slowly, and is broken off at the end of the grace period after it was sent (review case 4).
+func TestStoppingVMRefusesLongRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestRouter(t, reply(200, text("done")))
+		f.StopAt(f.timers.Now().Add(4 * time.Second))
+		_, begun, err := f.ask(t, "order")
+		assert.Equal(t, dhcode.Of(err), dhcode.Leaving)
+		assert.Equal(t, dhcode.RanOf(err), dhcode.NotRun)
+		assert.Assert(t, !begun && dhcode.RetryAfterOf(err) > 0)
+		assert.Equal(t, len(f.transport.sent), 0)
+		_, _, err = f.ask(t, "order", func(m *Message) { m.TimeLeft = time.Second })
+		assert.NilError(t, err, "it ends before the stop")
+	})
+}
+
 // Guards against requests to a release that the rollout does not allow for the
 // session, or to a zone that is out of service.
 func TestForwardFollowsSnapshot(t *testing.T) {
