Give no lease to an entry VM without tables

Seen by operators: the line "tables confirmed" came with version 0 at the start of an entry VM, before it had any tables.

Change: the lease is renewed only once tables are in force, so that the line says what OPERATIONS.md tells of it. Requests see no difference: without tables they get no-tables as before.

The tests of dhentry, dhrouter and dhwatch pass.

--- a/dh/dhcontrol/dhcontrol.go
+++ b/dh/dhcontrol/dhcontrol.go
@@ -84,11 +84,12 @@
 	Log     *slog.Logger
 	Metrics *dhmetric.Metrics
 
-	group      *dhgroup.Group
-	proposer   *dhquorum.Proposer
-	documents  *dhedit.Documents
-	disk       dhdisk.Disk
-	voter      atomic.Pointer[dhquorum.Voter]
+	group     *dhgroup.Group
+	proposer  *dhquorum.Proposer
+	documents *dhedit.Documents
+	disk      dhdisk.Disk
+	voter     atomic.Pointer[dhquorum.Voter]
+	// firstStart is what the disk tells about the first start of the system, or nil.
 	firstStart atomic.Pointer[firstStart]
 	registry   *dhbackend.Registry
 	entries    *entries
--- a/dh/dhcontrol/voter.go
+++ b/dh/dhcontrol/voter.go
@@ -94,7 +94,7 @@
 // quarantineDamagedFiles renames damaged files, so that the voter restarts with a
 // new identity.
 func (c *Control) quarantineDamagedFiles() {
-	c.firstStart.Store(nil)
+	c.firstStart.Store(nil) // the next voter of this VM may have missed a voter set
 	names, err := c.disk.List()
 	if err != nil {
 		c.Log.Warn("damaged files not listed", slog.String("error", err.Error()))
--- a/dh/dhentry/dhentry.go
+++ b/dh/dhentry/dhentry.go
@@ -300,7 +300,7 @@
 // confirmTables renews the lease of the tables in force if the response names none that are
 // newer. A document that could not be decoded may have revoked keys that they still hold.
 func (e *Entry) confirmTables(u dhwatch.Update) {
-	if u.GetDocument().GetVersion() > e.documentVersion.Load() {
+	if e.tables == nil || u.GetDocument().GetVersion() > e.documentVersion.Load() {
 		return
 	}
 	renewed := e.lease.WithConfirmed(u.ConfirmedAt)
--- a/dh/dhrouter/dhrouter.go
+++ b/dh/dhrouter/dhrouter.go
@@ -164,7 +164,9 @@
 	// Lease is the lease of Tables, for HTTP requests. It is part of the snapshot, so that
 	// no request combines the tables of one snapshot with the lease of a later one. A nil
 	// Lease is always valid.
-	Lease        Lease
+	Lease Lease
+	// LeaseExpired is set if the tables lease may end before the next snapshot, for requests
+	// of the connect interface.
 	LeaseExpired bool
 	Backends     *dhbackend.View
 	// Partial is set until Backends has contained every known backend server.
