--- a/cmd/dandelionhoist-soak/dhsoak/caller.go
+++ b/cmd/dandelionhoist-soak/dhsoak/caller.go
@@ -85,7 +85,7 @@
 			if c.client != nil {
 				c.client.CloseIdleConnections()
 			}
-			c.client = &http.Client{Transport: &http.Transport{DisableCompression: true}}
+			c.client = newCallerClient()
 		}
 		if !c.ask(ctx) {
 			c.entry = nil
@@ -96,6 +96,10 @@
 	}
 }
 
+func newCallerClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{DisableCompression: true}}
+}
+
 // ask sends one request, perhaps again after a refusal, and reports whether the connection is
 // still usable.
 func (c *caller) ask(ctx context.Context) bool {
--- a/cmd/dandelionhoist-soak/dhsoak/revocation.go
+++ b/cmd/dandelionhoist-soak/dhsoak/revocation.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/http"
 	"time"
 
 	"dandelionhoist.example/dh/dhgroup"
@@ -50,7 +49,7 @@
 		for k := range keyCallers {
 			c := &caller{
 				deployment: d, operator: o, entry: v, random: rand.New(rand.NewPCG(d.soak.Seed, keyStream+uint64(i*keyCallers+k))),
-				client: &http.Client{Transport: &http.Transport{DisableCompression: true}},
+				client: newCallerClient(),
 			}
 			callers.Go(func(ctx context.Context) error { return c.sendWith(ctx, key) })
 		}
--- a/dh/dhbackend/dhbackend.go
+++ b/dh/dhbackend/dhbackend.go
@@ -71,8 +71,8 @@
 func (b *Backend) Has(v dhtable.Version) bool { return slices.Contains(b.Versions, v) }
 
 const (
-	// maxNameBytes bounds each name, maxVersions the number of loaded
-	// versions and maxLoad the numbers of requests and slots.
+	// maxNameBytes bounds each name, maxVersions the number of loaded versions and maxLoad
+	// the numbers of requests and slots.
 	maxNameBytes = 256
 	maxVersions  = 256
 	maxLoad      = 1 << 20
@@ -80,11 +80,13 @@
 	maxColdFor = 24 * time.Hour
 )
 
-// CheckName returns an error with the code request-malformed if a name is too long or no
+// CheckNames returns an error with the code request-malformed if a name is too long or no
 // UTF-8. A message with a name that is no UTF-8 cannot be encoded.
-func CheckName(name string) error {
-	if len(name) > maxNameBytes || !utf8.ValidString(name) {
-		return dhcode.Errorf(dhcode.RequestMalformed, "the name %.32q has %d bytes; at most %d are accepted, in UTF-8", name, len(name), maxNameBytes)
+func CheckNames(names ...string) error {
+	for _, name := range names {
+		if len(name) > maxNameBytes || !utf8.ValidString(name) {
+			return dhcode.Errorf(dhcode.RequestMalformed, "the name %.32q has %d bytes; at most %d are accepted, in UTF-8", name, len(name), maxNameBytes)
+		}
 	}
 	return nil
 }
@@ -96,10 +98,8 @@
 	for _, v := range r.GetVersions() {
 		names = append(names, v.GetModel(), v.GetVersion())
 	}
-	for _, name := range names {
-		if err := CheckName(name); err != nil {
-			return dhcode.Wrap(dhcode.RequestMalformed, fmt.Errorf("announcement of %.32q: %w", r.GetId(), err))
-		}
+	if err := CheckNames(names...); err != nil {
+		return dhcode.Wrap(dhcode.RequestMalformed, fmt.Errorf("announcement of %.32q: %w", r.GetId(), err))
 	}
 	for _, n := range []int32{r.GetSlots(), r.GetRunning(), r.GetWaiting(), r.GetSustainableLoad()} {
 		if n < 0 || n > maxLoad {
--- a/dh/dhcontrol/first_start.go
+++ b/dh/dhcontrol/first_start.go
@@ -22,8 +22,8 @@
 	Voters []string `json:"voters"`
 }
 
-// openFirstStart notes the first start on a disk if this VM is to create the first voter set,
-// or reads what an earlier start has noted.
+// openFirstStart notes the first start on an empty disk if this VM is to create the first voter
+// set, or reads at a later start what was noted.
 func (c *Control) openFirstStart(disk dhdisk.Disk) error {
 	if !c.Bootstrap {
 		return c.readFirstStart(disk)
@@ -33,7 +33,7 @@
 		return dhcode.Wrap(dhcode.DiskFailed, err)
 	}
 	if len(names) > 0 {
-		return c.readFirstStart(disk)
+		return nil // a start before this one has been here
 	}
 	text, err := json.Marshal(firstStart{Voters: c.Seeds})
 	if err == nil {
--- a/dh/dhcontrol/operators.go
+++ b/dh/dhcontrol/operators.go
@@ -65,7 +65,7 @@
 // TakeOut takes an availability zone out of service: its backend servers receive
 // no new requests. Code: request-malformed.
 func (c *Control) TakeOut(ctx context.Context, zone string) error {
-	if err := dhbackend.CheckName(zone); err != nil {
+	if err := dhbackend.CheckNames(zone); err != nil {
 		return err
 	}
 	return c.updateOperations(ctx, "zone taken out", zone, func(o *dhpb.Operations) error {
@@ -78,7 +78,7 @@
 
 // TakeBack puts a zone that TakeOut removed back into service. Code: request-malformed.
 func (c *Control) TakeBack(ctx context.Context, zone string) error {
-	if err := dhbackend.CheckName(zone); err != nil {
+	if err := dhbackend.CheckNames(zone); err != nil {
 		return err
 	}
 	return c.updateOperations(ctx, "zone taken back", zone, func(o *dhpb.Operations) error {
@@ -94,10 +94,8 @@
 	if pool == "" || target == "" || duration <= 0 {
 		return dhcode.Errorf(dhcode.RequestMalformed, "a rollout needs a pool, a version and a duration above 0")
 	}
-	for _, name := range []string{pool, target} {
-		if err := dhbackend.CheckName(name); err != nil {
-			return err
-		}
+	if err := dhbackend.CheckNames(pool, target); err != nil {
+		return err
 	}
 	started := c.Timers.Now().UnixMilli()
 	plan := dhversion.NewPlan(c.exposure(), c.entries.rate(pool), duration)
--- a/dh/dhcontrol/registry.go
+++ b/dh/dhcontrol/registry.go
@@ -55,7 +55,7 @@
 // the leave may be forgotten, or if it names no incarnation and this VM does not know all
 // backend servers.
 func (c *Control) Leave(ctx context.Context, id string, incarnation uint64) error {
-	if err := dhbackend.CheckName(id); err != nil {
+	if err := dhbackend.CheckNames(id); err != nil {
 		c.Metrics.Count("leave", "refused")
 		c.Log.Warn("leave refused", slog.String("error", err.Error()))
 		return err
--- a/dh/dhentry/dhentry.go
+++ b/dh/dhentry/dhentry.go
@@ -215,7 +215,7 @@
 // is not leaving.
 func (e *Entry) Ready() bool {
 	s := e.router.Snapshot()
-	return !e.leaving.Load() && s.Tables != nil && s.Lease.Valid()
+	return !e.leaving.Load() && s.Tables != nil && s.LeaseValid()
 }
 
 // Leaving reports whether Leave was called.
@@ -303,7 +303,7 @@
 	if e.tables == nil || u.GetDocument().GetVersion() > e.documentVersion.Load() {
 		return
 	}
-	renewed := e.lease.WithConfirmed(u.ConfirmedAt)
+	renewed := e.lease.WithConfirmed(u.ConfirmedAt())
 	if renewed.Valid() && !e.lease.Valid() {
 		e.Log.Info("tables confirmed", slog.Uint64("version", e.documentVersion.Load()), slog.Duration("age", renewed.Age()),
 			slog.String("from", u.From))
--- a/dh/dhrouter/dhrouter.go
+++ b/dh/dhrouter/dhrouter.go
@@ -182,8 +182,8 @@
 	Rollouts map[string]dhversion.Rollout
 }
 
-// leaseValid reports whether the tables are recent enough to accept API keys.
-func (s *Snapshot) leaseValid() bool { return s.Lease == nil || s.Lease.Valid() }
+// LeaseValid reports whether the tables are recent enough to accept API keys.
+func (s *Snapshot) LeaseValid() bool { return s.Lease == nil || s.Lease.Valid() }
 
 // tablesFresh reports whether the tables are recent enough to deny a request for good.
 func (s *Snapshot) tablesFresh() bool {
--- a/dh/dhrouter/forward.go
+++ b/dh/dhrouter/forward.go
@@ -247,7 +247,7 @@
 // checkLease refuses the request if its key may have been revoked without the
 // knowledge of a snapshot.
 func (f *forward) checkLease(s *Snapshot) error {
-	if s.leaseValid() {
+	if s.LeaseValid() {
 		return nil
 	}
 	return f.leaseLapsed("keys may be out of date")
--- a/dh/dhrouter/forward_start.go
+++ b/dh/dhrouter/forward_start.go
@@ -60,7 +60,7 @@
 	if !ok {
 		return s.tablesFresh()
 	}
-	if !route.Public && !s.leaseValid() {
+	if !route.Public && !s.LeaseValid() {
 		return false
 	}
 	if !hasUsableBackend(s, route.Target(0)) {
--- a/dh/dhwatch/dhwatch.go
+++ b/dh/dhwatch/dhwatch.go
@@ -12,7 +12,7 @@
 //		VM: "edge-1", Zone: "mrc-a", Seeds: seeds, Source: client, Timers: timers, Clock: dhtimer.Boot{},
 //		OnUpdate: func(u dhwatch.Update) {
 //			... // put the document of u in force
-//			lease = lease.WithConfirmed(u.ConfirmedAt)
+//			lease = lease.WithConfirmed(u.ConfirmedAt())
 //			... // publish the document and the lease together
 //		},
 //	}
@@ -106,9 +106,17 @@
 	From string
 	// Sent is when the call was sent, by the clock of the Follower.
 	Sent time.Duration
-	// ConfirmedAt is a time at which the document that the control VM knew was the newest, by
-	// the same clock, or 0 if no majority has confirmed it.
-	ConfirmedAt time.Duration
+}
+
+// ConfirmedAt returns a time at which the state that the control VM knew was the newest, by the
+// clock of the Follower, or 0 if no majority has confirmed it. It is when the call was sent,
+// less the age in the response. The response was sent later, so this is never after the time
+// of the confirmation.
+func (u Update) ConfirmedAt() time.Duration {
+	if !u.GetConfirmed() {
+		return 0
+	}
+	return u.Sent - u.GetConfirmedAge().AsDuration()
 }
 
 // Follower watches control VMs. Set the exported fields before calling Run.
@@ -183,7 +191,7 @@
 		}
 		epoch, position, quarantine = reply.GetEpoch(), reply.GetPosition(), reply.GetQuarantine().GetNumber()
 		f.updateControls(reply)
-		f.OnUpdate(Update{ControlWatchResponse: reply, From: address, Sent: sent, ConfirmedAt: confirmedAt(reply, sent)})
+		f.OnUpdate(Update{ControlWatchResponse: reply, From: address, Sent: sent})
 		if !reply.GetConfirmed() || reply.GetConfirmedAge().AsDuration() > maxConfirmedAge {
 			f.markFailed(address, true, "")
 			_ = dhtimer.Sleep(ctx, f.Timers, retryPause)
@@ -194,16 +202,6 @@
 	return nil
 }
 
-// confirmedAt returns a time at which the state in the response to a call was the newest, or
-// 0 if that is not known. It is the start of the call, less the age in the response. The
-// response was sent later, so this is never after the time of the confirmation.
-func confirmedAt(reply *dhpb.ControlWatchResponse, sent time.Duration) time.Duration {
-	if !reply.GetConfirmed() {
-		return 0
-	}
-	return sent - reply.GetConfirmedAge().AsDuration()
-}
-
 // callWatch makes one watch call.
 func (f *Follower) callWatch(ctx context.Context, address string, epoch, position, quarantine uint64) (*dhpb.ControlWatchResponse, error) {
 	ctx, cancel := dhtimer.WithTimeout(ctx, f.Timers, watchWait+answerTimeout)
