Wait for the cancellation in TestSlowCallerIsReadAhead

The test cancelled the caller and released its blocked write without waiting in between, so that the write could go on and the answer be complete before the cancellation was seen.

--- a/dh/dhrouter/read_ahead_test.go
+++ b/dh/dhrouter/read_ahead_test.go
@@ -107,6 +107,7 @@
 				assert.Assert(t, sent.Load() <= min(held, c.memory)+100<<10, "%d bytes held", sent.Load())
 				if c.ends {
 					leave()
+					synctest.Wait() // the write must not go on before the cancellation is seen
 				}
 				close(caller.released)
 				err := <-ended
