Report tables that have not been confirmed within the apply time

Callers: a request was handled by a configuration that an acknowledged one had replaced. The log of an entry VM did not tell an entry VM that had not heard from one that had heard and did not follow.

TestOldTablesAreReported.

--- a/dh/dhentry/dhentry.go
+++ b/dh/dhentry/dhentry.go
@@ -51,6 +51,8 @@
 	// KeyLease is how long keys may be accepted after a majority has confirmed
 	// the tables.
 	KeyLease time.Duration
+	// ApplyTime is the time within which an acknowledged document must be in force.
+	ApplyTime time.Duration
 	// SessionTimeout is how long a session lasts after its last request.
 	SessionTimeout time.Duration
 	// RetryRatio is the accepted ratio of retries to requests in any RetryWindow,
@@ -208,6 +210,7 @@
 	e.Build(ctx)
 	e.group.Go(e.follower.Run)
 	e.group.Go(e.controlLoop)
+	e.group.Go(e.watchTablesAge)
 	return e.group.Wait()
 }
 
--- a/dh/dhentry/lease_test.go
+++ b/dh/dhentry/lease_test.go
@@ -32,6 +32,9 @@
 // testKeyLease is the lease on keys of a leaseTest.
 const testKeyLease = 4500 * time.Millisecond
 
+// testApplyTime is the time of a leaseTest within which a document must be in force.
+const testApplyTime = 2 * time.Second
+
 // leaseTest is an entry VM with one backend server, and its control VM, which answers a
 // watch when the test says so.
 type leaseTest struct {
@@ -53,7 +56,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		l := &leaseTest{t: t, timers: dhtimer.NewStepped(), responses: make(chan *dhpb.ControlWatchResponse, 1)}
 		l.entry = &Entry{
-			Name: "e0", Zone: "z0", Incarnation: 1, Seeds: []string{"c0"}, KeyLease: testKeyLease, RetryWindow: 10 * time.Second,
+			Name: "e0", Zone: "z0", Incarnation: 1, Seeds: []string{"c0"}, KeyLease: testKeyLease, ApplyTime: testApplyTime, RetryWindow: 10 * time.Second,
 			ColdOvershoot: 1, Decode: l.decode, Source: l, Transport: l, Timers: l.timers, Clock: l,
 			Log: slog.New(slog.DiscardHandler), Metrics: dhmetric.New(4),
 		}
@@ -255,3 +258,18 @@
 		assert.Assert(t, l.entry.Ready())
 	})
 }
+
+// Guards against an entry VM that handles requests by old tables without a line in its log.
+func TestOldTablesAreReported(t *testing.T) {
+	runLeaseTest(t, func(l *leaseTest) {
+		var log strings.Builder
+		l.entry.Log = slog.New(slog.NewTextHandler(&log, nil))
+		l.cut(testApplyTime / 2)
+		assert.Equal(t, log.String(), "")
+		l.cut(testApplyTime)
+		assert.Assert(t, strings.Count(log.String(), `msg="tables too old" version=1`) == 1, "%s", log.String())
+		l.answer(1, "k0 k1")
+		l.cut(testApplyTime / 4)
+		assert.Assert(t, strings.Count(log.String(), `msg="tables recent again" version=1`) == 1, "%s", log.String())
+	})
+}
--- a/dh/dhwatch/dhwatch.go
+++ b/dh/dhwatch/dhwatch.go
@@ -293,6 +293,13 @@
 	return best, changed
 }
 
+// Current returns the address of the control VM that is being watched, or "".
+func (f *Follower) Current() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.current
+}
+
 // movesToOwnZone reports whether to switch from a responsive control VM in
 // another zone to one in the same zone. This is needed after a start, when only
 // the seeds are known, and after a failure that caused a switch to another zone.
