--- a/dh/dhcontrol/cluster_test.go
+++ b/dh/dhcontrol/cluster_test.go
@@ -39,6 +39,8 @@
 	nodes    map[string]*dhfake.Node
 	entries  map[string]*dhentry.Entry
 	seeds    []string
+	// zones holds the zones of VMs that are not in the one that their names tell.
+	zones map[string]string
 	// transport returns the transport of an entry VM; nil gives none. configure changes an
 	// entry VM before it is built, if set.
 	transport func(vm string) dhrouter.Transport
@@ -122,13 +124,16 @@
 // exposure lets a trial use one tenth of the sessions.
 const exposure = 0.2
 
+// zone returns the zone of a VM: that in zones, or z0 for c0 and e0.
+func (c *cluster) zone(name string) string { return cmp.Or(c.zones[name], "z"+name[1:]) }
+
 func (c *cluster) startControl(name string, bootstrap bool) *dhcontrol.Control {
 	if c.disks[name] == nil {
 		c.disks[name] = &dhdisk.Memory{}
 	}
 	disk := c.disks[name]
 	control := &dhcontrol.Control{
-		Name: name, Zone: "z" + name[1:], Address: name, Incarnation: uint64(c.timers.Now().UnixMilli()), Seeds: c.seeds,
+		Name: name, Zone: c.zone(name), Address: name, Incarnation: uint64(c.timers.Now().UnixMilli()), Seeds: c.seeds,
 		Bootstrap: bootstrap, ToleratedFailures: cmp.Or(c.tolerated, 1), BackendLease: 4 * time.Second, AnnouncePeriod: 1200 * time.Millisecond,
 		Exposure: exposure, Decode: decode, OpenDisk: func() (dhdisk.Disk, error) { return disk, nil },
 		Timers: c.timers, Clock: clock{c.timers}, Log: slog.New(slog.DiscardHandler), Metrics: dhmetric.New(4),
@@ -156,7 +161,7 @@
 func (c *cluster) startEntry(name string) *dhentry.Entry {
 	node := c.network.Start(name, nil)
 	entry := &dhentry.Entry{
-		Name: name, Zone: "z" + name[1:], Incarnation: 1, Seeds: c.seeds, KeyLease: 4500 * time.Millisecond, RetryRatio: 0.1,
+		Name: name, Zone: c.zone(name), Incarnation: 1, Seeds: c.seeds, KeyLease: 4500 * time.Millisecond, RetryRatio: 0.1,
 		RetrySlack: 10, RetryWindow: 10 * time.Second, ColdOvershoot: 1, Decode: decode, Source: peers{node}, Timers: c.timers, Clock: clock{c.timers},
 		Log: slog.New(slog.DiscardHandler), Metrics: dhmetric.New(4),
 	}
--- a/dh/dhfake/network.go
+++ b/dh/dhfake/network.go
@@ -40,6 +40,7 @@
 	faults Faults
 	nodes  map[string]*Node
 	side   map[string]int
+	delays map[string]time.Duration
 	counts map[link]uint64
 	sent   int
 }
@@ -102,6 +103,16 @@
 	}
 }
 
+// Delay adds a delay to each message and each answer from and to a node.
+func (n *Network) Delay(name string, d time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.delays == nil {
+		n.delays = make(map[string]time.Duration)
+	}
+	n.delays[name] = d
+}
+
 // Sent returns the number of messages and answers sent so far.
 func (n *Network) Sent() int {
 	n.mu.Lock()
@@ -216,8 +227,8 @@
 		copies++
 	}
 	for i := range copies {
-		d := n.faults.MinDelay
-		if spread := n.faults.MaxDelay - d; spread > 0 {
+		d := n.faults.MinDelay + n.delays[l.from] + n.delays[l.to]
+		if spread := n.faults.MaxDelay - n.faults.MinDelay; spread > 0 {
 			d += time.Duration(random.Int64N(int64(spread)))
 		}
 		n.timers.After(d, func(time.Time) {
