Ask other control VMs while the tables are not confirmed

Callers: a request was handled by a configuration that an acknowledged one had replaced for longer than ConfigApplyMs.

Cause: an entry VM heard of documents through one watch, of one control VM at a time. Each control VM without an answer cost 0.85 s, so that the time grew with the number of silent control VMs of a zone, and an answer that took longer than 0.8 s was never used: over a link with much traffic an entry VM that reaches all control VMs heard of no document at all. Nothing compared the age of the tables with ConfigApplyMs.

Change: once the tables have not been confirmed for half of ConfigApplyMs, the entry VM asks other control VMs for the document and the operations, one after the other and without waiting for answers, which tell their own age. The call is new and cheap, and builds from before answer it with an error. At most eight are without an answer, and after one to each control VM there are two a second, so that control VMs without a majority have time for it.

TestChecksAreBounded: none while the state is confirmed.

--- a/dh/dhcontrol/cluster_test.go
+++ b/dh/dhcontrol/cluster_test.go
@@ -83,6 +83,12 @@
 	return r, err
 }
 
+func (p peers) State(ctx context.Context, address string, m *dhpb.ControlStateRequest) (*dhpb.ControlStateResponse, error) {
+	a, err := p.node.Send(ctx, address, m)
+	r, _ := a.(*dhpb.ControlStateResponse)
+	return r, err
+}
+
 // decode parses a document "version" or "version pool". Any other text is
 // invalid.
 func decode(text []byte) (*dhtable.Tables, error) {
@@ -148,6 +154,8 @@
 			return control.ReadState(ctx, m)
 		case *dhpb.ControlWatchRequest:
 			return control.Watch(ctx, m)
+		case *dhpb.ControlStateRequest:
+			return control.State(m), nil
 		}
 		return nil, fmt.Errorf("message %T", message)
 	})
@@ -161,8 +169,8 @@
 func (c *cluster) startEntry(name string) *dhentry.Entry {
 	node := c.network.Start(name, nil)
 	entry := &dhentry.Entry{
-		Name: name, Zone: c.zone(name), Incarnation: 1, Seeds: c.seeds, KeyLease: 4500 * time.Millisecond, RetryRatio: 0.1,
-		RetrySlack: 10, RetryWindow: 10 * time.Second, ColdOvershoot: 1, Decode: decode, Source: peers{node}, Timers: c.timers, Clock: clock{c.timers},
+		Name: name, Zone: c.zone(name), Incarnation: 1, Seeds: c.seeds, KeyLease: 4500 * time.Millisecond, ApplyTime: applyBound, RetryRatio: 0.1,
+		RetrySlack: 10, RetryWindow: 10 * time.Second, ColdOvershoot: 1, Decode: decode, Source: peers{node}, States: peers{node}, Timers: c.timers, Clock: clock{c.timers},
 		Log: slog.New(slog.DiscardHandler), Metrics: dhmetric.New(4),
 	}
 	if c.configure != nil {
--- a/dh/dhcontrol/service.go
+++ b/dh/dhcontrol/service.go
@@ -43,6 +43,11 @@
 	return a, dhwire.ToTwirp(err)
 }
 
+// State implements dhpb.ControlService.
+func (s controlService) State(_ context.Context, m *dhpb.ControlStateRequest) (*dhpb.ControlStateResponse, error) {
+	return s.control.State(m), nil
+}
+
 // Quarantine implements dhpb.ControlService.
 func (s controlService) Quarantine(_ context.Context, m *dhpb.QuarantineRequest) (*dhpb.QuarantineResponse, error) {
 	if o := m.GetOrder(); o != nil {
--- a/dh/dhcontrol/watch.go
+++ b/dh/dhcontrol/watch.go
@@ -148,10 +148,29 @@
 		return nil, err
 	}
 	a.Controls = c.peers.records(m.GetHeard())
+	state, operations := c.newerState(m, tellsDocument)
+	a.Document, a.Operations, a.Confirmed, a.ConfirmedAge = state.Document, state.Operations, state.Confirmed, state.ConfirmedAge
+	a.Grants = c.grantor.handOut(m)
+	a.TrialSessions = c.trialSessionRows(operations, m)
+	a.Quarantine = c.quarantine.State(m.GetControl() != nil)
+	return a, nil
+}
+
+// held tells the versions of the durable state that a caller holds.
+type held interface {
+	GetDocument() uint64
+	GetOperations() uint64
+}
+
+// newerState returns the durable state that a caller does not hold, and whether a majority
+// has confirmed it. Without tellsDocument the caller gets no document. Operations are those
+// that the response is based on.
+func (c *Control) newerState(m held, tellsDocument bool) (a *dhpb.ControlStateResponse, operations *dhpb.Operations) {
 	// The confirmation is read before the state. A majority read that ends in between
 	// makes the state newer than the confirmation, and never older.
 	age, confirmed := c.confirmedAge()
 	document, operations := c.state()
+	a = &dhpb.ControlStateResponse{ConfirmedAge: durationpb.New(age)}
 	switch newer := document.GetVersion() > m.GetDocument(); {
 	case newer && tellsDocument:
 		a.Document = document
@@ -161,11 +180,14 @@
 	if operations.GetNumber() > m.GetOperations() {
 		a.Operations = operations
 	}
-	a.Grants = c.grantor.handOut(m)
-	a.TrialSessions = c.trialSessionRows(operations, m)
-	a.Quarantine = c.quarantine.State(m.GetControl() != nil)
-	a.Confirmed, a.ConfirmedAge = confirmed, durationpb.New(age)
-	return a, nil
+	a.Confirmed = confirmed
+	return a, operations
+}
+
+// State returns the durable state that an entry VM with tables does not hold.
+func (c *Control) State(m *dhpb.ControlStateRequest) *dhpb.ControlStateResponse {
+	a, _ := c.newerState(m, c.knowsState())
+	return a
 }
 
 // tellsDocument reports whether the caller may get a document. An entry VM serves once it
--- a/dh/dhentry/dhentry.go
+++ b/dh/dhentry/dhentry.go
@@ -76,7 +76,9 @@
 	RelayAddress string
 	SameRegion   func(zone string) bool
 
-	Source    dhwatch.Source
+	Source dhwatch.Source
+	// States is asked while no control VM confirms the tables; nil means never.
+	States    dhwatch.StateSource
 	Transport dhrouter.Transport
 	Timers    dhtimer.Service
 	Clock     dhwatch.Clock
@@ -96,6 +98,7 @@
 	counts     *counts
 	trials     trials
 	updates    chan dhwatch.Update
+	states     chan dhwatch.State
 	leaving    atomic.Bool
 	// entryCount is the number of entry VMs among which bounds are divided.
 	// entryRank is the place of this VM among them.
@@ -116,8 +119,14 @@
 	complete         bool
 	documentVersion  atomic.Uint64
 	operationsNumber atomic.Uint64
+	// confirmedAt is the reading of Clock at which tables were last confirmed, or 0.
+	confirmedAt atomic.Int64
 }
 
+// checkShare is the share of ApplyTime after which other control VMs are asked for tables that
+// have not been confirmed. The rest is for those that do not answer.
+const checkShare = 0.5
+
 const (
 	// loadAge is the assumed age of the loads received from control VMs: they
 	// pass through two watches, each of which adds up to one period.
@@ -166,6 +175,7 @@
 	}
 	e.group = dhgroup.New(ctx)
 	e.updates = make(chan dhwatch.Update, updateQueueSize)
+	e.states = make(chan dhwatch.State, updateQueueSize)
 	e.table = dhbackend.Table{Lease: backendLease, MaxBackends: maxBackends}
 	e.operations = &dhpb.Operations{}
 	e.returnedAt = make(map[string]time.Time)
@@ -192,6 +202,7 @@
 		Report: e.entryReport, OnUpdate: e.enqueue,
 		Versions: func() (uint64, uint64) { return e.documentVersion.Load(), e.operationsNumber.Load() },
 		Grants:   e.shares.Held, WantsRelays: e.paths.WantsRelays,
+		States: e.States, StateAge: e.tablesAge, OnState: e.enqueueState, CheckAfter: time.Duration(checkShare * float64(e.ApplyTime)),
 	}
 	e.publish()
 }
@@ -210,7 +221,12 @@
 	e.Build(ctx)
 	e.group.Go(e.follower.Run)
 	e.group.Go(e.controlLoop)
-	e.group.Go(e.watchTablesAge)
+	if e.ApplyTime > 0 {
+		e.group.Go(e.watchTablesAge)
+		if e.States != nil {
+			e.group.Go(e.follower.RunChecks)
+		}
+	}
 	return e.group.Wait()
 }
 
@@ -246,10 +262,22 @@
 			return nil
 		case u := <-e.updates:
 			e.apply(u)
+		case s := <-e.states:
+			e.applyState(s)
+			e.publish()
 		}
 	}
 }
 
+// enqueueState is enqueue for the response to a check.
+func (e *Entry) enqueueState(s dhwatch.State) {
+	e.Metrics.Count("tables", "checked")
+	select {
+	case e.states <- s:
+	case <-e.group.Context().Done():
+	}
+}
+
 func (e *Entry) apply(u dhwatch.Update) {
 	now := e.Timers.Now()
 	e.quarantine.Update(u.GetQuarantine())
@@ -262,24 +290,29 @@
 		e.entryRank.Store(int64(u.GetEntryRank()))
 		e.entryVMs.observe(now, n)
 	}
-	if o := u.GetOperations(); o.GetNumber() > e.operations.GetNumber() {
+	e.applyState(u.State())
+	e.publish()
+	e.updateAdmission(u)
+}
+
+// applyState applies the durable state that a control VM knows.
+func (e *Entry) applyState(s dhwatch.State) {
+	if o := s.Operations; o.GetNumber() > e.operations.GetNumber() {
 		for _, zone := range e.operations.GetZonesOut() {
 			if !slices.Contains(o.GetZonesOut(), zone) {
-				e.returnedAt[zone] = now
+				e.returnedAt[zone] = e.Timers.Now()
 			}
 		}
 		e.operations = o
 		e.counts.setRollouts(o)
 		e.operationsNumber.Store(o.GetNumber())
 		e.Log.Info("operations in force", slog.Uint64("number", o.GetNumber()), slog.Any("zones-out", o.GetZonesOut()),
-			slog.Int("rollouts", len(o.GetRollouts())), slog.String("from", u.From))
+			slog.Int("rollouts", len(o.GetRollouts())), slog.String("from", s.From))
 	}
-	if d := u.GetDocument(); d.GetVersion() > e.documentVersion.Load() {
-		e.applyDocument(d, u.From)
+	if d := s.Document; d.GetVersion() > e.documentVersion.Load() {
+		e.applyDocument(d, s.From)
 	}
-	e.confirmTables(u)
-	e.publish()
-	e.updateAdmission(u)
+	e.confirmTables(s)
 }
 
 // vmCount returns the number of entry VMs among which bounds are divided.
@@ -302,16 +335,17 @@
 
 // confirmTables renews the lease of the tables in force if the response names none that are
 // newer. A document that could not be decoded may have revoked keys that they still hold.
-func (e *Entry) confirmTables(u dhwatch.Update) {
-	if e.tables == nil || u.GetDocument().GetVersion() > e.documentVersion.Load() {
+func (e *Entry) confirmTables(s dhwatch.State) {
+	if e.tables == nil || s.Document.GetVersion() > e.documentVersion.Load() {
 		return
 	}
-	renewed := e.lease.WithConfirmed(u.ConfirmedAt())
+	renewed := e.lease.WithConfirmed(s.ConfirmedAt)
 	if renewed.Valid() && !e.lease.Valid() {
 		e.Log.Info("tables confirmed", slog.Uint64("version", e.documentVersion.Load()), slog.Duration("age", renewed.Age()),
-			slog.String("from", u.From))
+			slog.String("from", s.From))
 	}
 	e.lease = renewed
+	e.confirmedAt.Store(max(e.confirmedAt.Load(), int64(s.ConfirmedAt)))
 }
 
 func (e *Entry) applyBackends(u dhwatch.Update, now time.Time) {
--- a/dh/dhpb/dhpbconnect/control.connect.go
+++ b/dh/dhpb/dhpbconnect/control.connect.go
@@ -37,6 +37,8 @@
 const (
 	// ControlServiceWatchProcedure is the fully-qualified name of the ControlService's Watch RPC.
 	ControlServiceWatchProcedure = "/dandelionhoist.v1.ControlService/Watch"
+	// ControlServiceStateProcedure is the fully-qualified name of the ControlService's State RPC.
+	ControlServiceStateProcedure = "/dandelionhoist.v1.ControlService/State"
 	// ControlServiceQuarantineProcedure is the fully-qualified name of the ControlService's Quarantine
 	// RPC.
 	ControlServiceQuarantineProcedure = "/dandelionhoist.v1.ControlService/Quarantine"
@@ -47,6 +49,10 @@
 	// Watch returns the changes since the caller's position. It waits for a change
 	// for a bounded time.
 	Watch(context.Context, *dhpb.ControlWatchRequest) (*dhpb.ControlWatchResponse, error)
+	// State returns the document and the operations that the caller does not have, at once. It
+	// is cheap for the control VM: an entry VM calls others than the one that it watches while
+	// its own state is not confirmed.
+	State(context.Context, *dhpb.ControlStateRequest) (*dhpb.ControlStateResponse, error)
 	// Quarantine applies an operator's order about a cause, if there is one, and
 	// returns the verdicts that are remembered.
 	Quarantine(context.Context, *dhpb.QuarantineRequest) (*dhpb.QuarantineResponse, error)
@@ -69,6 +75,12 @@
 			connect.WithSchema(controlServiceMethods.ByName("Watch")),
 			connect.WithClientOptions(opts...),
 		),
+		state: connect.NewClient[dhpb.ControlStateRequest, dhpb.ControlStateResponse](
+			httpClient,
+			baseURL+ControlServiceStateProcedure,
+			connect.WithSchema(controlServiceMethods.ByName("State")),
+			connect.WithClientOptions(opts...),
+		),
 		quarantine: connect.NewClient[dhpb.QuarantineRequest, dhpb.QuarantineResponse](
 			httpClient,
 			baseURL+ControlServiceQuarantineProcedure,
@@ -81,6 +93,7 @@
 // controlServiceClient implements ControlServiceClient.
 type controlServiceClient struct {
 	watch      *connect.Client[dhpb.ControlWatchRequest, dhpb.ControlWatchResponse]
+	state      *connect.Client[dhpb.ControlStateRequest, dhpb.ControlStateResponse]
 	quarantine *connect.Client[dhpb.QuarantineRequest, dhpb.QuarantineResponse]
 }
 
@@ -93,6 +106,15 @@
 	return nil, err
 }
 
+// State calls dandelionhoist.v1.ControlService.State.
+func (c *controlServiceClient) State(ctx context.Context, req *dhpb.ControlStateRequest) (*dhpb.ControlStateResponse, error) {
+	response, err := c.state.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
 // Quarantine calls dandelionhoist.v1.ControlService.Quarantine.
 func (c *controlServiceClient) Quarantine(ctx context.Context, req *dhpb.QuarantineRequest) (*dhpb.QuarantineResponse, error) {
 	response, err := c.quarantine.CallUnary(ctx, connect.NewRequest(req))
@@ -107,6 +129,10 @@
 	// Watch returns the changes since the caller's position. It waits for a change
 	// for a bounded time.
 	Watch(context.Context, *dhpb.ControlWatchRequest) (*dhpb.ControlWatchResponse, error)
+	// State returns the document and the operations that the caller does not have, at once. It
+	// is cheap for the control VM: an entry VM calls others than the one that it watches while
+	// its own state is not confirmed.
+	State(context.Context, *dhpb.ControlStateRequest) (*dhpb.ControlStateResponse, error)
 	// Quarantine applies an operator's order about a cause, if there is one, and
 	// returns the verdicts that are remembered.
 	Quarantine(context.Context, *dhpb.QuarantineRequest) (*dhpb.QuarantineResponse, error)
@@ -125,6 +151,12 @@
 		connect.WithSchema(controlServiceMethods.ByName("Watch")),
 		connect.WithHandlerOptions(opts...),
 	)
+	controlServiceStateHandler := connect.NewUnaryHandlerSimple(
+		ControlServiceStateProcedure,
+		svc.State,
+		connect.WithSchema(controlServiceMethods.ByName("State")),
+		connect.WithHandlerOptions(opts...),
+	)
 	controlServiceQuarantineHandler := connect.NewUnaryHandlerSimple(
 		ControlServiceQuarantineProcedure,
 		svc.Quarantine,
@@ -135,6 +167,8 @@
 		switch r.URL.Path {
 		case ControlServiceWatchProcedure:
 			controlServiceWatchHandler.ServeHTTP(w, r)
+		case ControlServiceStateProcedure:
+			controlServiceStateHandler.ServeHTTP(w, r)
 		case ControlServiceQuarantineProcedure:
 			controlServiceQuarantineHandler.ServeHTTP(w, r)
 		default:
@@ -150,6 +184,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("dandelionhoist.v1.ControlService.Watch is not implemented"))
 }
 
+func (UnimplementedControlServiceHandler) State(context.Context, *dhpb.ControlStateRequest) (*dhpb.ControlStateResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("dandelionhoist.v1.ControlService.State is not implemented"))
+}
+
 func (UnimplementedControlServiceHandler) Quarantine(context.Context, *dhpb.QuarantineRequest) (*dhpb.QuarantineResponse, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("dandelionhoist.v1.ControlService.Quarantine is not implemented"))
 }
--- a/dh/dhpeer/dhpeer.go
+++ b/dh/dhpeer/dhpeer.go
@@ -181,6 +181,12 @@
 	return reply, codedError(err)
 }
 
+// State requests the durable state of a control VM.
+func (c *Client) State(ctx context.Context, address string, m *dhpb.ControlStateRequest) (*dhpb.ControlStateResponse, error) {
+	reply, err := c.peer(address).control.State(ctx, m)
+	return reply, codedError(err)
+}
+
 // FetchRevision fetches a decided revision from another VM.
 func (c *Client) FetchRevision(ctx context.Context, address string, revision uint64) (*dhpb.Revision, error) {
 	reply, err := c.peer(address).FetchRevision(ctx, &dhpb.FetchRevisionRequest{Revision: revision})
--- a/dh/dhwatch/dhwatch.go
+++ b/dh/dhwatch/dhwatch.go
@@ -3,7 +3,9 @@
 // A Follower watches one control VM at a time with long-polling calls. It
 // switches to another one if the current one does not answer or has not
 // completed a majority read for some time. It passes each response to its
-// OnUpdate callback and does not interpret the state itself.
+// OnUpdate callback and does not interpret the state itself. While the state of the entry VM
+// has not been confirmed for some time, RunChecks also asks the other control VMs for what is
+// durable: a document must be in force in time at each VM that reaches a control VM.
 //
 // # Usage
 //
@@ -17,6 +19,7 @@
 //		},
 //	}
 //	group.Go(follower.Run)
+//	group.Go(follower.RunChecks) // with States, StateAge, CheckAfter and OnState
 package dhwatch
 
 import (
@@ -142,6 +145,13 @@
 	WantsRelays func() bool
 	// OnUpdate is called with each response, on the goroutine of Run.
 	OnUpdate func(u Update)
+	// RunChecks asks States while StateAge, the time since the state of this VM was last
+	// confirmed, is more than CheckAfter, and calls OnState with each response, on goroutines
+	// of its own.
+	States     StateSource
+	StateAge   func() time.Duration
+	CheckAfter time.Duration
+	OnState    func(s State)
 
 	mu       sync.Mutex
 	controls map[string]*control
@@ -163,6 +173,9 @@
 	seed    bool
 	weight  uint64
 	replies int
+	// checking is set while a check has no answer, checkedAt is when the last one began.
+	checking  bool
+	checkedAt time.Time
 }
 
 // Run watches until ctx ends.
--- a/dh/dhwatch/dhwatch_test.go
+++ b/dh/dhwatch/dhwatch_test.go
@@ -31,6 +31,18 @@
 	controls []*dhpb.ControlRecord
 	// calls and views count the calls and the full views by control VM.
 	calls, views map[string]int
+	// stateAge is how old the state of the entry VM is, checks counts the calls of State.
+	stateAge time.Duration
+	checks   map[string]int
+}
+
+func (s *source) State(ctx context.Context, address string, _ *dhpb.ControlStateRequest) (*dhpb.ControlStateResponse, error) {
+	s.checks[address]++
+	if s.silent[address] {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return &dhpb.ControlStateResponse{Confirmed: true, ConfirmedAge: durationpb.New(s.age)}, nil
 }
 
 func (s *source) Watch(ctx context.Context, address string, m *dhpb.ControlWatchRequest) (*dhpb.ControlWatchResponse, error) {
@@ -60,16 +72,18 @@
 	var s *source
 	synctest.Test(t, func(t *testing.T) {
 		timers := dhtimer.NewStepped()
-		s = &source{timers: timers, silent: map[string]bool{}, calls: map[string]int{}, views: map[string]int{}}
+		s = &source{timers: timers, silent: map[string]bool{}, calls: map[string]int{}, views: map[string]int{}, checks: map[string]int{}}
 		change(s)
 		follower := &dhwatch.Follower{
 			VM: "e0", Incarnation: 1, Zone: "z0", Seeds: []string{"c0", "c1", "c2"}, Source: s, Timers: timers,
 			Log: slog.New(slog.DiscardHandler), Clock: clock{timers},
 			Report:   func() *dhpb.EntryReport { return nil },
-			Versions: func() (uint64, uint64) { return 0, 0 }, OnUpdate: func(dhwatch.Update) {},
+			Versions: func() (uint64, uint64) { return 1, 0 }, OnUpdate: func(dhwatch.Update) {},
+			States: s, StateAge: func() time.Duration { return s.stateAge }, CheckAfter: time.Second, OnState: func(dhwatch.State) {},
 		}
 		group := dhgroup.New(t.Context())
 		group.Go(follower.Run)
+		group.Go(follower.RunChecks)
 		end := timers.Now().Add(d)
 		dhfake.Drive(timers, d, func() bool { return !timers.Now().Before(end) })
 		group.Stop()
@@ -123,3 +137,15 @@
 	s = runFollower(t, 20*time.Second, func(s *source) { s.controls = controls })
 	assert.Equal(t, s.calls["c3"], 0)
 }
+
+// Guards against checks on a calm day, and against so many of them while no control VM
+// confirms the state, as when the majority is lost, that these have no time for it.
+func TestChecksAreBounded(t *testing.T) {
+	s := runFollower(t, 10*time.Second, func(s *source) { s.stateAge = time.Second })
+	assert.Equal(t, len(s.checks), 0, "%v", s.checks)
+
+	s = runFollower(t, 10*time.Second, func(s *source) { s.stateAge, s.silent["c1"] = time.Minute, true })
+	total := s.checks["c0"] + s.checks["c1"] + s.checks["c2"]
+	assert.Assert(t, total >= 3 && total <= 24, "%v", s.checks)
+	assert.Assert(t, s.checks["c1"] <= 6, "one without an answer is asked again after the time-out: %v", s.checks)
+}
