Judge configurations beside faults of control VMs in the soak

The soak judged by which configuration a request is handled only after the storm, once no control VM had a fault for 3 s. A VM that handled requests by an old configuration beside such faults was never seen.

A request to an entry VM without a fault is now judged by the configurations that were acknowledged at least 7 s before, as the platform allows, while most control VMs have had none since. Reads were judged at any time already. Two rows of TestCheckerDetectsViolations, TestApplyBoundBesideFaults.

--- a/cmd/dandelionhoist-soak/dhsoak/checker.go
+++ b/cmd/dandelionhoist-soak/dhsoak/checker.go
@@ -15,6 +15,8 @@
 // servers observe. It is safe for concurrent use.
 type Checker struct {
 	Timers dhtimer.Service
+	// Controls are the names of the control VMs.
+	Controls []string
 
 	mu         sync.Mutex
 	requests   map[string]*request
@@ -242,7 +244,7 @@
 	if !j.allowedByAny(r.sentAt.Add(-keyBound), func(c sentConfiguration) bool { return slices.Contains(c.keys, r.key) }) {
 		j.addViolation("revoked", "request %s, sent at %s, runs on %s with key %s of no configuration in force", r.id, r.entry, s.backend, r.key)
 	}
-	if j.boundsApply(r.entry, r.sentAt) && !j.allowedByAny(r.sentAt.Add(-applyBound), func(c sentConfiguration) bool { return slices.Contains(c.routes, r.route.name) }) {
+	if bound, ok := j.applyBoundAt(r.entry, r.sentAt); ok && !j.allowedByAny(r.sentAt.Add(-bound), func(c sentConfiguration) bool { return slices.Contains(c.routes, r.route.name) }) {
 		j.addViolation("config", "request %s runs on route %s, which is no longer there", r.id, r.route.name)
 	}
 }
@@ -424,7 +426,7 @@
 	case o.status == http.StatusUnauthorized || o.status == http.StatusNotFound || o.status == http.StatusForbidden:
 		if r.route.always && r.key == keyAlways {
 			j.addViolation("denied", "request %s with a key and a route of all configurations gets %d from %s", r.id, o.status, r.entry)
-		} else if j.boundsApply(r.entry, r.sentAt) && j.allowedByAll(r) {
+		} else if bound, ok := j.applyBoundAt(r.entry, r.sentAt); ok && j.allowedByAll(r, bound) {
 			j.addViolation("config", "request %s on route %s with key %s of all configurations in force gets %d", r.id, r.route.name, r.key, o.status)
 		}
 	}
@@ -432,9 +434,9 @@
 }
 
 // allowedByAll reports whether every configuration that may be in force allows
-// a request.
-func (j *Checker) allowedByAll(r *request) bool {
-	newest := j.newest(r.sentAt.Add(-applyBound))
+// a request, given the time until an acknowledged one is in force.
+func (j *Checker) allowedByAll(r *request, bound time.Duration) bool {
+	newest := j.newest(r.sentAt.Add(-bound))
 	for version, c := range j.sent {
 		if c.valid && version >= newest && (!slices.Contains(c.keys, r.key) || !slices.Contains(c.routes, r.route.name)) {
 			return false
@@ -573,6 +575,24 @@
 	return j.settled(now) && !j.disturbed(vm, from, now) && !j.disturbed(stopping(vm), from, now)
 }
 
+// applyBoundAt returns the time until an acknowledged configuration is in force at a VM, and
+// whether there is one: beside faults of control VMs, it is longer, and most of them must have
+// had none since.
+func (j *Checker) applyBoundAt(vm string, now time.Time) (time.Duration, bool) {
+	if j.boundsApply(vm, now) {
+		return applyBound, true
+	}
+	const bound = applyBound + outerBound
+	from := now.Add(-bound)
+	sound := 0
+	for _, name := range j.Controls {
+		if !j.disturbed(name, from, now) && !j.disturbed(stopping(name), from, now) {
+			sound++
+		}
+	}
+	return bound, 2*sound > len(j.Controls) && !j.disturbed(vm, from, now) && !j.disturbed(stopping(vm), from, now)
+}
+
 // startCalm begins the calm phase.
 func (j *Checker) startCalm() {
 	defer j.lock()()
--- a/cmd/dandelionhoist-soak/dhsoak/checker_test.go
+++ b/cmd/dandelionhoist-soak/dhsoak/checker_test.go
@@ -21,7 +21,7 @@
 
 func newHarness() harness {
 	timers := dhtimer.NewStepped()
-	return harness{&Checker{Timers: timers}, timers}
+	return harness{&Checker{Timers: timers, Controls: []string{controlName(0), controlName(1), controlName(2)}}, timers}
 }
 
 // configuration sends a configuration and acknowledges it.
@@ -34,6 +34,18 @@
 	h.ConfigurationAcknowledged(version, "control-0", http.StatusOK)
 }
 
+// configurationWithout sends configuration 2 without a route and acknowledges it.
+func (h harness) configurationWithout(route int) {
+	c := sentConfiguration{text: "text", keys: []string{keyAlways}, valid: true}
+	for i, r := range routes {
+		if i != route {
+			c.routes = append(c.routes, r.name)
+		}
+	}
+	h.ConfigurationSent(2, c)
+	h.ConfigurationAcknowledged(2, "control-0", http.StatusOK)
+}
+
 // ask sends a request on a route.
 func (h harness) ask(route int, key string) *request {
 	r := &request{id: "r-1", method: http.MethodPost, path: "/p", body: 7, route: routes[route], key: key, entry: "entry-0"}
@@ -229,11 +241,22 @@
 		}},
 		"removed route runs": {"config", func(h harness) {
 			h.settle()
-			h.ConfigurationSent(2, sentConfiguration{text: "text", keys: []string{keyAlways}, routes: []string{"look"}, valid: true})
-			h.ConfigurationAcknowledged(2, "control-0", http.StatusOK)
+			h.configurationWithout(order)
 			h.timers.Step(applyBound + time.Millisecond)
 			h.arrive(h.ask(order, keyAlways), "b", nil)
 		}},
+		"removed route runs beside a fault of a control VM": {"config", func(h harness) {
+			defer h.Disturb("control-1", controlPlane)()
+			h.configurationWithout(order)
+			h.timers.Step(applyBound + outerBound + time.Millisecond)
+			h.arrive(h.ask(order, keyAlways), "b", nil)
+		}},
+		"new key refused beside a fault of a control VM": {"config", func(h harness) {
+			defer h.Disturb("control-1", controlPlane)()
+			h.configuration(2, "key-2")
+			h.timers.Step(applyBound + outerBound + time.Millisecond)
+			h.Answered(h.ask(order, "key-2"), outcome{status: http.StatusUnauthorized})
+		}},
 		"invalid configuration acknowledged": {"config", func(h harness) {
 			h.ConfigurationSent(2, sentConfiguration{})
 			h.ConfigurationAcknowledged(2, "control-0", http.StatusOK)
@@ -444,6 +467,32 @@
 	assert.Equal(t, report.CalmServed, 1)
 }
 
+// Guards against false positives of the bound beside faults of control VMs: it holds for VMs
+// without a fault, while most control VMs have had none since the acknowledgement.
+func TestApplyBoundBesideFaults(t *testing.T) {
+	for name, c := range map[string]struct {
+		disturbed []string
+		after     time.Duration
+	}{
+		"most control VMs":    {[]string{controlName(1), controlName(2), controlPlane}, applyBound + outerBound},
+		"the entry VM":        {[]string{"entry-0"}, applyBound + outerBound},
+		"the entry VM stops":  {[]string{stopping("entry-0")}, applyBound + outerBound},
+		"within the bound":    {[]string{controlName(1), controlPlane}, applyBound + outerBound - 2*time.Millisecond},
+		"several, in between": {[]string{controlName(0), stopping(controlName(1))}, applyBound + outerBound},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness()
+			h.configuration(1)
+			h.configurationWithout(order)
+			h.timers.Step(time.Millisecond)
+			h.Disturb(c.disturbed...)()
+			h.timers.Step(c.after)
+			h.arrive(h.ask(order, keyAlways), "b", nil)
+			assert.DeepEqual(t, h.violations, []string(nil))
+		})
+	}
+}
+
 // Guards against faults that differ between two runs of a seed, wipe two disks, or
 // last longer than the storm.
 func TestFaultsOfSeed(t *testing.T) {
--- a/cmd/dandelionhoist-soak/dhsoak/deployment.go
+++ b/cmd/dandelionhoist-soak/dhsoak/deployment.go
@@ -90,7 +90,7 @@
 func (d *deployment) start() error {
 	d.ready = make(map[*vm]bool)
 	for i := range d.size.Controls + d.size.Entries {
-		v := &vm{deployment: d, old: d.soak.OldProgram != "", role: roleControl, name: fmt.Sprintf("control-%d", i), publicIP: d.ip(0, i), privateIP: d.ip(1, i)}
+		v := &vm{deployment: d, old: d.soak.OldProgram != "", role: roleControl, name: controlName(i), publicIP: d.ip(0, i), privateIP: d.ip(1, i)}
 		if i >= d.size.Controls {
 			v.role, v.name = roleEntry, fmt.Sprintf("entry-%d", i-d.size.Controls)
 			d.entries = append(d.entries, v)
@@ -350,6 +350,9 @@
 	}
 }
 
+// controlName returns the name of a control VM by its number.
+func controlName(i int) string { return fmt.Sprintf("control-%d", i) }
+
 // disturbedBy returns the names that faults on VMs disturb: the VMs themselves,
 // and controlPlane if one of them is a control VM.
 func disturbedBy(list []*vm) []string {
--- a/cmd/dandelionhoist-soak/dhsoak/dhsoak.go
+++ b/cmd/dandelionhoist-soak/dhsoak/dhsoak.go
@@ -47,6 +47,8 @@
 	settleTime = 3 * time.Second
 	// applyBound is the time until an acknowledged configuration is in force.
 	applyBound = 2 * time.Second
+	// outerBound is added to it beside faults of control VMs.
+	outerBound = 5 * time.Second
 	// evacuateBound is the time from the acknowledgement of a zone's evacuation until
 	// the zone gets no more requests.
 	evacuateBound = 3 * time.Second
@@ -178,6 +180,9 @@
 		faults = append(faults, generateExchanges(rand.New(rand.NewPCG(s.Seed, exchangeStream)), size, s.Storm)...)
 	}
 	checker := &Checker{Timers: s.Timers}
+	for i := range size.Controls {
+		checker.Controls = append(checker.Controls, controlName(i))
+	}
 	group := dhgroup.New(ctx)
 	d := &deployment{soak: s, size: size, checker: checker, group: group, network: newNetwork(s.Timers, group)}
 	report := Report{Seed: s.Seed, Size: size}
