Bound the bytes of clients that have not been read

Callers: a process ended because it ran out of memory. Bytes that have arrived and are not read count as its memory, and how many wait on one connection was the kernel's choice, up to 33 MB here. The gate counts what it has read.

Cause: a process under pressure decides not to read, and the bytes stay in its sockets. With 600 connections nothing bounded their sum, neither for callers and other VMs nor for answers of backend servers that a slow caller leaves unread.

Change: listeners let 8 KiB of each connection wait, before it is accepted as well. A connection gets 64 KiB when it is accepted, and 256 KiB with a larger body, while all fit in a fifth of the VM's memory; what it got it keeps until it ends, as its peer may fill it at any time. Connections to backend servers share a tenth. Reading and dropping in place of this costs processor time without bound, and fewer connections would refuse callers.

Evidence: TestCrowds counts RssAnon and unread bytes together now, with eight crowds more. Also TestUnreadBytesAreBoundedInSum and TestUnreadBytesAreBounded. A body of 4 MiB at a delay of 40 ms was not measured: 256 KiB a round trip make about 0.7 s.

--- a/cmd/dandelionhoistd/crowd_test.go
+++ b/cmd/dandelionhoistd/crowd_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -46,6 +47,8 @@
 	head, piece string
 	pieces      int
 	pause       time.Duration
+	// last is sent after the pieces.
+	last string
 	// also are others that send to the same address at the same time.
 	also []crowd
 }
@@ -67,13 +70,18 @@
 	withLength := fmt.Sprintf("POST /look/1%sContent-Length: %d\r\n\r\n", crowdHead, crowdBodyBytes)
 	chunked := "POST /look/1" + crowdHead + "Transfer-Encoding: chunked\r\n\r\n"
 	piece := strings.Repeat("x", 16<<10)
+	body := strings.Repeat("x", crowdBodyBytes-1)
 	short := shortLines(crowdHeadBytes - 200)
 	tunnel := fmt.Sprint("CONNECT 10.0.0.1:80 HTTP/1.1\r\nHost: a\r\n")
 	replace := "POST /dandelionhoist/Config.Replace" + crowdHead + fmt.Sprintf("Content-Length: %d\r\n\r\n", crowdBodyBytes)
 	accept := "POST /twirp/dandelionhoist.v1.PeerService/Accept" + crowdHead + "Content-Type: application/protobuf\r\n"
 	return map[string]crowd{
-		"bodies, whole":              {port: portFront, connections: 120, head: withLength + strings.Repeat("x", crowdBodyBytes-1)},
+		"bodies, whole":              {port: portFront, connections: 120, head: withLength + body},
 		"bodies, in pieces":          {port: portFront, connections: 120, head: withLength, piece: piece, pieces: 255, pause: 2 * time.Millisecond},
+		"bodies, whole, 200":         {port: portFront, connections: 200, head: withLength + body},
+		"bodies, whole, 600":         {port: portFront, connections: 600, head: withLength + body},
+		"bodies, large pieces, 600":  {port: portFront, connections: 600, head: withLength, piece: strings.Repeat("x", 64<<10), pieces: 63, pause: 40 * time.Millisecond},
+		"bodies, slow, then at once": {port: portFront, connections: 600, head: withLength, piece: piece, pieces: 12, pause: 200 * time.Millisecond, last: body[12*len(piece):]},
 		"bodies, announced":          {port: portFront, connections: 120, head: withLength + "x"},
 		"bodies, large chunks":       {port: portFront, connections: 120, head: chunked, piece: "10000\r\n" + strings.Repeat("x", 64<<10) + "\r\n", pieces: 63},
 		"bodies, small chunks":       {port: portFront, connections: 120, head: chunked, piece: strings.Repeat("1\r\nx\r\n", 4096), pieces: 1000},
@@ -91,13 +99,15 @@
 		"empty lines after a body":   {port: portFront, connections: 120, head: "POST /look/1" + crowdHead + "Content-Length: 1\r\n\r\nx", piece: strings.Repeat("\r\n", 1000), pieces: -1},
 		"target":                     {port: portFront, connections: 120, head: "GET /look/", piece: piece, pieces: -1},
 		"requests, pipelined":        {port: portFront, connections: 60, piece: strings.Repeat("GET /look/1"+crowdHead+"\r\n", 20), pieces: -1},
+		"requests, pipelined, 600":   {port: portFront, connections: 600, piece: strings.Repeat("GET /look/1"+crowdHead+"\r\n", 20), pieces: -1},
+		"answers, unread":            {port: portFront, connections: 600, head: "GET /look" + largeAnswerPath + crowdHead + "\r\n"},
 		"requests, unknown":          {port: portFront, connections: 60, piece: strings.Repeat("GET /nothing/1"+crowdHead+shortLines(4000)+"\r\n", 4), pieces: -1},
 		"trailers":                   {port: portFront, connections: 120, head: chunked + "1\r\nx\r\n0\r\n" + shortLines(3900)},
 		"chunk extensions":           {port: portFront, connections: 120, head: chunked, piece: "1;" + strings.Repeat("x", 1000) + "\r\nx\r\n", pieces: -1},
 		"connections, silent":        {port: portFront, connections: 1100},
 		"connections, a byte":        {port: portFront, connections: 1100, head: "G"},
 		"connections, idle":          {port: portFront, connections: 1100, head: "GET /look/1" + crowdHead + "\r\n"},
-		"bodies, heads, idle": {port: portFront, connections: 60, head: withLength + strings.Repeat("x", crowdBodyBytes-1), also: []crowd{
+		"bodies, heads, idle": {port: portFront, connections: 60, head: withLength + body, also: []crowd{
 			{connections: 60, head: "POST /look/1" + crowdHead + short + "Content-Length: 1000\r\n\r\n"},
 			{connections: 60, head: "GET /look/1" + crowdHead + short},
 			{connections: 300, head: "GET /look/1" + crowdHead + "\r\n"},
@@ -105,10 +115,12 @@
 		"ready, silent":             {port: portReady, connections: 1100},
 		"ready, short header lines": {port: portReady, connections: 120, head: "GET /dandelionhoist/readyz HTTP/1.1\r\nHost: a\r\n" + short},
 		"relay, short header lines": {port: portInternal + 1, connections: 120, head: tunnel + short},
-		"control, bodies":           {port: portControl, control: true, connections: 120, head: replace + strings.Repeat("x", crowdBodyBytes-1)},
+		"control, bodies":           {port: portControl, control: true, connections: 120, head: replace + body},
+		"control, bodies, 600":      {port: portControl, control: true, connections: 600, head: replace + body},
+		"internal, bodies, 600":     {port: portInternal, control: true, connections: 600, head: accept + fmt.Sprintf("Content-Length: %d\r\n\r\n", crowdBodyBytes) + body},
 		"control, header lines":     {port: portControl, control: true, connections: 120, head: "GET /dandelionhoist/Config.Read HTTP/1.1\r\nHost: a\r\n" + short},
 		"control, silent":           {port: portControl, control: true, connections: 1100},
-		"internal, bodies":          {port: portInternal, control: true, connections: 120, head: accept + fmt.Sprintf("Content-Length: %d\r\n\r\n", crowdBodyBytes) + strings.Repeat("x", crowdBodyBytes-1)},
+		"internal, bodies":          {port: portInternal, control: true, connections: 120, head: accept + fmt.Sprintf("Content-Length: %d\r\n\r\n", crowdBodyBytes) + body},
 		"internal, header lines":    {port: portInternal, control: true, connections: 120, head: accept + short},
 	}
 }
@@ -151,6 +163,9 @@
 	if c.pieces < 0 {
 		return
 	}
+	if _, err := io.WriteString(conn, c.last); err != nil {
+		return // as above
+	}
 	one := make([]byte, 1)
 	for { // until the VM closes it, which a client that does not read never learns
 		if dhtimer.Sleep(ctx, timers, 100*time.Millisecond) != nil {
@@ -202,21 +217,64 @@
 	return response.StatusCode
 }
 
+// unreadBytes returns the bytes that have arrived on TCP connections of a process and have not
+// been read, as well as those on connections to its address that it has not accepted yet.
+func unreadBytes(p *platformProcess) (sum int64, err error) {
+	own := make(map[string]bool)
+	folder := fmt.Sprintf("/proc/%d/fd", p.command.Process.Pid)
+	open, err := os.ReadDir(folder)
+	if err != nil {
+		return 0, err
+	}
+	for _, file := range open {
+		if target, err := os.Readlink(filepath.Join(folder, file.Name())); err == nil { // else it was closed meanwhile
+			own[strings.TrimSuffix(strings.TrimPrefix(target, "socket:["), "]")] = true
+		}
+	}
+	ip := net.ParseIP(p.ip).To4()
+	address := fmt.Sprintf("%02X%02X%02X%02X:", ip[3], ip[2], ip[1], ip[0]) // as on machines with little endian
+	text, err := os.ReadFile("/proc/net/tcp")
+	if err != nil {
+		return 0, err
+	}
+	const local, state, queues, inode, established, closeWait = 1, 3, 4, 9, "01", "08"
+	for line := range strings.Lines(string(text)) {
+		row := strings.Fields(line)
+		if len(row) <= inode || row[state] != established && row[state] != closeWait {
+			continue
+		}
+		if own[row[inode]] || row[inode] == "0" && strings.HasPrefix(row[local], address) {
+			_, unread, _ := strings.Cut(row[queues], ":")
+			n, err := strconv.ParseInt(unread, 16, 64)
+			if err != nil {
+				return 0, err
+			}
+			sum += n
+		}
+	}
+	return sum, nil
+}
+
 // watchUse fails a group if a process ends, or uses more memory or descriptors than its
-// limits, and returns the most memory that was seen.
+// limits, and returns the most memory that was seen. Bytes that have arrived and have not been
+// read are memory of the process.
 func (f *fleet) watchUse(group *dhgroup.Group, p *platformProcess) *atomic.Int64 {
 	most := new(atomic.Int64)
 	pid := p.command.Process.Pid
 	group.Go(func(ctx context.Context) error {
 		for ctx.Err() == nil {
+			unread, err := unreadBytes(p)
 			select {
 			case <-p.exited:
 				return fmt.Errorf("the %s VM ended: %w\n%s", p.role, p.exit, p.logText())
 			default:
 			}
-			if n := residentBytes(f.t, pid); n > most.Load() {
+			if err != nil {
+				return err
+			}
+			if n := residentBytes(f.t, pid) + unread; n > most.Load() {
 				if most.Store(n); n >= memoryMb<<20 {
-					return fmt.Errorf("the %s VM uses %d MB, its limit is %d MB", p.role, n>>20, memoryMb)
+					return fmt.Errorf("the %s VM uses %d MB, %d MB of them unread, its limit is %d MB", p.role, n>>20, unread>>20, memoryMb)
 				}
 			}
 			open, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
@@ -263,7 +321,9 @@
 							watching.Stop()
 							assert.NilError(t, watching.Wait(), "before: %s", what)
 						}
-						t.Fatalf("not within %s: %s; at most %d MB", crowdPatience, what, most.Load()>>20)
+						const tail = 4000
+						log := f.entries[0].logText()
+						t.Fatalf("not within %s: %s; at most %d MB; end of the log of the entry VM:\n%s", crowdPatience, what, most.Load()>>20, log[max(0, len(log)-tail):])
 					}
 				}
 			}
--- a/cmd/dandelionhoistd/platform_test.go
+++ b/cmd/dandelionhoistd/platform_test.go
@@ -308,6 +308,14 @@
 	}
 	w.Header().Set("Attempt-Id", id)
 	w.Header().Set("Server-Seal", "seal-of-"+r.id)
+	if strings.HasSuffix(request.URL.Path, largeAnswerPath) {
+		for range largeAnswerBytes / len(largeAnswerPart) {
+			if _, err := w.Write(largeAnswerPart); err != nil {
+				return // the entry VM has closed the connection
+			}
+		}
+		return
+	}
 	if r.service != "llm" {
 		_, _ = fmt.Fprintf(w, "%s for %s", r.id, request.Header.Get("Tenant"))
 		return
@@ -326,6 +334,14 @@
 	}
 }
 
+// largeAnswerPath ends the paths that replicas answer with largeAnswerBytes bytes, in parts.
+const (
+	largeAnswerPath  = "/large"
+	largeAnswerBytes = 8 << 20
+)
+
+var largeAnswerPart = bytes.Repeat([]byte{'x'}, 64<<10)
+
 // reply is the response that a client received.
 type reply struct {
 	status int
--- a/dh/dhintake/connection.go
+++ b/dh/dhintake/connection.go
@@ -12,6 +12,7 @@
 
 	"dandelionhoist.example/dh/dhcode"
 	"dandelionhoist.example/dh/dhlimit"
+	"dandelionhoist.example/dh/dhsocket"
 	"dandelionhoist.example/dh/dhtimer"
 )
 
@@ -81,7 +82,9 @@
 	mu         sync.Mutex
 	headHeld   int64
 	bodyHeld   int64
+	unreadHeld int64 // beyond minUnreadBytes
 	noMoreHeld bool
+	closed     bool
 
 	// Only ticks use these: the bytes received at the last tick and at the begin of a period
 	// of progressTicks, and the ticks of that period.
@@ -90,8 +93,9 @@
 
 	// Only the reader uses these: net/http reads a connection from one goroutine at a time.
 	// pending holds bytes of later requests, finished the memory of the head of the present
-	// one when the next has begun.
+	// one when the next has begun. widened is set once a large body has asked for room.
 	framing  framing
+	widened  bool
 	pending  []byte
 	finished int64
 }
@@ -116,6 +120,10 @@
 		}
 		return n, err
 	}
+	if phase(c.phase.Load()) == phaseBody && c.received.Load() >= ordinaryUnreadBytes && !c.widened {
+		c.widened = true
+		c.widen(bodyUnreadBytes, bodyUnreadBound)
+	}
 	before := c.framing.payload
 	used, done := c.framing.take(p[:n])
 	c.received.Add(c.framing.payload - before)
@@ -213,6 +221,23 @@
 	}
 }
 
+// widen lets total bytes wait to be read, if the memory for unread bytes is used up to a share
+// at most. What a connection has got it keeps until it is closed: its peer may fill it at any
+// time.
+func (c *Conn) widen(total int64, share float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m, more := &c.gate.unread, total-minUnreadBytes-c.unreadHeld
+	if c.closed || more <= 0 || !m.ReserveBelow(more, int64(float64(m.Max)*share)) {
+		return
+	}
+	if err := dhsocket.SetMaxUnread(c.Conn, int(total)); err != nil {
+		m.Release(more)
+		return // the connection has ended, or has as much room as before
+	}
+	c.unreadHeld += more
+}
+
 func (c *Conn) setPhase(p phase) {
 	if phase(c.phase.Load()) != phaseRaw {
 		c.since.Store(c.gate.Timers.Now().UnixNano())
@@ -414,8 +439,11 @@
 	c.gate.mu.Lock()
 	c.gate.remove(c)
 	c.gate.mu.Unlock()
+	err := c.Conn.Close()
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.releaseAll()
-	c.mu.Unlock()
-	return c.Conn.Close()
+	c.gate.unread.Release(c.unreadHeld)
+	c.unreadHeld, c.closed = 0, true
+	return err
 }
--- a/dh/dhintake/dhintake.go
+++ b/dh/dhintake/dhintake.go
@@ -5,6 +5,10 @@
 // the bytes and lines of header sections, bounds the memory that these and the bodies may use
 // together, bounds the number of connections, and drops requests that make no progress.
 //
+// Bytes that have arrived and are not read are memory of the process too. The Gate bounds them
+// for each connection, and for all together: connections are accepted with room for few bytes,
+// and get more while there is enough for all.
+//
 // When a bound is reached, what has made the least progress for its age is dropped: the
 // request that needs more, or another one that is not complete. A complete request is never
 // dropped. A request that is dropped gets status 503 if an answer can be written.
@@ -16,7 +20,8 @@
 //	group.Go(gate.Run)
 //	server := &http.Server{Handler: handler}
 //	gate.Attach(server)
-//	server.Serve(gate.Listener(listener, maxConnections))
+//	listener, err := gate.Listen(ctx, address, maxConnections)
+//	server.Serve(listener)
 //
 // and in the handler:
 //
@@ -36,6 +41,7 @@
 
 	"dandelionhoist.example/dh/dhlimit"
 	"dandelionhoist.example/dh/dhmetric"
+	"dandelionhoist.example/dh/dhsocket"
 	"dandelionhoist.example/dh/dhtimer"
 )
 
@@ -46,6 +52,10 @@
 	bodyShare       = 0.32
 	headShare       = 0.08
 	connectionShare = 0.12
+	// unreadShare is the share of the memory limit for bytes of clients that have not been
+	// read, and backendUnreadShare that for those of backend servers.
+	unreadShare        = 0.2
+	backendUnreadShare = 0.1
 	// minBodyBytes lets one body of 4 MiB grow, which takes 6 MiB while it is copied.
 	minBodyBytes = 9 << 20
 	// assumedMemory is the memory if there is no limit.
@@ -75,6 +85,19 @@
 	defaultHeadLimit = 64 << 10
 )
 
+// The bytes that may wait to be read on one connection: on each one, on ordinary ones, and on
+// those with large bodies, so that these need not wait for a round trip for every few bytes.
+const (
+	minUnreadBytes      = 8 << 10
+	ordinaryUnreadBytes = 64 << 10
+	bodyUnreadBytes     = 256 << 10
+	// bodyUnreadBound is the share of the memory for unread bytes within which bodies get
+	// their room. The rest is for ordinary connections.
+	bodyUnreadBound = 0.8
+	// minBackendUnreadBytes is the least for a connection to a backend server.
+	minBackendUnreadBytes = 16 << 10
+)
+
 const (
 	// tickPeriod is the interval at which progress is observed.
 	tickPeriod = 250 * time.Millisecond
@@ -106,8 +129,9 @@
 	// bytes. It may be nil.
 	HeadLimit func() int
 
-	heads, bodies dhlimit.Memory
-	connections   int
+	heads, bodies, unread dhlimit.Memory
+	connections           int
+	backendUnread         int
 
 	mu   sync.Mutex
 	open map[*Conn]struct{}
@@ -128,13 +152,33 @@
 	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &files); err == nil && files.Cur > reservedDescriptors {
 		g.connections = int(min(uint64(g.connections), uint64(float64(files.Cur-reservedDescriptors)*descriptorShare)))
 	}
+	g.unread.Max = share(unreadShare)
+	g.backendUnread = max(int(share(backendUnreadShare))/max(g.connections, 1), minBackendUnreadBytes)
 }
 
+// BackendUnreadBytes returns the number of bytes that may wait to be read on a connection to a
+// backend server.
+func (g *Gate) BackendUnreadBytes() int { return g.backendUnread }
+
 // MaxConnections returns the number of connections that memory and descriptors permit.
 func (g *Gate) MaxConnections() int { return g.connections }
 
-// Listener returns a listener whose connections are bounded, in number by limit.
+// Listen listens on a TCP address. The connections are bounded, in number by limit.
+func (g *Gate) Listen(ctx context.Context, address string, limit int) (net.Listener, error) {
+	next, err := dhsocket.Listen(ctx, address, minUnreadBytes)
+	if err != nil {
+		return nil, err
+	}
+	return g.Listener(next, limit), nil
+}
+
+// Listener returns a listener whose connections are bounded, in number by limit. It does not
+// bound their unread bytes before they are accepted, as Listen does.
 func (g *Gate) Listener(next net.Listener, limit int) net.Listener {
+	if !g.unread.Reserve(int64(limit) * minUnreadBytes) {
+		g.Log.Warn("little memory for unread bytes", slog.String("address", next.Addr().String()), slog.Int("connections", limit),
+			slog.Int64("max-unread-bytes", g.unread.Max))
+	}
 	return &listener{Listener: next, gate: g, max: limit}
 }
 
@@ -250,6 +294,7 @@
 		c := &Conn{Conn: next, gate: l.gate, from: l}
 		c.since.Store(l.gate.Timers.Now().UnixNano())
 		if l.admit(c) {
+			c.widen(ordinaryUnreadBytes, 1)
 			return c, nil
 		}
 		l.gate.count(ConnectionsFull)
--- a/dh/dhintake/dhintake_test.go
+++ b/dh/dhintake/dhintake_test.go
@@ -20,6 +20,7 @@
 	"dandelionhoist.example/dh/dhcode"
 	"dandelionhoist.example/dh/dhgroup"
 	"dandelionhoist.example/dh/dhmetric"
+	"dandelionhoist.example/dh/dhsocket"
 	"dandelionhoist.example/dh/dhtimer"
 )
 
@@ -186,6 +187,42 @@
 	t.Fatalf("not reached: %s", what)
 }
 
+// Guards against bytes that the process has not read and that together exceed their share of
+// its memory, and against a share that is not returned.
+func TestUnreadBytesAreBoundedInSum(t *testing.T) {
+	const connections = 100
+	g := &Gate{Timers: dhtimer.NewStepped(), Log: slog.New(slog.DiscardHandler), Metrics: dhmetric.New(1)}
+	g.SetMemory(16 << 20)
+	listener, err := g.Listen(t.Context(), "127.0.0.1:0", connections)
+	assert.NilError(t, err)
+	reserved := g.unread.Used()
+	assert.Equal(t, reserved, int64(connections*minUnreadBytes))
+	text := make([]byte, bodyUnreadBytes)
+	var accepted []net.Conn
+	for range connections {
+		peer, err := net.Dial("tcp", listener.Addr().String())
+		assert.NilError(t, err)
+		defer func() { _ = peer.Close() }()
+		conn, err := listener.Accept()
+		assert.NilError(t, err)
+		accepted = append(accepted, conn)
+		assert.NilError(t, peer.SetWriteDeadline(time.Now().Add(10*time.Millisecond)))
+		_, _ = peer.Write(text) // what does not fit waits at the peer
+	}
+	sum := int64(0)
+	for _, conn := range accepted {
+		unread := int64(dhsocket.Unread(conn.(*Conn).Conn))
+		assert.Assert(t, unread > 0)
+		sum += unread
+	}
+	assert.Assert(t, sum <= g.unread.Max, "%d of %d bytes", sum, g.unread.Max)
+	for _, conn := range accepted {
+		assert.NilError(t, conn.Close())
+	}
+	assert.Equal(t, g.unread.Used(), reserved)
+	assert.NilError(t, listener.Close())
+}
+
 const (
 	get  = "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
 	post = "POST / HTTP/1.1\r\nHost: a\r\n"
--- a/dh/dhsocket/dhsocket.go
+++ b/dh/dhsocket/dhsocket.go
@@ -1,4 +1,5 @@
-// Package dhsocket tells how the peer of a TCP connection has ended it.
+// Package dhsocket tells how the peer of a TCP connection has ended it, and bounds the bytes
+// that wait to be read.
 //
 // A Read that returns io.EOF does not tell a peer that has sent everything from one that has
 // reset the connection: if a Write gets the error of the reset first, or the reset follows
@@ -11,9 +12,16 @@
 //	if errors.Is(err, io.EOF) {
 //		err = cmp.Or(dhsocket.EndError(conn), err)
 //	}
+//
+// Bytes that have arrived and are not read use memory of the kernel, by default up to the
+// largest value of net.ipv4.tcp_rmem for each connection:
+//
+//	listener, err := dhsocket.Listen(ctx, address, 16<<10) // for all connections
+//	err = dhsocket.SetMaxUnread(conn, 128<<10)             // for one
 package dhsocket
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net"
@@ -75,6 +83,38 @@
 	return n
 }
 
+// Listen listens on a TCP address. About maxUnread bytes of each connection wait to be read,
+// before it is accepted as well.
+func Listen(ctx context.Context, address string, maxUnread int) (net.Listener, error) {
+	config := net.ListenConfig{Control: LimitUnread(maxUnread)}
+	return config.Listen(ctx, "tcp", address)
+}
+
+// LimitUnread returns a function for the field Control of a net.Dialer or net.ListenConfig that
+// lets about maxUnread bytes of each connection wait to be read.
+func LimitUnread(maxUnread int) func(network, address string, c syscall.RawConn) error {
+	return func(_, _ string, c syscall.RawConn) error {
+		var err error
+		if controlErr := c.Control(func(fd uintptr) { err = setReceiveBuffer(int(fd), maxUnread) }); controlErr != nil {
+			return controlErr
+		}
+		return err
+	}
+}
+
+// SetMaxUnread lets about maxUnread bytes of a TCP connection wait to be read from now on. It
+// does nothing for other connections.
+func SetMaxUnread(conn net.Conn, maxUnread int) error {
+	_, err := control(conn, func(fd int) error { return setReceiveBuffer(fd, maxUnread) })
+	return err
+}
+
+// setReceiveBuffer sets half of the bytes, as Linux doubles the size for its own use and lets
+// large segments fill all of it.
+func setReceiveBuffer(fd, maxUnread int) error {
+	return unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, maxUnread/2)
+}
+
 // control calls f with the descriptor of a TCP connection. ok is false for others.
 func control(conn net.Conn, f func(fd int) error) (ok bool, err error) {
 	tcp, ok := conn.(*net.TCPConn)
--- a/dh/dhsocket/dhsocket_test.go
+++ b/dh/dhsocket/dhsocket_test.go
@@ -87,3 +87,27 @@
 		})
 	}
 }
+
+// Guards against bytes of a peer that fill the memory of a process which does not read them.
+func TestUnreadBytesAreBounded(t *testing.T) {
+	const most, more = 16 << 10, 128 << 10
+	listener, err := dhsocket.Listen(t.Context(), "127.0.0.1:0", most)
+	assert.NilError(t, err)
+	defer func() { _ = listener.Close() }()
+	peer, err := net.Dial("tcp", listener.Addr().String())
+	assert.NilError(t, err)
+	defer func() { _ = peer.Close() }()
+	fillBuffers(t, peer) // before the connection is accepted
+	conn, err := listener.Accept()
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	unread := dhsocket.Unread(conn)
+	assert.Assert(t, unread > 0 && unread <= most, "%d bytes", unread)
+
+	assert.NilError(t, dhsocket.SetMaxUnread(conn, more))
+	_, err = io.CopyN(io.Discard, conn, int64(unread))
+	assert.NilError(t, err)
+	fillBuffers(t, peer)
+	unread = dhsocket.Unread(conn)
+	assert.Assert(t, unread > most && unread <= more, "%d bytes", unread)
+}
