Close connections that have had their last answer first

Callers: while a crowd sent bodies over the limit to a control VM, heartbeats of backend servers and operators found no place, the backend servers expired and entry VMs refused ordinary requests, for up to 60 s.

Cause: net/http keeps a connection open for half a second after an answer to a body that it has not read, so that the answer is not lost. Such a connection was never closed in favour of a new one, and a crowd held all places with them.

Change: once an answer is the last one, its connection is the first to be closed when there are too many.

Evidence: TestAnsweredConnectionsMakePlace fails without the change.

--- a/dh/dhintake/connection.go
+++ b/dh/dhintake/connection.go
@@ -45,7 +45,8 @@
 
 // The order in which connections are closed when there are too many.
 const (
-	closeStalled = iota // silent, or with an incomplete head, for some time
+	closeEnding  = iota // answered for the last time
+	closeStalled        // silent, or with an incomplete head, for some time
 	closeLongIdle
 	closeSilent
 	closeHead
@@ -75,6 +76,8 @@
 	since    atomic.Int64
 	received atomic.Int64
 	waiting  atomic.Bool
+	// ending is set once no further answer will be written.
+	ending atomic.Bool
 	// stalled is the number of ticks without a byte.
 	stalled atomic.Int32
 
@@ -322,6 +325,9 @@
 	if Reason(c.reason.Load()) != notRefused {
 		return neverClosed // it is being closed
 	}
+	if c.ending.Load() {
+		return closeEnding
+	}
 	stalled := c.stalled.Load() >= stalledTicks
 	switch phase(c.phase.Load()) {
 	case phaseHead:
@@ -349,6 +355,10 @@
 // drop refuses the request that is being read, or closes the connection if there is none. Its
 // memory counts as free at once, although the reader returns it a little later.
 func (c *Conn) drop(why Reason) {
+	if c.ending.Load() {
+		_ = c.Conn.Close() // fails only if the connection is closed
+		return
+	}
 	c.mu.Lock()
 	complete := phase(c.phase.Load()) == phaseRunning || phase(c.phase.Load()) == phaseRaw
 	if complete || !c.reason.CompareAndSwap(int32(notRefused), int32(why)) {
@@ -426,8 +436,10 @@
 	return nil
 }
 
-// CloseWrite closes the connection for writing.
+// CloseWrite closes the connection for writing. net/http calls it after the last answer, and
+// closes the connection half a second later.
 func (c *Conn) CloseWrite() error {
+	c.ending.Store(true)
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return half.CloseWrite()
 	}
--- a/dh/dhintake/dhintake_test.go
+++ b/dh/dhintake/dhintake_test.go
@@ -187,6 +187,24 @@
 	t.Fatalf("not reached: %s", what)
 }
 
+// Guards against new clients that are refused while connections that have had their last
+// answer still hold all places: a crowd that sends bodies over the limit kept operators and
+// backend servers out.
+func TestAnsweredConnectionsMakePlace(t *testing.T) {
+	s := startServer(t, 1, func(*Gate) {})
+	for range 3 {
+		refused := s.connect(t).send(post + "Content-Length: 99999999\r\n\r\nx")
+		r, err := http.ReadResponse(refused.in, nil)
+		assert.NilError(t, err)
+		assert.Equal(t, r.StatusCode, http.StatusBadRequest)
+		_, err = io.ReadAll(r.Body)
+		assert.NilError(t, err)
+		refused.expectClosed()
+		s.connect(t).send(strings.Replace(get, "\r\n\r\n", "\r\nConnection: close\r\n\r\n", 1)).expect(http.StatusOK, "")
+		waitUntil(t, "a free place", func() bool { s.gate.mu.Lock(); defer s.gate.mu.Unlock(); return len(s.gate.open) == 0 })
+	}
+}
+
 // Guards against bytes that the process has not read and that together exceed their share of
 // its memory, and against a share that is not returned.
 func TestUnreadBytesAreBoundedInSum(t *testing.T) {
