Tell recent departures in checks

Callers: requests could reach a backend server later than DrainMs after its leave was acknowledged, while the control VMs of a zone were silent.

Cause: as for documents, an entry VM asked one control VM after the other, at 0.85 s each.

Change: the answer to a check also names the departures of the last 10 s.

--- a/dh/dhbackend/departure.go
+++ b/dh/dhbackend/departure.go
@@ -207,8 +207,24 @@
 func (l *Registry) Departures(after uint64) []*dhpb.Departure {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	return messages(l.departures.after(after))
+}
+
+// DeparturesSince returns the recent departures learned since a time.
+func (l *Registry) DeparturesSince(from time.Time) []*dhpb.Departure {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	recent := l.departures.recent
+	first := len(recent)
+	for first > 0 && !recent[first-1].learned.Before(from) {
+		first--
+	}
+	return messages(recent[first:])
+}
+
+func messages(departures []*departure) []*dhpb.Departure {
 	var list []*dhpb.Departure
-	for _, d := range l.departures.after(after) {
+	for _, d := range departures {
 		list = append(list, d.Message)
 	}
 	return list
--- a/dh/dhcontrol/watch.go
+++ b/dh/dhcontrol/watch.go
@@ -184,9 +184,15 @@
 	return a, operations
 }
 
-// State returns the durable state that an entry VM with tables does not hold.
+// stateDepartures is how long a departure is told in State: the time in which entry VMs must
+// know it, and some more.
+const stateDepartures = 10 * time.Second
+
+// State returns the durable state that an entry VM with tables does not hold, and recent
+// departures.
 func (c *Control) State(m *dhpb.ControlStateRequest) *dhpb.ControlStateResponse {
 	a, _ := c.newerState(m, c.knowsState())
+	a.Departures = c.registry.DeparturesSince(c.Timers.Now().Add(-stateDepartures))
 	return a
 }
 
--- a/dh/dhentry/dhentry.go
+++ b/dh/dhentry/dhentry.go
@@ -263,6 +263,7 @@
 		case u := <-e.updates:
 			e.apply(u)
 		case s := <-e.states:
+			e.applyDepartures(s.Departures)
 			e.applyState(s)
 			e.publish()
 		}
@@ -366,12 +367,7 @@
 			e.Log.Warn("backend server record not applied", slog.String("backend", r.GetId()), slog.String("error", err.Error()))
 		}
 	}
-	for _, d := range u.GetDepartures() {
-		if e.table.Depart(d) {
-			e.Log.Info("backend server has left", slog.String("backend", d.GetId()), slog.Uint64("incarnation", d.GetIncarnation()),
-				slog.Uint64("sequence", d.GetSequence()))
-		}
-	}
+	e.applyDepartures(u.GetDepartures())
 	if first && len(listed) > 0 {
 		e.Log.Info("first backend servers received", slog.Int("count", len(listed)), slog.Bool("complete", u.GetComplete()),
 			slog.String("from", u.From), slog.Uint64("epoch", u.GetEpoch()), slog.Uint64("position", u.GetPosition()))
@@ -383,6 +379,15 @@
 	e.applyLoads(u, now)
 }
 
+func (e *Entry) applyDepartures(list []*dhpb.Departure) {
+	for _, d := range list {
+		if e.table.Depart(d) {
+			e.Log.Info("backend server has left", slog.String("backend", d.GetId()), slog.Uint64("incarnation", d.GetIncarnation()),
+				slog.Uint64("sequence", d.GetSequence()))
+		}
+	}
+}
+
 func (e *Entry) applyLoads(u dhwatch.Update, now time.Time) {
 	list, err := dhwatch.Loads(u.ControlWatchResponse)
 	if err != nil {
--- a/dh/dhpb/dhpbconnect/control.connect.go
+++ b/dh/dhpb/dhpbconnect/control.connect.go
@@ -49,9 +49,9 @@
 	// Watch returns the changes since the caller's position. It waits for a change
 	// for a bounded time.
 	Watch(context.Context, *dhpb.ControlWatchRequest) (*dhpb.ControlWatchResponse, error)
-	// State returns the document and the operations that the caller does not have, at once. It
-	// is cheap for the control VM: an entry VM calls others than the one that it watches while
-	// its own state is not confirmed.
+	// State returns the document and the operations that the caller does not have, and recent
+	// departures, at once. It is cheap for the control VM: an entry VM calls others than the one
+	// that it watches while its own state is not confirmed.
 	State(context.Context, *dhpb.ControlStateRequest) (*dhpb.ControlStateResponse, error)
 	// Quarantine applies an operator's order about a cause, if there is one, and
 	// returns the verdicts that are remembered.
@@ -129,9 +129,9 @@
 	// Watch returns the changes since the caller's position. It waits for a change
 	// for a bounded time.
 	Watch(context.Context, *dhpb.ControlWatchRequest) (*dhpb.ControlWatchResponse, error)
-	// State returns the document and the operations that the caller does not have, at once. It
-	// is cheap for the control VM: an entry VM calls others than the one that it watches while
-	// its own state is not confirmed.
+	// State returns the document and the operations that the caller does not have, and recent
+	// departures, at once. It is cheap for the control VM: an entry VM calls others than the one
+	// that it watches while its own state is not confirmed.
 	State(context.Context, *dhpb.ControlStateRequest) (*dhpb.ControlStateResponse, error)
 	// Quarantine applies an operator's order about a cause, if there is one, and
 	// returns the verdicts that are remembered.
--- a/dh/dhwatch/checks.go
+++ b/dh/dhwatch/checks.go
@@ -33,6 +33,8 @@
 type State struct {
 	Document   *dhpb.Document
 	Operations *dhpb.Operations
+	// Departures are recent departures of backend servers.
+	Departures []*dhpb.Departure
 	// From is the address of the control VM.
 	From string
 	// ConfirmedAt is a time at which the state was the newest, as for Update.
@@ -41,7 +43,9 @@
 
 // State returns the durable state in an update.
 func (u Update) State() State {
-	return State{Document: u.GetDocument(), Operations: u.GetOperations(), From: u.From, ConfirmedAt: u.ConfirmedAt()}
+	return State{
+		Document: u.GetDocument(), Operations: u.GetOperations(), Departures: u.GetDepartures(), From: u.From, ConfirmedAt: u.ConfirmedAt(),
+	}
 }
 
 // RunChecks asks control VMs for their durable state, one after the other and without waiting
@@ -135,7 +139,7 @@
 	if err != nil || ctx.Err() != nil {
 		return // another control VM is asked
 	}
-	s := State{Document: reply.GetDocument(), Operations: reply.GetOperations(), From: address}
+	s := State{Document: reply.GetDocument(), Operations: reply.GetOperations(), Departures: reply.GetDepartures(), From: address}
 	if reply.GetConfirmed() {
 		s.ConfirmedAt = sent - reply.GetConfirmedAge().AsDuration()
 	}
