Bound the connections that have lost their place

Callers: under 600 connections that send requests and read no answers the process used all of its descriptors, and new callers were not accepted.

Cause: a connection that lost its place to a new one was not counted any more, but kept its descriptor until its answer was written and its rest was read, up to 0.1 s and more. With 2,000 new connections a second 513 to 543 were open where 412 are allowed.

Change: at most an eighth as many as have a place may be ending so. Beyond that one of them is closed at once, without its answer.

TestEvictedConnectionsAreBounded.

--- a/dh/dhintake/connection.go
+++ b/dh/dhintake/connection.go
@@ -356,7 +356,7 @@
 // memory counts as free at once, although the reader returns it a little later.
 func (c *Conn) drop(why Reason) {
 	if c.ending.Load() {
-		_ = c.Conn.Close() // fails only if the connection is closed
+		_ = c.closeSocket() // fails only if the connection is closed
 		return
 	}
 	c.mu.Lock()
@@ -370,7 +370,7 @@
 	c.mu.Unlock()
 	c.gate.count(why)
 	if c.received.Load() == 0 {
-		_ = c.Conn.Close() // as above
+		_ = c.closeSocket() // as above
 	}
 }
 
@@ -418,7 +418,7 @@
 			}
 		}
 	}
-	_ = c.Conn.Close() // as above
+	_ = c.closeSocket() // as above
 	return os.ErrDeadlineExceeded
 }
 
@@ -448,14 +448,30 @@
 
 // Close implements net.Conn.
 func (c *Conn) Close() error {
+	err := c.closeSocket()
+	c.mu.Lock()
+	c.releaseAll()
+	c.mu.Unlock()
 	c.gate.mu.Lock()
+	defer c.gate.mu.Unlock()
 	c.gate.remove(c)
-	c.gate.mu.Unlock()
+	delete(c.from.evicted, c) // it may have lost its place since the socket was closed
+	return err
+}
+
+// closeSocket closes the socket, after which the connection holds neither a descriptor nor
+// unread bytes.
+func (c *Conn) closeSocket() error {
 	err := c.Conn.Close()
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.releaseAll()
+	first := !c.closed
 	c.gate.unread.Release(c.unreadHeld)
 	c.unreadHeld, c.closed = 0, true
+	c.mu.Unlock()
+	if first {
+		c.gate.mu.Lock()
+		defer c.gate.mu.Unlock()
+		delete(c.from.evicted, c)
+	}
 	return err
 }
--- a/dh/dhintake/dhintake.go
+++ b/dh/dhintake/dhintake.go
@@ -81,6 +81,9 @@
 	// may need another connection to a backend server.
 	reservedDescriptors = 200
 	descriptorShare     = 0.5
+	// endingShare is the part of the connections of a listener that may still get an answer
+	// after they have lost their place to another: one in so many.
+	endingShare = 8
 	// defaultHeadLimit bounds a header section if HeadLimit is not set.
 	defaultHeadLimit = 64 << 10
 )
@@ -179,7 +182,7 @@
 		g.Log.Warn("little memory for unread bytes", slog.String("address", next.Addr().String()), slog.Int("connections", limit),
 			slog.Int64("max-unread-bytes", g.unread.Max))
 	}
-	return &listener{Listener: next, gate: g, max: limit}
+	return &listener{Listener: next, gate: g, max: limit, evicted: make(map[*Conn]struct{})}
 }
 
 // connectionKey is the key of the connection in the context of a request.
@@ -281,7 +284,11 @@
 	net.Listener
 	gate *Gate
 	max  int
-	open int // guarded by the mutex of the gate
+	// open is the number of connections that have a place. evicted are those that have lost it
+	// and are not closed: they still get their answer. Both are guarded by the mutex of the
+	// gate.
+	open    int
+	evicted map[*Conn]struct{}
 }
 
 // Accept implements net.Listener.
@@ -306,7 +313,7 @@
 func (l *listener) admit(c *Conn) bool {
 	g := l.gate
 	g.mu.Lock()
-	var victim *Conn
+	var victim, ending *Conn
 	if l.open >= l.max {
 		now, least := g.Timers.Now(), neverClosed
 		for other := range g.open {
@@ -322,6 +329,13 @@
 			return false
 		}
 		g.remove(victim)
+		if len(l.evicted) >= max(l.max/endingShare, 1) {
+			for ending = range l.evicted {
+				break
+			}
+			delete(l.evicted, ending)
+		}
+		l.evicted[victim] = struct{}{}
 	}
 	if g.open == nil {
 		g.open = make(map[*Conn]struct{})
@@ -332,6 +346,9 @@
 	if victim != nil {
 		victim.drop(ConnectionsFull)
 	}
+	if ending != nil {
+		_ = ending.closeSocket() // fails only if the connection is closed
+	}
 	return true
 }
 
--- a/dh/dhintake/dhintake_test.go
+++ b/dh/dhintake/dhintake_test.go
@@ -205,6 +205,26 @@
 	}
 }
 
+// Guards against descriptors of connections that have lost their place and still get an
+// answer, whose number no limit bounds.
+func TestEvictedConnectionsAreBounded(t *testing.T) {
+	const limit = 16
+	s := startServer(t, limit, func(*Gate) {})
+	evicted := func() int {
+		s.gate.mu.Lock()
+		defer s.gate.mu.Unlock()
+		for c := range s.gate.open {
+			return len(c.from.evicted)
+		}
+		return 0
+	}
+	for range 10 * limit {
+		s.connect(t).send(strings.TrimSuffix(get, "\r\n"))
+		assert.Assert(t, evicted() <= limit/endingShare, "%d connections", evicted())
+	}
+	waitUntil(t, "the evicted are closed", func() bool { return evicted() == 0 })
+}
+
 // Guards against bytes that the process has not read and that together exceed their share of
 // its memory, and against a share that is not returned.
 func TestUnreadBytesAreBoundedInSum(t *testing.T) {
