Compute the time of a confirmation in one place

The answer to a check and an Update computed it each by themselves. silentBefore allocated a slice for each control VM on each watch. Behaviour is the same.

--- a/dh/dhwatch/checks.go
+++ b/dh/dhwatch/checks.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"log/slog"
-	"slices"
 	"time"
 
 	"dandelionhoist.example/dh/dhgroup"
@@ -119,7 +118,9 @@
 func (f *Follower) silentBefore() time.Time {
 	var newest time.Time
 	for _, c := range f.controls {
-		newest = slices.MaxFunc([]time.Time{newest, c.lastHeard}, time.Time.Compare)
+		if c.lastHeard.After(newest) {
+			newest = c.lastHeard
+		}
 	}
 	return newest.Add(-zoneMoveMaxAge)
 }
@@ -139,9 +140,8 @@
 	if err != nil || ctx.Err() != nil {
 		return // another control VM is asked
 	}
-	s := State{Document: reply.GetDocument(), Operations: reply.GetOperations(), Departures: reply.GetDepartures(), From: address}
-	if reply.GetConfirmed() {
-		s.ConfirmedAt = sent - reply.GetConfirmedAge().AsDuration()
-	}
-	f.OnState(s)
+	f.OnState(State{
+		Document: reply.GetDocument(), Operations: reply.GetOperations(), Departures: reply.GetDepartures(), From: address,
+		ConfirmedAt: confirmedAt(reply, sent),
+	})
 }
--- a/dh/dhwatch/dhwatch.go
+++ b/dh/dhwatch/dhwatch.go
@@ -112,14 +112,23 @@
 }
 
 // ConfirmedAt returns a time at which the state that the control VM knew was the newest, by the
-// clock of the Follower, or 0 if no majority has confirmed it. It is when the call was sent,
-// less the age in the response. The response was sent later, so this is never after the time
-// of the confirmation.
-func (u Update) ConfirmedAt() time.Duration {
-	if !u.GetConfirmed() {
+// clock of the Follower, or 0 if no majority has confirmed it.
+func (u Update) ConfirmedAt() time.Duration { return confirmedAt(u, u.Sent) }
+
+// confirmation is what a response tells about the age of the state in it.
+type confirmation interface {
+	GetConfirmed() bool
+	GetConfirmedAge() *durationpb.Duration
+}
+
+// confirmedAt returns when the state in the response to a call was the newest, or 0 if that is
+// not known. It is when the call was sent, less the age in the response. The response was sent
+// later, so this is never after the time of the confirmation.
+func confirmedAt(reply confirmation, sent time.Duration) time.Duration {
+	if !reply.GetConfirmed() {
 		return 0
 	}
-	return u.Sent - u.GetConfirmedAge().AsDuration()
+	return sent - reply.GetConfirmedAge().AsDuration()
 }
 
 // Follower watches control VMs. Set the exported fields before calling Run.
@@ -279,9 +288,9 @@
 // previous one. It keeps the current one as long as it answers and no switch to
 // one in the same zone is due. Otherwise it prefers those that have not failed
 // recently, then those that other control VMs hear from, then those in the same
-// zone, then an order that differs between entry VMs. While all have failed, it keeps one that still answers: each switch
-// requires a full view, and sending these views kept overloaded control VMs from
-// confirming their state.
+// zone, then an order that differs between entry VMs. While all have failed, it
+// keeps one that still answers: each switch requires a full view, and sending these
+// views kept overloaded control VMs from confirming their state.
 func (f *Follower) chooseControl() (address string, changed bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
