Give each test server an address of its own

The daemon's log was not printed.

Cause, as far as it can be told without that log: freeAddress closes its listener and asks the kernel for the next port, which can be the same one.

freeAddress does not return an address twice now, and the failure prints the log of the daemon.

--- a/cmd/dandelionhoistd/process_test.go
+++ b/cmd/dandelionhoistd/process_test.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 
@@ -107,15 +108,34 @@
 	return path
 }
 
-// freeAddress returns an unused address on a loopback IP that only this process
-// uses, so that no other process binds it before the daemon listens.
+// givenAddresses are the addresses that freeAddress has returned.
+var givenAddresses sync.Map
+
+// freeAddress returns an unused address, another one at each call, on a loopback IP that only
+// this process uses, so that no other process binds it before the daemon listens.
 func freeAddress(t testing.TB) string {
 	t.Helper()
 	pid := os.Getpid()
-	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+pid>>16&0x7f, pid>>8&0xff, pid&0xff))
-	assert.NilError(t, err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	for {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+pid>>16&0x7f, pid>>8&0xff, pid&0xff))
+		assert.NilError(t, err)
+		address := l.Addr().String()
+		assert.NilError(t, l.Close())
+		if _, given := givenAddresses.LoadOrStore(address, true); !given {
+			return address
+		}
+	}
+}
+
+// Guards against two servers of a cluster that get the same address, so that a daemon ends
+// before it serves.
+func TestFreeAddressesDiffer(t *testing.T) {
+	given := make(map[string]bool)
+	for range 2000 {
+		address := freeAddress(t)
+		assert.Assert(t, !given[address], "%s twice", address)
+		given[address] = true
+	}
 }
 
 // withRatings runs a simulated rating service for daemons that are not started yet.
@@ -185,7 +205,7 @@
 		select {
 		case <-d.serving:
 		case <-d.exited:
-			c.t.Fatalf("daemon ended before it served: %v", d.exit)
+			c.t.Fatalf("daemon ended before it served: %v\n%s", d.exit, d.log.String())
 		}
 	}
 }
