Apply departures in one place

An entry VM applied departures of backend servers in two ways: those of a watch with the records, those of a check in the control loop. A watch whose records could not be read lost its departures. applyState does both now, after the records.

--- a/dh/dhentry/dhentry.go
+++ b/dh/dhentry/dhentry.go
@@ -263,7 +263,6 @@
 		case u := <-e.updates:
 			e.apply(u)
 		case s := <-e.states:
-			e.applyDepartures(s.Departures)
 			e.applyState(s)
 			e.publish()
 		}
@@ -298,6 +297,7 @@
 
 // applyState applies the durable state that a control VM knows.
 func (e *Entry) applyState(s dhwatch.State) {
+	e.applyDepartures(s.Departures)
 	if o := s.Operations; o.GetNumber() > e.operations.GetNumber() {
 		for _, zone := range e.operations.GetZonesOut() {
 			if !slices.Contains(o.GetZonesOut(), zone) {
@@ -316,6 +316,15 @@
 	e.confirmTables(s)
 }
 
+func (e *Entry) applyDepartures(list []*dhpb.Departure) {
+	for _, d := range list {
+		if e.table.Depart(d) {
+			e.Log.Info("backend server has left", slog.String("backend", d.GetId()), slog.Uint64("incarnation", d.GetIncarnation()),
+				slog.Uint64("sequence", d.GetSequence()))
+		}
+	}
+}
+
 // vmCount returns the number of entry VMs among which bounds are divided.
 func (e *Entry) vmCount() int { return max(e.entryVMs.value(), 1) }
 
@@ -367,7 +376,6 @@
 			e.Log.Warn("backend server record not applied", slog.String("backend", r.GetId()), slog.String("error", err.Error()))
 		}
 	}
-	e.applyDepartures(u.GetDepartures())
 	if first && len(listed) > 0 {
 		e.Log.Info("first backend servers received", slog.Int("count", len(listed)), slog.Bool("complete", u.GetComplete()),
 			slog.String("from", u.From), slog.Uint64("epoch", u.GetEpoch()), slog.Uint64("position", u.GetPosition()))
@@ -379,15 +387,6 @@
 	e.applyLoads(u, now)
 }
 
-func (e *Entry) applyDepartures(list []*dhpb.Departure) {
-	for _, d := range list {
-		if e.table.Depart(d) {
-			e.Log.Info("backend server has left", slog.String("backend", d.GetId()), slog.Uint64("incarnation", d.GetIncarnation()),
-				slog.Uint64("sequence", d.GetSequence()))
-		}
-	}
-}
-
 func (e *Entry) applyLoads(u dhwatch.Update, now time.Time) {
 	list, err := dhwatch.Loads(u.ControlWatchResponse)
 	if err != nil {
