See unread bytes of connections behind the gate

What callers could see: an answer without a length that a relay passed on was taken for complete, although the backend server had not received the whole request.

Cause: a relay asks dhsocket for the bytes of the caller that have not been read. Its connections come through the gate, which wraps them, and dhsocket answered 0 for all but a *net.TCPConn. The tests of the relay use connections without a gate.

dhsocket follows NetConn now, as crypto/tls names it, and connections of the gate have it. TestUnreadBytesAreSeen failed before ("not reached: the bytes are seen") and passed 20 times of 20.

--- a/dh/dhintake/connection.go
+++ b/dh/dhintake/connection.go
@@ -436,6 +436,9 @@
 	return nil
 }
 
+// NetConn returns the TCP connection.
+func (c *Conn) NetConn() net.Conn { return c.Conn }
+
 // CloseWrite closes the connection for writing. net/http calls it after the last answer, and
 // closes the connection half a second later.
 func (c *Conn) CloseWrite() error {
--- a/dh/dhintake/dhintake_test.go
+++ b/dh/dhintake/dhintake_test.go
@@ -261,6 +261,25 @@
 	assert.NilError(t, listener.Close())
 }
 
+// Guards against a relay that takes an answer for complete although the backend server has not
+// received the whole request: the rest waits on the connection from the other VM.
+func TestUnreadBytesAreSeen(t *testing.T) {
+	g := &Gate{Timers: dhtimer.NewStepped(), Log: slog.New(slog.DiscardHandler), Metrics: dhmetric.New(1)}
+	g.SetMemory(16 << 20)
+	listener, err := g.Listen(t.Context(), "127.0.0.1:0", 1)
+	assert.NilError(t, err)
+	defer func() { _ = listener.Close() }() // the test has ended
+	peer, err := net.Dial("tcp", listener.Addr().String())
+	assert.NilError(t, err)
+	defer func() { _ = peer.Close() }() // as above
+	conn, err := listener.Accept()
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }() // as above
+	_, err = peer.Write([]byte(get))
+	assert.NilError(t, err)
+	waitUntil(t, "the bytes are seen", func() bool { return dhsocket.Unread(conn) == len(get) })
+}
+
 const (
 	get  = "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
 	post = "POST / HTTP/1.1\r\nHost: a\r\n"
--- a/dh/dhsocket/dhsocket.go
+++ b/dh/dhsocket/dhsocket.go
@@ -115,8 +115,16 @@
 	return unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, maxUnread/2)
 }
 
-// control calls f with the descriptor of a TCP connection. ok is false for others.
+// control calls f with the descriptor of a TCP connection, also of one that conn returns as
+// NetConn. ok is false for others.
 func control(conn net.Conn, f func(fd int) error) (ok bool, err error) {
+	for {
+		wrapper, wraps := conn.(interface{ NetConn() net.Conn })
+		if !wraps {
+			break
+		}
+		conn = wrapper.NetConn()
+	}
 	tcp, ok := conn.(*net.TCPConn)
 	if !ok {
 		return false, nil
