Give large answers of backend servers more room

What callers would see: since a large answer of a backend server takes a round trip for each 20 KiB, by computation 3.3 s for 8 MiB at 8 ms.

Cause: the bound of unread bytes of connections to backend servers was one fixed size, the share of the memory divided by the most connections.

These connections begin with 16 KiB, about what TCP sends before the first acknowledgement, and get 128 KiB while there is memory once 4 KiB have been read without waiting. The accounting of callers' connections and theirs is one type (room).

--- a/dh/dhintake/connection.go
+++ b/dh/dhintake/connection.go
@@ -12,7 +12,6 @@
 
 	"dandelionhoist.example/dh/dhcode"
 	"dandelionhoist.example/dh/dhlimit"
-	"dandelionhoist.example/dh/dhsocket"
 	"dandelionhoist.example/dh/dhtimer"
 )
 
@@ -80,14 +79,13 @@
 	ending atomic.Bool
 	// stalled is the number of ticks without a byte.
 	stalled atomic.Int32
+	unread  room
 
 	// mu guards the fields below, up to the next comment.
 	mu         sync.Mutex
 	headHeld   int64
 	bodyHeld   int64
-	unreadHeld int64 // beyond minUnreadBytes
 	noMoreHeld bool
-	closed     bool
 
 	// Only ticks use these: the bytes received at the last tick and at the begin of a period
 	// of progressTicks, and the ticks of that period.
@@ -125,7 +123,7 @@
 	}
 	if phase(c.phase.Load()) == phaseBody && c.received.Load() >= ordinaryUnreadBytes && !c.widened {
 		c.widened = true
-		c.widen(bodyUnreadBytes, bodyUnreadBound)
+		c.unread.widen(c.Conn, bodyUnreadBytes, bodyUnreadBound)
 	}
 	before := c.framing.payload
 	used, done := c.framing.take(p[:n])
@@ -224,23 +222,6 @@
 	}
 }
 
-// widen lets total bytes wait to be read, if the memory for unread bytes is used up to a share
-// at most. What a connection has got it keeps until it is closed: its peer may fill it at any
-// time.
-func (c *Conn) widen(total int64, share float64) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	m, more := &c.gate.unread, total-minUnreadBytes-c.unreadHeld
-	if c.closed || more <= 0 || !m.ReserveBelow(more, int64(float64(m.Max)*share)) {
-		return
-	}
-	if err := dhsocket.SetMaxUnread(c.Conn, int(total)); err != nil {
-		m.Release(more)
-		return // the connection has ended, or has as much room as before
-	}
-	c.unreadHeld += more
-}
-
 func (c *Conn) setPhase(p phase) {
 	if phase(c.phase.Load()) != phaseRaw {
 		c.since.Store(c.gate.Timers.Now().UnixNano())
@@ -466,12 +447,7 @@
 // unread bytes.
 func (c *Conn) closeSocket() error {
 	err := c.Conn.Close()
-	c.mu.Lock()
-	first := !c.closed
-	c.gate.unread.Release(c.unreadHeld)
-	c.unreadHeld, c.closed = 0, true
-	c.mu.Unlock()
-	if first {
+	if c.unread.close() {
 		c.gate.mu.Lock()
 		defer c.gate.mu.Unlock()
 		delete(c.from.evicted, c)
--- a/dh/dhintake/dhintake.go
+++ b/dh/dhintake/dhintake.go
@@ -7,7 +7,8 @@
 //
 // Bytes that have arrived and are not read are memory of the process too. The Gate bounds them
 // for each connection, and for all together: connections are accepted with room for few bytes,
-// and get more while there is enough for all.
+// and get more while there is enough for all. It does the same for connections to backend
+// servers, on which answers wait.
 //
 // When a bound is reached, what has made the least progress for its age is dropped: the
 // request that needs more, or another one that is not complete. A complete request is never
@@ -97,10 +98,16 @@
 	// bodyUnreadBound is the share of the memory for unread bytes within which bodies get
 	// their room. The rest is for ordinary connections.
 	bodyUnreadBound = 0.8
-	// minBackendUnreadBytes is the least for a connection to a backend server.
-	minBackendUnreadBytes = 16 << 10
+	// answerUnreadBytes is for connections to backend servers with large answers: those of
+	// which answerBurstBytes have been read without waiting.
+	answerUnreadBytes = 128 << 10
+	answerBurstBytes  = BackendUnreadBytes / 4
 )
 
+// BackendUnreadBytes is the number of bytes that may wait to be read on a new connection to a
+// backend server: about what TCP sends before the first acknowledgement.
+const BackendUnreadBytes = 16 << 10
+
 const (
 	// tickPeriod is the interval at which progress is observed.
 	tickPeriod = 250 * time.Millisecond
@@ -132,9 +139,8 @@
 	// bytes. It may be nil.
 	HeadLimit func() int
 
-	heads, bodies, unread dhlimit.Memory
-	connections           int
-	backendUnread         int
+	heads, bodies, unread, backendUnread dhlimit.Memory
+	connections                          int
 
 	mu   sync.Mutex
 	open map[*Conn]struct{}
@@ -156,13 +162,9 @@
 		g.connections = int(min(uint64(g.connections), uint64(float64(files.Cur-reservedDescriptors)*descriptorShare)))
 	}
 	g.unread.Max = share(unreadShare)
-	g.backendUnread = max(int(share(backendUnreadShare))/max(g.connections, 1), minBackendUnreadBytes)
+	g.backendUnread.Max = max(share(backendUnreadShare)-int64(g.connections)*BackendUnreadBytes, 0)
 }
 
-// BackendUnreadBytes returns the number of bytes that may wait to be read on a connection to a
-// backend server.
-func (g *Gate) BackendUnreadBytes() int { return g.backendUnread }
-
 // MaxConnections returns the number of connections that memory and descriptors permit.
 func (g *Gate) MaxConnections() int { return g.connections }
 
@@ -298,10 +300,10 @@
 		if err != nil {
 			return nil, err
 		}
-		c := &Conn{Conn: next, gate: l.gate, from: l}
+		c := &Conn{Conn: next, gate: l.gate, from: l, unread: room{memory: &l.gate.unread, least: minUnreadBytes}}
 		c.since.Store(l.gate.Timers.Now().UnixNano())
 		if l.admit(c) {
-			c.widen(ordinaryUnreadBytes, 1)
+			c.unread.widen(next, ordinaryUnreadBytes, 1)
 			return c, nil
 		}
 		l.gate.count(ConnectionsFull)
--- a/dh/dhintake/dhintake_test.go
+++ b/dh/dhintake/dhintake_test.go
@@ -280,6 +280,52 @@
 	waitUntil(t, "the bytes are seen", func() bool { return dhsocket.Unread(conn) == len(get) })
 }
 
+// Guards against a large answer of a backend server that waits for a round trip for every few
+// bytes, and against answers that are not read and together exceed their share of the memory.
+func TestLargeAnswersGetRoom(t *testing.T) {
+	const connections = 20
+	g := &Gate{Timers: dhtimer.NewStepped(), Log: slog.New(slog.DiscardHandler), Metrics: dhmetric.New(1)}
+	g.SetMemory(16 << 20)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = listener.Close() }() // the test has ended
+	dialer := net.Dialer{Control: dhsocket.LimitUnread(BackendUnreadBytes)}
+	connect := g.Connect(func(ctx context.Context, address string) (net.Conn, error) {
+		return dialer.DialContext(ctx, "tcp", address)
+	})
+	group := dhgroup.New(t.Context())
+	var open []net.Conn
+	for range connections {
+		conn, err := connect(t.Context(), listener.Addr().String())
+		assert.NilError(t, err)
+		open = append(open, conn)
+		backend, err := listener.Accept()
+		assert.NilError(t, err)
+		defer func() { _ = backend.Close() }() // as above
+		group.Go(func(context.Context) error {
+			_, _ = backend.Write(make([]byte, 2*answerUnreadBytes)) // until the backend server is closed
+			return nil
+		})
+		waitUntil(t, "the answer arrives", func() bool { return dhsocket.Unread(conn) >= answerBurstBytes })
+		least, err := io.CopyN(io.Discard, conn, BackendUnreadBytes)
+		assert.NilError(t, err)
+		assert.Equal(t, least, int64(BackendUnreadBytes))
+		if len(open) == 1 {
+			waitUntil(t, "more arrives", func() bool { return dhsocket.Unread(conn) > answerUnreadBytes/2 })
+		}
+	}
+	sum := int64(0)
+	for _, conn := range open {
+		sum += int64(dhsocket.Unread(conn))
+	}
+	most := g.backendUnread.Max + connections*BackendUnreadBytes
+	assert.Assert(t, sum <= most, "%d of %d bytes", sum, most)
+	for _, conn := range open {
+		assert.NilError(t, conn.Close())
+	}
+	assert.Equal(t, g.backendUnread.Used(), int64(0))
+}
+
 const (
 	get  = "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
 	post = "POST / HTTP/1.1\r\nHost: a\r\n"
