Count crashes apart that one request has caused in turn

Cause: ends of backend servers within 25 ms count as one crash, so that a loss of power is no evidence against the requests that it broke. A request that crashes them within milliseconds, and is sent again at once, ends a whole pool within that time, each send after the crash before: that was one crash, and one of a whole pool counts as chance.

A crash stays apart now if a request that was at work in the one before was sent again in between and is at work in it too.

No verdict without a cause in TestNoVerdictWithout..., with two more troubles: a third, or all backend servers, end within 60 ms.

--- a/dh/dhquarantine/crash.go
+++ b/dh/dhquarantine/crash.go
@@ -66,11 +66,13 @@
 	return list
 }
 
-// joinSimultaneous joins crashes that follow the one before in their pool closely.
+// joinSimultaneous joins crashes that follow the one before in their pool closely. A crash in
+// which a request was at work that had been sent again since the first one stays apart, as it
+// is evidence against that request, however soon it followed.
 func joinSimultaneous(list []*crash) []*crash {
 	var joined []*crash
 	for i, c := range list {
-		if i == 0 || c.pool != list[i-1].pool || c.at.Sub(list[i-1].at) > simultaneous {
+		if i == 0 || c.pool != list[i-1].pool || c.at.Sub(list[i-1].at) > simultaneous || c.repeats(joined[len(joined)-1]) {
 			joined = append(joined, c)
 			continue
 		}
@@ -86,6 +88,18 @@
 	return joined
 }
 
+// repeats reports whether a request that was at work in an earlier crash was sent after it and
+// was at work in c.
+func (c *crash) repeats(earlier *crash) bool {
+	for fingerprint, since := range c.atWork {
+		_, again := earlier.atWork[fingerprint]
+		if again && slices.ContainsFunc(since, func(t time.Time) bool { return !t.Before(earlier.at) }) {
+			return true
+		}
+	}
+	return false
+}
+
 // explained reports whether a request with a quarantined cause was at work in a crash.
 func (n *Investigation) explained(c *crash, now time.Time) bool {
 	inForce := func(cause Cause) bool {
--- a/dh/dhquarantine/days_test.go
+++ b/dh/dhquarantine/days_test.go
@@ -59,6 +59,8 @@
 	deadlyShare float64
 	fuse        time.Duration
 	deadlyLeft  bool
+	// swift makes the deadly request crash its backend server within some milliseconds.
+	swift bool
 }
 
 type pendingEnd struct {
@@ -228,6 +230,9 @@
 		d.badSent++
 	}
 	if r.fingerprint == dayDeadly {
+		if d.requests.swift {
+			r.firstAt = now.Add(time.Duration(5+d.random.IntN(15)) * time.Millisecond)
+		}
 		r.endAt = r.firstAt.Add(d.requests.fuse)
 	}
 	d.running = append(d.running, r)
@@ -428,6 +433,8 @@
 // deadly request.
 var troubles = map[string]func() func(d *day){
 	"a third at once":             func() func(d *day) { return some(0.33, 10*time.Millisecond, false) },
+	"a third within 60 ms":        func() func(d *day) { return some(0.33, 60*time.Millisecond, false) },
+	"all within 60 ms":            func() func(d *day) { return some(1, 60*time.Millisecond, false) },
 	"a third over a second":       func() func(d *day) { return some(0.33, time.Second, false) },
 	"all over three seconds":      func() func(d *day) { return some(1, 3*time.Second, false) },
 	"flapping servers":            func() func(d *day) { return every(700*time.Millisecond, one(false)) },
@@ -491,6 +498,9 @@
 		{"often", 9, 12, 84, sound(dayRequests{deadlyShare: 0.05}), nil, 40},
 		{"rarely", 9, 12, 84, sound(dayRequests{deadlyShare: 0.0008}), nil, 120},
 		{"small pool", 8, 3, 20, sound(dayRequests{deadlyShare: 0.02}), nil, 40},
+		{"small pool, within milliseconds", 8, 3, 20, sound(dayRequests{deadlyShare: 0.02, swift: true}), nil, 40},
+		{"small pool, rarely, within milliseconds", 8, 3, 20, sound(dayRequests{deadlyShare: 0.005, swift: true}), nil, 40},
+		{"within milliseconds", 9, 12, 84, sound(dayRequests{deadlyShare: 0.005, swift: true}), nil, 40},
 		{"many VMs", 283, 48, 300, sound(dayRequests{deadlyShare: 0.003, fuse: 300 * time.Millisecond}), nil, 30},
 		{"beside single crashes", 9, 12, 84, sound(dayRequests{deadlyShare: 0.005}), troubles["single crashes"], 40},
 		{"beside resets", 9, 12, 84, sound(dayRequests{deadlyShare: 0.005}), func() func(d *day) { return every(400*time.Millisecond, one(true)) }, 40},
