--- a/dh/dhsocket/dhsocket.go
+++ b/dh/dhsocket/dhsocket.go
@@ -94,11 +94,7 @@
 // lets about maxUnread bytes of each connection wait to be read.
 func LimitUnread(maxUnread int) func(network, address string, c syscall.RawConn) error {
 	return func(_, _ string, c syscall.RawConn) error {
-		var err error
-		if controlErr := c.Control(func(fd uintptr) { err = setReceiveBuffer(int(fd), maxUnread) }); controlErr != nil {
-			return controlErr
-		}
-		return err
+		return withDescriptor(c, func(fd int) error { return setReceiveBuffer(fd, maxUnread) })
 	}
 }
 
@@ -129,12 +125,16 @@
 	if !ok {
 		return false, nil
 	}
-	var raw syscall.RawConn
-	if raw, err = tcp.SyscallConn(); err != nil {
+	raw, err := tcp.SyscallConn()
+	if err != nil {
 		return true, err
 	}
-	if controlErr := raw.Control(func(fd uintptr) { err = f(int(fd)) }); controlErr != nil {
-		return true, controlErr
+	return true, withDescriptor(raw, f)
+}
+
+func withDescriptor(c syscall.RawConn, f func(fd int) error) (err error) {
+	if controlErr := c.Control(func(fd uintptr) { err = f(int(fd)) }); controlErr != nil {
+		return controlErr
 	}
-	return true, err
+	return err
 }
