Ask in one place whether a VM was without faults in the soak

applyBoundAt repeated twice what boundsApply checks of a VM, and the check of copies had it too. All ask untouched. The bounds and checks stay as they are.

--- a/cmd/dandelionhoist-soak/dhsoak/checker.go
+++ b/cmd/dandelionhoist-soak/dhsoak/checker.go
@@ -563,6 +563,11 @@
 	})
 }
 
+// untouched reports whether no fault affected a VM between two times, and it was not stopping.
+func (j *Checker) untouched(vm string, from, to time.Time) bool {
+	return !j.disturbed(vm, from, to) && !j.disturbed(stopping(vm), from, to)
+}
+
 // settled reports whether the calm phase has begun and the control plane has been
 // without faults for settleTime.
 func (j *Checker) settled(now time.Time) bool {
@@ -571,8 +576,7 @@
 
 // boundsApply reports whether the time bounds apply to a VM at a time.
 func (j *Checker) boundsApply(vm string, now time.Time) bool {
-	from := now.Add(-settleTime)
-	return j.settled(now) && !j.disturbed(vm, from, now) && !j.disturbed(stopping(vm), from, now)
+	return j.settled(now) && j.untouched(vm, now.Add(-settleTime), now)
 }
 
 // applyBoundAt returns the time until an acknowledged configuration is in force at a VM, and
@@ -586,11 +590,11 @@
 	from := now.Add(-bound)
 	sound := 0
 	for _, name := range j.Controls {
-		if !j.disturbed(name, from, now) && !j.disturbed(stopping(name), from, now) {
+		if j.untouched(name, from, now) {
 			sound++
 		}
 	}
-	return bound, 2*sound > len(j.Controls) && !j.disturbed(vm, from, now) && !j.disturbed(stopping(vm), from, now)
+	return bound, 2*sound > len(j.Controls) && j.untouched(vm, from, now)
 }
 
 // startCalm begins the calm phase.
@@ -632,7 +636,7 @@
 		met++
 		from := r.sentAt.Add(-settleTime)
 		if run.status != http.StatusOK || run.at.Before(r.sentAt) || r.failedAt.Before(r.sentAt) ||
-			j.disturbed(r.entry, from, r.failedAt) || j.disturbed(stopping(r.entry), from, r.failedAt) || j.disturbed(run.backend, from, r.failedAt) {
+			!j.untouched(r.entry, from, r.failedAt) || j.disturbed(run.backend, from, r.failedAt) {
 			continue
 		}
 		j.addViolation("copied", "request %s runs on %s, which sends copies before its answer, and %s does not pass it on", r.id, run.backend, r.entry)
