--- a/cmd/dandelionhoist-soak/dhsoak/checker_test.go
+++ b/cmd/dandelionhoist-soak/dhsoak/checker_test.go
@@ -24,26 +24,22 @@
 	return harness{&Checker{Timers: timers, Controls: []string{controlName(0), controlName(1), controlName(2)}}, timers}
 }
 
-// configuration sends a configuration and acknowledges it.
+// configuration sends a configuration with all routes and acknowledges it.
 func (h harness) configuration(version uint64, keys ...string) {
-	c := sentConfiguration{text: "text", keys: append(keys, keyAlways), valid: true}
-	for _, r := range routes {
-		c.routes = append(c.routes, r.name)
-	}
-	h.ConfigurationSent(version, c)
-	h.ConfigurationAcknowledged(version, "control-0", http.StatusOK)
+	const none = -1
+	h.configurationWithout(none, version, keys...)
 }
 
-// configurationWithout sends configuration 2 without a route and acknowledges it.
-func (h harness) configurationWithout(route int) {
-	c := sentConfiguration{text: "text", keys: []string{keyAlways}, valid: true}
+// configurationWithout sends a configuration without a route and acknowledges it.
+func (h harness) configurationWithout(route int, version uint64, keys ...string) {
+	c := sentConfiguration{text: "text", keys: append(keys, keyAlways), valid: true}
 	for i, r := range routes {
 		if i != route {
 			c.routes = append(c.routes, r.name)
 		}
 	}
-	h.ConfigurationSent(2, c)
-	h.ConfigurationAcknowledged(2, "control-0", http.StatusOK)
+	h.ConfigurationSent(version, c)
+	h.ConfigurationAcknowledged(version, "control-0", http.StatusOK)
 }
 
 // ask sends a request on a route.
@@ -241,13 +237,13 @@
 		}},
 		"removed route runs": {"config", func(h harness) {
 			h.settle()
-			h.configurationWithout(order)
+			h.configurationWithout(order, 2)
 			h.timers.Step(applyBound + time.Millisecond)
 			h.arrive(h.ask(order, keyAlways), "b", nil)
 		}},
 		"removed route runs beside a fault of a control VM": {"config", func(h harness) {
 			defer h.Disturb("control-1", controlPlane)()
-			h.configurationWithout(order)
+			h.configurationWithout(order, 2)
 			h.timers.Step(applyBound + outerBound + time.Millisecond)
 			h.arrive(h.ask(order, keyAlways), "b", nil)
 		}},
@@ -483,7 +479,7 @@
 		t.Run(name, func(t *testing.T) {
 			h := newHarness()
 			h.configuration(1)
-			h.configurationWithout(order)
+			h.configurationWithout(order, 2)
 			h.timers.Step(time.Millisecond)
 			h.Disturb(c.disturbed...)()
 			h.timers.Step(c.after)
