Forget evicted connections whenever a socket is closed

room.close reported whether it was the first call only so that closeSocket could skip deleting an entry that was gone already. Deleting it always needs no report.

--- a/dh/dhintake/connection.go
+++ b/dh/dhintake/connection.go
@@ -447,10 +447,9 @@
 // unread bytes.
 func (c *Conn) closeSocket() error {
 	err := c.Conn.Close()
-	if c.unread.close() {
-		c.gate.mu.Lock()
-		defer c.gate.mu.Unlock()
-		delete(c.from.evicted, c)
-	}
+	c.unread.close()
+	c.gate.mu.Lock()
+	defer c.gate.mu.Unlock()
+	delete(c.from.evicted, c)
 	return err
 }
--- a/dh/dhintake/room.go
+++ b/dh/dhintake/room.go
@@ -35,12 +35,10 @@
 	r.held += more
 }
 
-// close returns the memory. It reports whether this is the first call.
-func (r *room) close() (first bool) {
+// close returns the memory.
+func (r *room) close() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	first = !r.closed
 	r.memory.Release(r.held)
 	r.held, r.closed = 0, true
-	return first
 }
