--- a/dh/dhintake/dhintake_test.go
+++ b/dh/dhintake/dhintake_test.go
@@ -225,12 +225,18 @@
 	waitUntil(t, "the evicted are closed", func() bool { return evicted() == 0 })
 }
 
+// newGate returns a Gate of a process with little memory.
+func newGate() *Gate {
+	g := &Gate{Timers: dhtimer.NewStepped(), Log: slog.New(slog.DiscardHandler), Metrics: dhmetric.New(1)}
+	g.SetMemory(16 << 20)
+	return g
+}
+
 // Guards against bytes that the process has not read and that together exceed their share of
 // its memory, and against a share that is not returned.
 func TestUnreadBytesAreBoundedInSum(t *testing.T) {
 	const connections = 100
-	g := &Gate{Timers: dhtimer.NewStepped(), Log: slog.New(slog.DiscardHandler), Metrics: dhmetric.New(1)}
-	g.SetMemory(16 << 20)
+	g := newGate()
 	listener, err := g.Listen(t.Context(), "127.0.0.1:0", connections)
 	assert.NilError(t, err)
 	reserved := g.unread.Used()
@@ -249,7 +255,7 @@
 	}
 	sum := int64(0)
 	for _, conn := range accepted {
-		unread := int64(dhsocket.Unread(conn.(*Conn).Conn))
+		unread := int64(dhsocket.Unread(conn))
 		assert.Assert(t, unread > 0)
 		sum += unread
 	}
@@ -264,8 +270,7 @@
 // Guards against a relay that takes an answer for complete although the backend server has not
 // received the whole request: the rest waits on the connection from the other VM.
 func TestUnreadBytesAreSeen(t *testing.T) {
-	g := &Gate{Timers: dhtimer.NewStepped(), Log: slog.New(slog.DiscardHandler), Metrics: dhmetric.New(1)}
-	g.SetMemory(16 << 20)
+	g := newGate()
 	listener, err := g.Listen(t.Context(), "127.0.0.1:0", 1)
 	assert.NilError(t, err)
 	defer func() { _ = listener.Close() }() // the test has ended
@@ -284,8 +289,7 @@
 // bytes, and against answers that are not read and together exceed their share of the memory.
 func TestLargeAnswersGetRoom(t *testing.T) {
 	const connections = 20
-	g := &Gate{Timers: dhtimer.NewStepped(), Log: slog.New(slog.DiscardHandler), Metrics: dhmetric.New(1)}
-	g.SetMemory(16 << 20)
+	g := newGate()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	defer func() { _ = listener.Close() }() // the test has ended
